--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,10 @@
 BIN := $(VENV)/bin
 PACKAGES := $(wildcard packages/knapweedhall-*)
 STAMP := $(VENV)/.installed
+# Lets a second work tree use its own sources with a shared environment.
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(wildcard packages/*/src)))
 
 .PHONY: setup test lint format demo
 
