--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(wildcard packages/*/src)))
 
-.PHONY: setup test lint format demo
+.PHONY: setup test lint format demo catalogue
 
 setup: $(STAMP)
 
@@ -29,3 +29,6 @@
 
 format: setup
 	$(BIN)/black --quiet packages tools
+
+catalogue: setup
+	$(BIN)/python tools/write_catalogue.py
--- a/packages/knapweedhall-records/src/knapweedhall_records/codec.py
+++ b/packages/knapweedhall-records/src/knapweedhall_records/codec.py
@@ -145,8 +145,8 @@
             f'remove it or use a schema version other than {schema}',
         )
     try:
-        fields = msgspec.json.decode(envelope['body'], type=shape.fields)
-    except msgspec.DecodeError as error:
+        fields = msgspec.convert(envelope['body'], shape.fields)
+    except msgspec.ValidationError as error:
         return errors.InvalidField(
             f'{kind} {envelope["name"]!r}: {error}',
             'correct the field that the path names',
@@ -160,16 +160,10 @@
     return _check_versions(record)
 
 
-def _unknown_fields(raw: msgspec.Raw, fields: typing.Any) -> list[str]:
+def _unknown_fields(body: Fields, fields: typing.Any) -> list[str]:
     # msgspec ignores unknown keys of a TypedDict, so a misspelt option would
     # silently keep its default.
-    try:
-        found = msgspec.json.decode(raw)
-    except msgspec.DecodeError:
-        return []
-    if not isinstance(found, dict):
-        return []
-    return sorted(set(found) - set(typing.get_type_hints(fields)))
+    return sorted(set(body) - set(typing.get_type_hints(fields)))
 
 
 def _check_versions(record: bodies.Record) -> bodies.Record | errors.Refusal:
--- a/packages/knapweedhall-records/src/knapweedhall_records/wire.py
+++ b/packages/knapweedhall-records/src/knapweedhall_records/wire.py
@@ -11,13 +11,14 @@
     msgspec.Meta(min_length=1, max_length=200, pattern=r'^[\w.:/@-]+$'),
 ]
 Positive = typing.Annotated[int, msgspec.Meta(ge=1)]
-Count = typing.Annotated[int, msgspec.Meta(ge=0, lt=2**63)]
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Work = typing.Annotated[int, msgspec.Meta(ge=0, le=500)]
 Cost = typing.Annotated[float, msgspec.Meta(ge=0)]
 Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
 class Envelope(typing.TypedDict):
-    """Fields that every record has; `body` stays encoded."""
+    """Fields that every record has; the kind decides about `body`."""
 
     kind: str
     schema: int
@@ -27,7 +28,7 @@
     writer: Name
     incarnation: Count
     number: Count
-    body: msgspec.Raw
+    body: dict[str, typing.Any]
 
 
 class LimitsFields(typing.TypedDict):
@@ -47,7 +48,7 @@
     slices: typing.NotRequired[Positive]
     partition_mode: typing.NotRequired[typing.Literal['stay', 'handover']]
     checks_tokens: typing.NotRequired[bool]
-    max_work_ms: typing.NotRequired[Count]
+    max_work_ms: typing.NotRequired[Work]
     default_timeout_ms: typing.NotRequired[Positive]
     idempotent_methods: typing.NotRequired[list[str]]
     hedging: typing.NotRequired[bool]
