--- a/packages/knapweedhall-standins/src/knapweedhall_standins/process.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/process.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import signal
+import socket
+import struct
 import sys
 
 from aiohttp import web
@@ -12,11 +14,22 @@
 
 from knapweedhall_standins import network
 
+# Closes with a reset instead of an orderly end: linger on, for no time.
+LINGER_RESET = struct.pack('ii', 1, 0)
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Close a connection with a TCP reset."""
+    raw = transport.get_extra_info('socket')
+    if raw is not None:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    transport.abort()
+
 
 def abort(request: web.BaseRequest) -> web.Response:
     """Reset the caller's connection; the returned response is not sent."""
     if request.transport is not None:
-        request.transport.abort()
+        reset(request.transport)
     return web.Response()
 
 
