--- a/packages/knapweedhall-standins/src/knapweedhall_standins/process.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/process.py
@@ -18,7 +18,7 @@
 LINGER_RESET = struct.pack('ii', 1, 0)
 
 
-def reset(transport: asyncio.Transport) -> None:
+def reset(transport: asyncio.WriteTransport) -> None:
     """Close a connection with a TCP reset."""
     raw = transport.get_extra_info('socket')
     if raw is not None:
