--- /dev/null
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/errors.py
@@ -0,0 +1,15 @@
+"""Typed errors of the operators' command."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from knapweedhall_records import errors
+
+
+@dataclasses.dataclass(frozen=True)
+class MissingRecords(errors.Refusal):
+    """Records that decide the version in force have expired."""
+
+    tag: typing.ClassVar[str] = 'missing-records'
--- /dev/null
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/main.py
@@ -0,0 +1,40 @@
+"""Command line of `knapweedhallctl`."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+from knapweedhall_ctl import publish
+from knapweedhall_ctl import report
+from knapweedhall_ctl import validate
+
+COMMANDS = (publish, validate)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of all commands."""
+    parser = argparse.ArgumentParser(
+        prog='knapweedhallctl', description='Operates knapweedhall.'
+    )
+    parser.add_argument('--json', action='store_true', help='print JSON')
+    commands = parser.add_subparsers(required=True, metavar='COMMAND')
+    for command in COMMANDS:
+        command.add_parser(commands)
+    for command_parser in commands.choices.values():
+        # Without SUPPRESS the default would reset a --json given before the
+        # command.
+        command_parser.add_argument(
+            '--json', action='store_true', default=argparse.SUPPRESS
+        )
+    return parser
+
+
+def main(words: list[str] | None = None) -> int:
+    """Run one command; return the exit code."""
+    arguments = build_parser().parse_args(words)
+    return report.show(arguments.run(arguments), arguments.json)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/validate.py
@@ -0,0 +1,56 @@
+"""`validate`: checks a record file without the platform."""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+
+from knapweedhall_ctl import draft
+from knapweedhall_ctl import exit_codes
+from knapweedhall_ctl import report
+from knapweedhall_records import errors
+
+
+def add_parser(commands: argparse._SubParsersAction) -> None:
+    """Add the arguments of this command."""
+    parser = commands.add_parser('validate', help='check a record file')
+    add_record_arguments(parser)
+    parser.set_defaults(run=run)
+
+
+def add_record_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments that name a record and its writer."""
+    parser.add_argument('file', type=pathlib.Path, help='record as JSON')
+    parser.add_argument(
+        '--writer', metavar='NAME', help='default: name of the login'
+    )
+
+
+def rejected(refusal: errors.Refusal) -> report.Report:
+    """Return the report of an invalid record."""
+    return report.Report(
+        exit_codes.INVALID_INPUT,
+        f'rejected: {refusal}',
+        {
+            'outcome': 'rejected',
+            'error': refusal.tag,
+            'reason': refusal.reason,
+            'remedy': refusal.remedy,
+        },
+    )
+
+
+def run(arguments: argparse.Namespace) -> report.Report:
+    """Check the file; fields that `publish` fills in may be absent."""
+    fields = draft.read(arguments.file)
+    if isinstance(fields, errors.Refusal):
+        return rejected(fields)
+    author = draft.author_of(arguments)
+    record = draft.check(draft.complete(fields, 0, author))
+    if isinstance(record, errors.Refusal):
+        return rejected(record)
+    return report.Report(
+        exit_codes.OK,
+        f'valid: {record.kind} {record.name}',
+        {'outcome': 'valid', 'kind': record.kind, 'name': record.name},
+    )
