Add the trace checker and its two commands

Recorded runs had no verdict on the ten points of the design.

Traces of the real binaries have not been checked yet.

--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/errors.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/errors.py
@@ -13,3 +13,10 @@
     """Records that decide the version in force have expired."""
 
     tag: typing.ClassVar[str] = 'missing-records'
+
+
+@dataclasses.dataclass(frozen=True)
+class UnreadableTrace(errors.Refusal):
+    """A trace file cannot be read."""
+
+    tag: typing.ClassVar[str] = 'unreadable-trace'
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/main.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/main.py
@@ -5,11 +5,13 @@
 import argparse
 import sys
 
+from knapweedhall_ctl import check
 from knapweedhall_ctl import publish
 from knapweedhall_ctl import report
+from knapweedhall_ctl import timeline
 from knapweedhall_ctl import validate
 
-COMMANDS = (publish, validate)
+COMMANDS = (publish, validate, timeline, check)
 
 
 def build_parser() -> argparse.ArgumentParser:
