--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/groups.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/groups.py
@@ -4,8 +4,7 @@
 
 import typing
 
-import xxhash
-
+from knapweedhall_ownership import slices
 from knapweedhall_records import bodies
 from knapweedhall_records import ids
 
@@ -71,7 +70,7 @@
         text = f'{group} {candidate.instance.name}'
         return (
             position.get(candidate.instance, len(current)),
-            xxhash.xxh64_intdigest(text),
+            slices.hash_text(text),
             candidate.instance,
         )
 
--- a/packages/knapweedhall-records/src/knapweedhall_records/bodies.py
+++ b/packages/knapweedhall-records/src/knapweedhall_records/bodies.py
@@ -109,6 +109,21 @@
     instances: tuple[ids.InstanceId, ...]
 
 
+class Origin(typing.NamedTuple):
+    """The group that has to release a slice before its new owner starts.
+
+    Attributes
+    ----------
+    group : str
+        Lease group that owned the slice.
+    version : int
+        Plan version that moved the slice; an older release does not count.
+    """
+
+    group: str
+    version: int
+
+
 class Plan(typing.NamedTuple):
     """Acknowledged assignment of a divided service.
 
@@ -121,11 +136,16 @@
         successors in order.
     hot_keys : dict of str to tuple of int
         The same for keys that are assigned outside their slice.
+    origins : dict of int to Origin
+        Slices on their way between groups. A coordinator whose term starts
+        after the plan came into force could not tell them otherwise, as the
+        log keeps no earlier versions.
     """
 
     upstreams: tuple[str, ...]
     slices: tuple[tuple[int, ...], ...]
     hot_keys: dict[str, tuple[int, ...]] = {}
+    origins: dict[int, Origin] = {}
 
 
 class Release(typing.NamedTuple):
--- a/packages/knapweedhall-records/src/knapweedhall_records/codec.py
+++ b/packages/knapweedhall-records/src/knapweedhall_records/codec.py
@@ -59,6 +59,10 @@
         tuple(fields['upstreams']),
         tuple(tuple(indices) for indices in fields['slices']),
         {key: tuple(indices) for key, indices in hot_keys.items()},
+        {
+            number: bodies.Origin(*pair)
+            for number, pair in fields.get('origins', {}).items()
+        },
     )
 
 
--- a/packages/knapweedhall-records/src/knapweedhall_records/wire.py
+++ b/packages/knapweedhall-records/src/knapweedhall_records/wire.py
@@ -106,6 +106,7 @@
     upstreams: list[Name]
     slices: list[list[Count]]
     hot_keys: typing.NotRequired[dict[str, list[Count]]]
+    origins: typing.NotRequired[dict[int, tuple[Name, Positive]]]
 
 
 class ReleaseFields(typing.TypedDict):
