--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/checkpoints.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/checkpoints.py
@@ -51,7 +51,7 @@
 
 class _Chunks(typing.NamedTuple):
     offset: int
-    count: int
+    total: int
     found: dict[int, bodies.Record]
 
 
@@ -71,7 +71,7 @@
             return None
         chunks = self._set_of(record, body)
         chunks.found[body.chunk] = record
-        if len(chunks.found) < chunks.count:
+        if len(chunks.found) < chunks.total:
             return None
         del self.sets[record.writer, record.incarnation]
         return _read(
@@ -83,7 +83,7 @@
     ) -> _Chunks:
         key = record.writer, record.incarnation
         known = self.sets.get(key)
-        same = known and (known.offset, known.count) == (
+        same = known and (known.offset, known.total) == (
             body.offset,
             body.chunks,
         )
