--- a/packages/knapweedhall-records/src/knapweedhall_records/codec.py
+++ b/packages/knapweedhall-records/src/knapweedhall_records/codec.py
@@ -60,8 +60,8 @@
         tuple(tuple(indices) for indices in fields['slices']),
         {key: tuple(indices) for key, indices in hot_keys.items()},
         {
-            number: bodies.Origin(*pair)
-            for number, pair in fields.get('origins', {}).items()
+            number: bodies.Origin(group, version)
+            for number, group, version in fields.get('origins', ())
         },
     )
 
@@ -267,6 +267,17 @@
     return {**fields, 'limits': limits._asdict()} if limits else fields
 
 
+@body_fields.register
+def _plan_fields(body: bodies.Plan, schema: int) -> dict[str, typing.Any]:
+    origins = [
+        (number, *origin) for number, origin in sorted(body.origins.items())
+    ]
+    fields = dict(body._asdict(), origins=origins)
+    if not origins:
+        del fields['origins']
+    return fields
+
+
 def encode(record: bodies.Record) -> bytes:
     """Encode a record as JSON in the schema version that it names."""
     fields = dict(record._asdict())
--- a/packages/knapweedhall-records/src/knapweedhall_records/wire.py
+++ b/packages/knapweedhall-records/src/knapweedhall_records/wire.py
@@ -107,7 +107,7 @@
     upstreams: list[Name]
     slices: list[list[Count]]
     hot_keys: typing.NotRequired[dict[str, list[Count]]]
-    origins: typing.NotRequired[dict[int, tuple[Name, Positive]]]
+    origins: typing.NotRequired[list[tuple[Count, Name, Positive]]]
 
 
 class ReleaseFields(typing.TypedDict):
