--- /dev/null
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP data path of the entry process."""
