Serve keyed requests through the data path

build_gateway returns two low-level aiohttp servers. A request is looked up, admitted, written after a last check of the permit, checked again after the write, and its answer passed on. aiohttp's client session is not used, as it repeats idempotent requests on stale connections by itself (ClientSession._retry_connection); its protocol class and parser are.

--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/factory.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/factory.py
@@ -2,16 +2,42 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+import time
 import typing
 
 from aiohttp import web
 
+from knapweedhall_entry.gateway import answers
+from knapweedhall_entry.gateway import calls
+from knapweedhall_entry.gateway import dispatch
+from knapweedhall_entry.gateway import hops
 from knapweedhall_entry.gateway import interfaces
+from knapweedhall_entry.gateway import pool
+from knapweedhall_entry.gateway import routes
+from knapweedhall_entry.gateway import server
+from knapweedhall_entry.gateway import upstreams
 from knapweedhall_events import trace
 
 
-class Gateway(typing.Protocol):
+class Request(web.BaseRequest):
+    """Request whose answer carries an outcome even if made by aiohttp.
+
+    aiohttp answers requests that its parser refuses without calling the
+    handler; none of them ran.
+    """
+
+    instance = ''
+
+    async def _prepare_hook(self, response: web.StreamResponse) -> None:
+        if 'Knapweedhall-Outcome' not in response.headers:
+            response.headers['Knapweedhall-Outcome'] = 'not-run'
+            response.headers['Knapweedhall-Reason'] = 'malformed-request'
+            response.headers['Knapweedhall-Instance'] = self.instance
+
+
+class Gateway:
     """The data path, ready to be run by `web.ServerRunner`.
 
     Attributes
@@ -22,14 +48,28 @@
         and answers to malformed requests need the outcome header, too.
     """
 
-    caller: web.Server
-    forward: web.Server
+    def __init__(
+        self,
+        handler: server.Handler,
+        router: routes.Router,
+        book: upstreams.Book,
+        forwarder: hops.Forwarder,
+        relay: answers.Relay,
+    ) -> None:
+        self.handler = handler
+        self.router = router
+        self.book = book
+        self.forwarder = forwarder
+        self.relay = relay
+        self.caller = _server(handler.from_caller, relay.instance)
+        self.forward = _server(handler.from_instance, relay.instance)
 
     def begin_stop(self) -> None:
         """Ask callers to leave: answers carry `Connection: close`.
 
         Requests are still served; call it when readiness goes off.
         """
+        self.relay.closing = True
 
     async def finish_stop(self, deadline: float) -> int:
         """Wait for running requests, then cut the rest and close the pools.
@@ -47,9 +87,60 @@
         int
             Number of requests that were cut.
         """
+        self.begin_stop()
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self.handler.idle.wait()
+        except TimeoutError:
+            pass
+        unfinished = self.handler.running
+        self.book.close()
+        self.forwarder.close()
+        return unfinished
 
     def demand(self) -> dict[str, interfaces.Demand]:
         """Return the present load per upstream, for permit requests."""
+        return {
+            name: upstream.demand()
+            for name, upstream in self.book.known.items()
+        }
+
+    def changed(self) -> None:
+        """Take over a change of what the control side's lookups return."""
+        self.router.changes.notify()
+        self.book.refresh(self._is_current)
+
+    def _is_current(self, waiter: upstreams.Waiter) -> bool:
+        if waiter.call.service.mode != 'divided':
+            return waiter.route.deadline > time.monotonic()
+        found = self.router.look_up(waiter.call, time.monotonic())
+        return isinstance(found, interfaces.Route) and (
+            found.upstream == waiter.route.upstream
+        )
+
+
+def _server(
+    handler: typing.Callable[
+        [web.BaseRequest], typing.Awaitable[web.StreamResponse]
+    ],
+    instance: str,
+) -> web.Server:
+    loop = asyncio.get_running_loop()
+    kind = type('InstanceRequest', (Request,), {'instance': instance})
+
+    def make_request(*parts: typing.Any) -> web.BaseRequest:
+        request: web.BaseRequest = kind(*parts, loop)
+        return request
+
+    return web.Server(
+        handler,
+        request_factory=make_request,
+        # A caller that leaves ends its exchange at once.
+        handler_cancellation=True,
+        access_log=None,
+        auto_decompress=False,
+        read_bufsize=pool.READ_BUFFER_BYTES,
+    )
 
 
 def build_gateway(
@@ -60,4 +151,21 @@
     observer: interfaces.Observer | None = None,
 ) -> Gateway:
     """Build the data path; call it inside a running event loop."""
-    raise NotImplementedError
+    watcher = observer or interfaces.NullObserver()
+    book = upstreams.Book(control, options, watcher, events)
+    router = routes.Router(control, book, options, rng)
+    relay = answers.Relay(options.instance)
+    sender = dispatch.Sender(router, book, relay, events)
+    forwarder = hops.Forwarder(relay, options, events)
+    handler = server.Handler(
+        calls.Reader(control, options),
+        router,
+        sender,
+        forwarder,
+        relay,
+        options,
+        events,
+    )
+    gateway = Gateway(handler, router, book, forwarder, relay)
+    control.subscribe(gateway.changed)
+    return gateway
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/interfaces.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/interfaces.py
@@ -174,7 +174,7 @@
     instance : str
         Name for the `Knapweedhall-Instance` header.
     queue_length : int
-        Requests that may wait for an owner or a slot, per service.
+        Requests that may wait for an owner, and for a slot per upstream.
     max_timeout_ms : int
         Longest timeout that a caller may ask for.
     retry_share : float
--- /dev/null
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/server.py
@@ -0,0 +1,187 @@
+"""Takes requests from callers and from other instances."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import aiohttp
+from aiohttp import web
+
+from knapweedhall_entry.gateway import answers
+from knapweedhall_entry.gateway import calls
+from knapweedhall_entry.gateway import dispatch
+from knapweedhall_entry.gateway import hops
+from knapweedhall_entry.gateway import interfaces
+from knapweedhall_entry.gateway import routes
+from knapweedhall_events import trace
+from knapweedhall_traffic import headers
+from knapweedhall_traffic import outcomes
+from knapweedhall_traffic import retries
+
+STATUS_MALFORMED = 400
+
+
+class Handler:
+    """Handles the requests of both ports.
+
+    Attributes
+    ----------
+    running : int
+        Requests that were received and not finished.
+    idle : asyncio.Event
+        Set while no request is running.
+    """
+
+    def __init__(
+        self,
+        reader: calls.Reader,
+        router: routes.Router,
+        sender: dispatch.Sender,
+        forwarder: hops.Forwarder,
+        relay: answers.Relay,
+        options: interfaces.Options,
+        events: trace.TraceWriter,
+    ) -> None:
+        self.reader = reader
+        self.router = router
+        self.sender = sender
+        self.forwarder = forwarder
+        self.relay = relay
+        self.events = events
+        self.budget = retries.RetryBudget(
+            options.retry_share, options.retry_burst
+        )
+        self.running = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    async def from_caller(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Handle a request on the caller port."""
+        return await self._handle(request, False)
+
+    async def from_instance(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Handle a request on the forward port."""
+        return await self._handle(request, True)
+
+    async def _handle(
+        self, request: web.BaseRequest, hop: bool
+    ) -> web.StreamResponse:
+        call = self.reader.read(request, time.monotonic(), hop)
+        if isinstance(call, headers.Malformed):
+            return self._malformed(call)
+        if isinstance(call, outcomes.Failure):
+            return self.relay.refuse(call)
+        self.events.emit(
+            'request_received',
+            request=call.request_id,
+            service=call.name,
+            key=call.key,
+            idempotent=call.idempotent,
+        )
+        self.budget.earn()
+        self.running += 1
+        self.idle.clear()
+        try:
+            return await self._run(call)
+        finally:
+            self.running -= 1
+            if not self.running:
+                self.idle.set()
+
+    def _malformed(self, malformed: headers.Malformed) -> web.Response:
+        self.events.emit('request_malformed', reason=malformed.reason)
+        response = self.relay.refuse(
+            outcomes.not_run(malformed.reason, STATUS_MALFORMED)
+        )
+        # Where the next request begins is uncertain.
+        response.force_close()
+        return response
+
+    async def _run(self, call: calls.Call) -> web.StreamResponse:
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                result = await self._attempts(call)
+        except TimeoutError:
+            reason = 'deadline' if call.handed_over else call.waited
+            result = outcomes.broken(
+                call.handed_over, reason or 'deadline', late=True
+            )
+        except asyncio.CancelledError:
+            self._record(call, outcomes.broken(call.handed_over, 'cancelled'))
+            raise
+        except (aiohttp.ClientError, ConnectionError):
+            result = outcomes.broken(call.handed_over, 'caller-gone')
+        if isinstance(result, outcomes.Failure):
+            return self._fail(call, result)
+        return result
+
+    async def _attempts(self, call: calls.Call) -> dispatch.Result:
+        try:
+            await calls.read_body(call)
+        except web.RequestPayloadError:
+            return outcomes.not_run('malformed-body', STATUS_MALFORMED)
+        while True:
+            call.handed_over = False
+            result = await self._attempt(call)
+            if not isinstance(result, outcomes.Failure):
+                return result
+            if result is dispatch.MOVED:
+                continue
+            call.attempts += 1
+            if result.outcome == outcomes.UNKNOWN:
+                call.may_have_run = result
+            if not self._may_repeat(call, result):
+                return result
+            if result.reason in outcomes.WAITS_FOR_TABLE:
+                call.waited = result.reason
+                if not await self.router.changes.wait():
+                    return result
+
+    async def _attempt(self, call: calls.Call) -> dispatch.Result:
+        found = await self.router.find(call)
+        if isinstance(found, outcomes.Failure):
+            return found
+        if isinstance(found, interfaces.Route):
+            return await self.sender.send(call, found)
+        if call.hop:
+            return outcomes.not_run('no-permit')
+        return await self.forwarder.forward(call, found.peers)
+
+    def _may_repeat(self, call: calls.Call, last: outcomes.Failure) -> bool:
+        # Only the first instance repeats: attempts of two instances would
+        # multiply.
+        if call.started or call.hop:
+            return False
+        return (
+            outcomes.may_repeat(
+                last, call.idempotent, call.replayable(), call.attempts
+            )
+            and self.budget.spend()
+        )
+
+    def _fail(
+        self, call: calls.Call, last: outcomes.Failure
+    ) -> web.StreamResponse:
+        failure = outcomes.combine(call.may_have_run, last)
+        self._record(call, failure)
+        if call.started:
+            return answers.abort_caller(call)
+        response = self.relay.refuse(failure)
+        if not call.replayable() or call.body is None:
+            # The rest of the body was not read.
+            response.force_close()
+        return response
+
+    def _record(self, call: calls.Call, failure: outcomes.Failure) -> None:
+        failure = outcomes.combine(call.may_have_run, failure)
+        name = (
+            'request_not_run'
+            if failure.outcome == outcomes.NOT_RUN
+            else 'request_unknown'
+        )
+        self.events.emit(name, request=call.request_id, reason=failure.reason)
--- /dev/null
+++ b/packages/knapweedhall-entry/tests/gateway/fakes.py
@@ -0,0 +1,260 @@
+"""Small stand-ins for the data path's neighbours, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import typing
+import unittest
+
+from aiohttp import web
+from knapweedhall_entry.gateway import factory
+from knapweedhall_entry.gateway import interfaces
+from knapweedhall_events import trace
+from knapweedhall_records import bodies
+from knapweedhall_records import ids
+
+FAR = 3600.0
+TOKEN = ids.Token(7, 1)
+
+
+class Recorder(trace.TraceWriter):
+    """Keeps events in memory."""
+
+    def __init__(self) -> None:
+        super().__init__('test')
+        self.events: list[tuple[str, dict[str, typing.Any]]] = []
+
+    def emit(self, name: str, **fields: trace.FieldValue) -> None:
+        super().emit(name, **fields)
+        self.events.append((name, fields))
+
+    def names(self) -> list[str]:
+        return [name for name, _ in self.events]
+
+
+class Control:
+    """Control side whose lookups a test sets."""
+
+    def __init__(self, **service: typing.Any) -> None:
+        limits = bodies.Limits(4, 8)
+        self.record = bodies.Service(
+            **{'mode': 'divided', 'limits': limits, **service}
+        )
+        self.found: typing.Any = interfaces.NoRoute('no-owner')
+        self.addresses: dict[str, interfaces.Address] = {}
+        self.shares = interfaces.Share(4, 8, 1)
+        self.listener: typing.Callable[[], None] = lambda: None
+
+    def own(self, name: str, address: interfaces.Address) -> None:
+        self.addresses[name] = address
+        deadline = time.monotonic() + FAR
+        self.found = interfaces.Route(3, name, TOKEN, deadline)
+
+    def service(self, name: str) -> bodies.Service | None:
+        return self.record if name == 'ofrendas' else None
+
+    def route(self, now: float, service: str, key: str) -> typing.Any:
+        return self.found
+
+    def candidates(self, now: float, service: str) -> typing.Any:
+        return self.found
+
+    def address(self, upstream: str) -> interfaces.Address | None:
+        return self.addresses.get(upstream)
+
+    def share(self, upstream: str) -> interfaces.Share | None:
+        return self.shares
+
+    def subscribe(self, listener: typing.Callable[[], None]) -> None:
+        self.listener = listener
+
+
+class Arrival(typing.NamedTuple):
+    """One request as an upstream received it."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Script = typing.Callable[
+    [Arrival, asyncio.StreamReader, asyncio.StreamWriter],
+    typing.Awaitable[bool],
+]
+
+
+class RawUpstream:
+    """Upstream that answers from a script, byte by byte.
+
+    The script returns whether the connection stays open. Health is answered
+    without the script.
+    """
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.arrivals: list[Arrival] = []
+        self.accepted = 0
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> interfaces.Address:
+        self.server = await asyncio.start_server(self.run, '127.0.0.1', 0)
+        return interfaces.Address(*self.server.sockets[0].getsockname())
+
+    async def run(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.accepted += 1
+        self.writers.append(writer)
+        try:
+            while await self.serve(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        head = (await reader.readuntil(b'\r\n\r\n')).decode()
+        line, *rest = head.strip().split('\r\n')
+        headers = {
+            name.lower(): value
+            for name, value in (field.split(': ', 1) for field in rest)
+        }
+        if line.startswith('GET /knapweedhall/health'):
+            writer.write(whole(b'', 'Knapweedhall-Clock-Ms: 500'))
+            return True
+        body = await reader.readexactly(int(headers.get('content-length', 0)))
+        self.arrivals.append(Arrival(line, headers, body))
+        return await self.script(self.arrivals[-1], reader, writer)
+
+    async def stop(self) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+
+def whole(body: bytes, *fields: str, status: str = '200 OK') -> bytes:
+    """Return an encoded answer with its length."""
+    lines = [f'HTTP/1.1 {status}', f'Content-Length: {len(body)}', *fields]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+def not_run(reason: str) -> bytes:
+    """Return an upstream's refusal."""
+    return whole(
+        b'',
+        'Knapweedhall-Not-Run: 1',
+        f'Knapweedhall-Reason: {reason}',
+        status='503 Service Unavailable',
+    )
+
+
+class Answer(typing.NamedTuple):
+    """What a caller saw; `body` is None if the answer was cut."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes | None
+
+    def outcome(self) -> tuple[int, str | None, str | None]:
+        return (
+            self.status,
+            self.headers.get('knapweedhall-outcome'),
+            self.headers.get('knapweedhall-reason'),
+        )
+
+
+def encode(
+    method: str = 'GET',
+    target: str = '/ofrendas/x',
+    body: bytes = b'',
+    key: str = 'k',
+    fields: typing.Sequence[str] = (),
+) -> bytes:
+    """Return an encoded request."""
+    lines = [f'{method} {target} HTTP/1.1', 'Host: h', *fields]
+    if key:
+        lines.append(f'Knapweedhall-Key: {key}')
+    if body:
+        lines.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    """Starts data paths and upstreams and stops them after the test."""
+
+    async def start_gateway(
+        self, control: Control, **options: typing.Any
+    ) -> factory.Gateway:
+        self.events = Recorder()
+        gateway = factory.build_gateway(
+            control,
+            self.events,
+            interfaces.Options('e1', **options),
+            random.Random(5),
+        )
+        self.caller = await self.listen(gateway.caller)
+        self.forward = await self.listen(gateway.forward)
+        self.addAsyncCleanup(gateway.finish_stop, 0.0)
+        return gateway
+
+    async def listen(self, server: web.Server) -> interfaces.Address:
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        site = web.TCPSite(runner, '127.0.0.1', 0, shutdown_timeout=0.1)
+        await site.start()
+        return interfaces.Address(*runner.addresses[0][:2])
+
+    async def start_upstream(self, script: Script) -> RawUpstream:
+        upstream = RawUpstream(script)
+        upstream.address = await upstream.start()  # type: ignore
+        self.addAsyncCleanup(upstream.stop)
+        return upstream
+
+    async def call(
+        self, data: bytes, address: interfaces.Address | None = None
+    ) -> Answer:
+        """Send raw bytes on a new connection and read one answer."""
+        reader, writer = await asyncio.open_connection(
+            *(address or self.caller)
+        )
+        writer.write(data)
+        try:
+            return await read_answer(reader, data.startswith(b'HEAD'))
+        finally:
+            writer.close()
+
+
+async def read_answer(reader: asyncio.StreamReader, head: bool) -> Answer:
+    """Read one answer; its body is None if it was cut."""
+    text = (await reader.readuntil(b'\r\n\r\n')).decode()
+    line, *rest = text.strip().split('\r\n')
+    headers = {
+        name.lower(): value
+        for name, value in (field.split(': ', 1) for field in rest)
+    }
+    status = int(line.split()[1])
+    if head:
+        return Answer(status, headers, b'')
+    try:
+        body = await _read_body(reader, headers)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Answer(status, headers, None)
+    return Answer(status, headers, body)
+
+
+async def _read_body(
+    reader: asyncio.StreamReader, headers: dict[str, str]
+) -> bytes:
+    if 'content-length' in headers:
+        return await reader.readexactly(int(headers['content-length']))
+    body = b''
+    while size := int(await reader.readuntil(b'\r\n'), 16):
+        body += (await reader.readexactly(size + 2))[:-2]
+    await reader.readexactly(2)
+    return body
--- a/packages/knapweedhall-traffic/src/knapweedhall_traffic/fairness.py
+++ b/packages/knapweedhall-traffic/src/knapweedhall_traffic/fairness.py
@@ -119,7 +119,7 @@
             Items that waited beyond their deadline, and the next item or
             None.
         """
-        late = []
+        late: list[_Item] = []
         while self.order:
             entry = self.order.pop(0)
             item = self.items.pop(entry.arrival)
--- a/packages/knapweedhall-traffic/src/knapweedhall_traffic/limits.py
+++ b/packages/knapweedhall-traffic/src/knapweedhall_traffic/limits.py
@@ -25,6 +25,8 @@
         Smoothed latency of answers, seconds; 0 without any.
     answered_at : float
         When the last answer arrived, seconds.
+    blocked : bool
+        Whether nothing is sent, as the last connection attempt failed.
     """
 
     def __init__(self) -> None:
@@ -36,6 +38,7 @@
         self.latency = 0.0
         self.answered_at = 0.0
         self.fastest = 0.0
+        self.blocked = False
 
     def set_share(self, slots: int, connections: int, cold_slots: int) -> None:
         """Set this instance's share; requests already sent are kept."""
@@ -45,8 +48,14 @@
 
     def allowed(self) -> int:
         """Return how many requests may be outstanding now."""
+        if self.blocked:
+            return 0
         # Each request has a connection of its own.
         usable = min(self.slots, self.connections)
+        if self.state.refused:
+            # One request at a time finds out whether the upstream accepts
+            # connections again.
+            return min(1, usable)
         return self.state.allowed(usable, self.cold_slots)
 
     def has_room(self) -> bool:
--- a/packages/knapweedhall-traffic/src/knapweedhall_traffic/outcomes.py
+++ b/packages/knapweedhall-traffic/src/knapweedhall_traffic/outcomes.py
@@ -99,6 +99,17 @@
     )
 
 
+def combine(earlier: Failure | None, last: Failure) -> Failure:
+    """Return the failure to report after several attempts.
+
+    If an earlier attempt may have run, a later refusal does not change
+    that.
+    """
+    if earlier is not None and last.outcome == NOT_RUN:
+        return earlier
+    return last
+
+
 def may_repeat(
     failure: Failure, idempotent: bool, replayable: bool, attempts: int
 ) -> bool:
