--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,6 @@
 
 catalogue: setup
 	$(BIN)/python tools/write_catalogue.py
+
+demo: setup
+	$(BIN)/python -m knapweedhall_bench.demo $(DEMO_OPTIONS)
