--- a/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
@@ -10,6 +10,7 @@
 import typing
 
 import aiohttp
+from knapweedhall_events import trace
 
 from knapweedhall_bench import children
 from knapweedhall_bench import instance_settings
@@ -92,8 +93,15 @@
         self.children: dict[str, children.Child] = {}
 
     async def __aenter__(self) -> Deployment:
-        timeout = aiohttp.ClientTimeout(CALL_TIMEOUT_S)
-        self.session = aiohttp.ClientSession(timeout=timeout)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.events = trace.TraceWriter(
+            'launcher', self.trace_path('launcher')
+        )
+        # A connection that is kept would use up one of an upstream's.
+        self.session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(CALL_TIMEOUT_S),
+            connector=aiohttp.TCPConnector(force_close=True),
+        )
         self.control = platform_control.Control(self.session)
         try:
             await self.start()
@@ -112,7 +120,6 @@
 
     async def start(self) -> None:
         """Start everything and wait until it is ready."""
-        self.folder.mkdir(parents=True, exist_ok=True)
         self.start_child(PLATFORM)
         await self.wait_ready(PLATFORM)
         if self.size.relays:
@@ -146,6 +153,7 @@
             for child in self.children.values():
                 child.kill()
             await self.session.close()
+            self.events.close()
             self.block.close()
             if self.temporary is not None:
                 self.temporary.cleanup()
@@ -168,7 +176,7 @@
         return sorted(self.folder.glob('*.trace'))
 
     def _arguments(self, name: str) -> list[str]:
-        trace = ['--trace', str(self.trace_path(name))]
+        tracing = ['--trace', str(self.trace_path(name))]
         if name == PLATFORM:
             listen = [
                 word
@@ -182,13 +190,13 @@
                 str(self.list_lag_ms),
                 '--retention-s',
                 str(self.retention_s),
-                *trace,
+                *tracing,
             ]
         if name == RELAY:
             module = 'knapweedhall_standins.relay'
-            return [module, '--listen', self.relay_address, *trace]
+            return [module, '--listen', self.relay_address, *tracing]
         if name in self.upstreams:
-            return _upstream_arguments(self.upstreams[name]) + trace
+            return _upstream_arguments(self.upstreams[name]) + tracing
         return self._entry_arguments(self.entries[name])
 
     def _entry_arguments(self, node: topology.EntryNode) -> list[str]:
@@ -269,20 +277,28 @@
         url = f'http://{self.platform[0]}/instances/{name}'
         await self.control.send('DELETE', url)
 
+    def _note(self, fault: str) -> None:
+        # The trace checker needs to know which process could not write.
+        self.events.emit('fault_set', fault=fault)
+
     def kill(self, name: str) -> None:
         """End a process at once (SIGKILL)."""
+        self._note(f'{name} killed')
         self.children[name].kill()
 
     def stop(self, name: str) -> None:
         """Freeze a process (SIGSTOP)."""
+        self._note(f'{name} stopped')
         self.children[name].stop()
 
     def resume(self, name: str) -> None:
         """Let a frozen process run again (SIGCONT)."""
+        self._note(f'{name} resumed')
         self.children[name].resume()
 
     async def terminate(self, name: str) -> int | None:
         """Ask a process for a planned end (SIGTERM); return its status."""
+        self._note(f'{name} asked to end')
         return await self.children[name].terminate()
 
     async def set_platform_faults(self, **faults: typing.Any) -> None:
--- a/packages/knapweedhall-bench/tests/test_deployment.py
+++ b/packages/knapweedhall-bench/tests/test_deployment.py
@@ -14,6 +14,7 @@
 from knapweedhall_bench import instance_settings
 from knapweedhall_bench import ports
 from knapweedhall_bench import topology
+from knapweedhall_events import trace
 
 SERVICE = topology.ServiceSpec('ledger', 2, ('--work-ms', '1'))
 SIZE = topology.Topology((SERVICE,), entries_per_domain=0, relays=True)
@@ -86,6 +87,11 @@
             self.assertEqual(0, await running.terminate(second))
             names = [path.name for path in running.trace_paths()]
             self.assertIn(f'{first}.trace', names)
+            faults = [
+                event.fields['fault']
+                for event in trace.read_trace(running.trace_path('launcher'))
+            ]
+            self.assertIn(f'{second} killed', faults)
             started = list(running.children.values())
         self.assertFalse(any(child.is_running() for child in started))
         self.assertFalse(running.folder.exists())
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/connections.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/connections.py
@@ -34,7 +34,13 @@
         limit: int,
         on_new: typing.Callable[[], None],
     ) -> None:
-        super().__init__(handler, handler_cancellation=True, access_log=None)
+        # The caller hashed the body as it sent it, so it stays encoded.
+        super().__init__(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+        )
         self.limit = limit
         self.on_new = on_new
         self.open: set[web_protocol.RequestHandler] = set()
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/upstream_server.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/upstream_server.py
@@ -143,6 +143,10 @@
 
     async def work(self, request: web.BaseRequest) -> web.StreamResponse:
         """Run one unit of work."""
+        expects = request.headers.get('Expect', '').lower()
+        if expects == '100-continue' and request.transport is not None:
+            # The library does this only for its routed applications.
+            request.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         digest = hashlib.sha256()
         async for chunk in request.content.iter_any():
             digest.update(chunk)
--- a/packages/knapweedhall-standins/tests/test_upstream.py
+++ b/packages/knapweedhall-standins/tests/test_upstream.py
@@ -64,6 +64,19 @@
             self.assertIn('Knapweedhall-Clock-Ms', found)
             self.assertIn('Knapweedhall-Incarnation', found)
 
+    async def test_body_is_taken_as_it_was_sent(self) -> None:
+        """Guards against a decoded body, or a caller left waiting."""
+        digest = hashlib.sha256(b'not gzip').hexdigest()
+        text = f'POST\n/x\n\n{digest}\n'
+        expected = hashlib.shake_256(text.encode()).hexdigest(32)
+        async with self.session.post(
+            self.url + '/x',
+            data=b'not gzip',
+            headers={'Content-Encoding': 'gzip'},
+            expect100=True,
+        ) as answer:
+            self.assertEqual(expected, await answer.text())
+
     async def test_refusals_say_not_run(self) -> None:
         """Guards against a refusal that the router cannot repeat safely."""
         headers = {'Knapweedhall-Deadline': '0'}
