Keep serving slices after an abandoned release

Cause: a release whose connection closed left its slices refusing work although their grants were still renewed. Change: the upstream stand-in ends the draining state when the release call is cancelled; a test guards it. Conclusion: none beyond the change.

--- a/packages/knapweedhall-standins/src/knapweedhall_standins/engine.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/engine.py
@@ -285,18 +285,28 @@
             return stale
         leaving = set(wanted['slices'])
         self.table.drain(leaving)
-        async with self.idle:
-            await self.idle.wait_for(
-                lambda: not any(
-                    running.task.number in leaving for running in self.running
-                )
-            )
+        try:
+            await self._wait_idle(leaving)
+        except asyncio.CancelledError:
+            # The coordinator left without the confirmation, so it still
+            # counts these slices as held here and may go on using them.
+            self.table.draining -= leaving
+            raise
         held = sorted(leaving & set(self.table.held))
         self.table.end(held)
         if held:
             self._report_release(wanted['group'], held, 'released')
         return None
 
+    async def _wait_idle(self, slices: set[int]) -> None:
+        """Wait until no work of these slices runs."""
+        async with self.idle:
+            await self.idle.wait_for(
+                lambda: not any(
+                    running.task.number in slices for running in self.running
+                )
+            )
+
     def _report_release(
         self, group: str, slices: list[int], reason: str
     ) -> None:
--- a/packages/knapweedhall-standins/tests/test_engine.py
+++ b/packages/knapweedhall-standins/tests/test_engine.py
@@ -118,6 +118,22 @@
             ['work_abandoned', 'slices_released'], self._events()[-2:]
         )
 
+    async def test_abandoned_release_lets_work_continue(self) -> None:
+        """Guards against a slice that nobody serves after a lost command."""
+        running = await self._start(_task('r', FOREVER_S))
+        release = asyncio.create_task(
+            self.engine.release(
+                {'group': 'g', 'term': 1, 'service': 's', 'slices': [1]}
+            )
+        )
+        await asyncio.sleep(0)
+        self.assertEqual({1}, self.engine.table.draining)
+        release.cancel()
+        await asyncio.gather(release, return_exceptions=True)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        self.assertEqual(engine.Done(), await self.engine.run(_task('n')))
+
     async def test_queue_is_in_order_and_bounded(self) -> None:
         """Guards against lost slots and against a queue without bound."""
         running = await self._start(_task('a', FOREVER_S))
