--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/contacts.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/contacts.py
@@ -179,6 +179,9 @@
         if number > self.answered_number:
             self.answered_number = number
             self.answered_end = end
+        else:
+            # The upstream may have applied the older grant last.
+            self.answered_end = max(self.answered_end, end)
 
     def _take_held(self, answer: messages.GrantAnswer) -> None:
         for grant in answer.held:
@@ -205,6 +208,11 @@
         """Return the end of all grants that may be in force."""
         return max(self.answered_end, *self.unanswered.values(), 0.0)
 
+    def stale_end(self, number: int) -> float:
+        """Return when no grant up to a number can still arrive."""
+        ends = (end for n, end in self.unanswered.items() if n <= number)
+        return max(ends, default=0.0)
+
     def forget(self, now: float) -> None:
         """Drop unanswered grants that have ended."""
         for number, end in list(self.unanswered.items()):
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/messages.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/messages.py
@@ -142,7 +142,9 @@
         Number of the request that this answers. A later offer may answer the
         same request again when the table has changed.
     lease_ms : int
-        Length of the permit from the time that the request was sent.
+        Length of the permit from the time that the request was sent; 0 if
+        the table does not fit in one offer and more entries follow, which
+        leaves the permit as it is.
     table_version : int
         Version of the table after the entries are applied.
     base_version : int
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/permits.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/permits.py
@@ -147,7 +147,9 @@
         self.version = offer.table_version
         self.shares_version = offer.shares_version
         self.shares = offer.shares
-        self.deadline = self.sent[offer.number] + offer.lease_ms / 1000
+        # An offer without a lease only brings a part of a long table.
+        if offer.lease_ms:
+            self.deadline = self.sent[offer.number] + offer.lease_ms / 1000
         return changed
 
     def acceptable(self, offer: messages.PermitOffer) -> bool:
