--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/contacts.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/contacts.py
@@ -56,6 +56,7 @@
         self.answered = False
         self.lost = False
         self.gone = False
+        self.was_usable = False
         self.cold = False
         self.dirty = True
         self.sent_at = float('-inf')
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/coordinator.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/coordinator.py
@@ -235,10 +235,12 @@
             # A sender must not use a table that lacks later withdrawals.
             lease_ms = 0
         end = holder.received_at + lease_ms / 1000 * election.CLOCK_MARGIN
-        share_version, given = self.shares.offer(now, sender, end)
         if lease_ms:
             self.permits.offered(holder, version, end)
-        holder.offered = version
+        # Shares in an offer without a lease are used under the old permit.
+        last = max(holder.ends.values(), default=0.0)
+        share_version, given = self.shares.offer(now, sender, max(end, last))
+        holder.offered = self.slices.table.version
         return messages.PermitOffer(
             self.group,
             self.term,
@@ -281,6 +283,10 @@
         for name, contact in list(self.contacts.items()):
             contact.forget(now)
             contact.watch(now, self.resumed_at)
+            if contact.usable() != contact.was_usable:
+                # Senders learn at once which upstreams have shares.
+                contact.was_usable = contact.usable()
+                self.slices.table.bump()
             self.shares.set_limit(name, self._limit(contact))
             if contact.gone and self._unused(name, contact):
                 del self.contacts[name]
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/holders.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/holders.py
@@ -105,7 +105,7 @@
     acknowledged : int
         Table version acknowledged.
     offered : int
-        Table version of the last offer.
+        Newest table version at the time of the last offer.
     ends : dict of int to float
         Latest end of the permits per table version that were offered and
         not replaced by an acknowledged one.
@@ -158,7 +158,6 @@
 
     def offered(self, holder: Holder, version: int, end: float) -> None:
         """Note an offer of a table version that ends at `end`."""
-        holder.offered = version
         holder.ends[version] = max(holder.ends.get(version, 0.0), end)
 
     def cleared(self, now: float, version: int) -> bool:
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/slice_table.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/slice_table.py
@@ -66,6 +66,7 @@
         self.drains: list[drains.Drain] = []
         self.releases_read: dict[SliceKey, dict[str, int]] = {}
         self.groups_out: set[str] = set()
+        self.hot_entries: dict[SliceKey, int] = {}
         self.activated: set[SliceKey] = set()
         self.sequence = 0
         self.changed = True
@@ -109,6 +110,7 @@
         # The entry without an owner keeps senders from using the plain slice
         # for the key; its owner has to release before the key is activated.
         self._put_no_owner([(service, number)])
+        self.hot_entries[service, number] = hot.plain
         plain = service, hot.plain
         owner = self.owners.get(plain)
         if owner is not None:
@@ -116,8 +118,6 @@
         drain = self._drain_of(plain)
         if drain is not None:
             drain.followers.add(number)
-            # The version of the new entry has to be acknowledged as well.
-            drain.version = self.table.version
         else:
             self._settle((service, number))
 
@@ -144,6 +144,7 @@
         known = self.table.get(*key)
         if known and not known.removed:
             self.table.put([known._replace(upstream='', removed=True)])
+            del self.hot_entries[key]
 
     def _is_here(self, key: SliceKey) -> bool:
         return any(name in self.contacts for name in self.plans.names(*key))
@@ -347,15 +348,15 @@
         """Return the release records of slices that have left the group."""
         found = []
         for (service, first), chunk in self.plans.chunks.items():
-            numbers = [
+            numbers = {
                 number
                 for number, origin in chunk.plan.origins.items()
                 if origin.group == self.group
                 and not self.is_released((service, number), origin)
-            ]
+            }
             if not numbers or not self.may_start(now, service):
                 continue
-            if not any(self._is_busy(service, number) for number in numbers):
+            if not self._are_busy(service, numbers):
                 count = self.services[service].slices
                 found.append(
                     drains.group_release(
@@ -364,19 +365,14 @@
                 )
         return found
 
-    def _is_busy(self, service: str, number: int) -> bool:
-        numbers = [number]
-        numbers += [
-            each
-            for (name, each), (_, entry) in self.table.entries.items()
-            if name == service
-            and slices.is_hot(each)
-            and not entry.removed
-            and slices.slice_of(entry.key, self.services[service].slices)
-            == number
-        ]
+    def _are_busy(self, service: str, numbers: set[int]) -> bool:
+        hot = {
+            number
+            for (name, number), plain in self.hot_entries.items()
+            if name == service and plain in numbers
+        }
         return any(
-            (service, each) in self.owners
-            or self._drain_of((service, each)) is not None
-            for each in numbers
+            (service, number) in self.owners
+            or self._drain_of((service, number)) is not None
+            for number in numbers | hot
         )
