--- a/packages/knapweedhall-peering/src/knapweedhall_peering/__init__.py
+++ b/packages/knapweedhall-peering/src/knapweedhall_peering/__init__.py
@@ -1,1 +1,1 @@
-"""Messages between instances."""
+"""Authenticated messages between the instances."""
