--- /dev/null
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
@@ -0,0 +1,233 @@
+"""Votes for and asks for the leases of all groups."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import typing
+
+from knapweedhall_entry import fleet
+from knapweedhall_entry import mailboxes
+from knapweedhall_entry import messenger
+from knapweedhall_events import trace
+from knapweedhall_ownership import election
+from knapweedhall_ownership import messages
+from knapweedhall_peering import envelope
+from knapweedhall_records import ids
+
+# Bounds the delay until a new electors record or group is noticed.
+MAX_SLEEP_S = 0.1
+MIN_SLEEP_S = 0.005
+# Highest lease length that a vote is given for; a longer one would block the
+# group when its holder is lost.
+MAX_LEASE_MS = 2 * election.LEASE_MS
+
+
+class ElectionTask:
+    """Owns the elector and one candidate per group.
+
+    Parameters
+    ----------
+    sender : messenger.Messenger
+        Sends requests and votes.
+    view : fleet.Fleet
+        Groups and their electors records.
+    rng : random.Random
+        Spreads retries.
+    events : trace.TraceWriter
+        Receives lease_* and vote_given.
+
+    Attributes
+    ----------
+    stopping : bool
+        Whether no new lease is asked for.
+    """
+
+    def __init__(
+        self,
+        sender: messenger.Messenger,
+        view: fleet.Fleet,
+        rng: random.Random,
+        events: trace.TraceWriter,
+    ) -> None:
+        self.sender = sender
+        self.me = sender.me
+        self.view = view
+        self.rng = rng
+        self.events = events
+        self.elector = election.Elector()
+        self.candidates: dict[str, election.Candidate] = {}
+        self.held: dict[str, int] = {}
+        self.stopping = False
+
+    def lease(self, now: float, group: str) -> election.Lease | None:
+        """Return the lease of a group if this instance holds it."""
+        candidate = self.candidates.get(group)
+        return candidate.lease(now) if candidate else None
+
+    def term(self, group: str) -> int:
+        """Return the term whose lease was won last, 0 if it was given up."""
+        candidate = self.candidates.get(group)
+        return candidate.term if candidate else 0
+
+    def leases(self, now: float) -> dict[str, election.Lease]:
+        """Return all leases that this instance holds."""
+        found = {group: self.lease(now, group) for group in self.candidates}
+        return {group: lease for group, lease in found.items() if lease}
+
+    def refresh(self) -> None:
+        """Take the groups and electors records in force."""
+        for group in self.view.names('electors'):
+            version, electors = self.view.electors(group)
+            self.elector.set_electors_version(group, version)
+            candidate = self.candidates.get(group)
+            if candidate is None:
+                candidate = election.Candidate(self.me, group, self.rng)
+                self.candidates[group] = candidate
+            candidate.set_electors(version, electors)
+
+    def tick(self, now: float) -> None:
+        """Send what is due and note leases that were won or lost."""
+        for group, candidate in self.candidates.items():
+            promised = self.elector.promised_until(group)
+            if not (self.stopping and not candidate.term):
+                for elector, request in candidate.poll(now, promised):
+                    self.ask(now, candidate, elector, request)
+            for elector, release in candidate.abandoned():
+                self.sender.send(elector.name, release)
+            self.note_lease(now, group)
+
+    def ask(
+        self,
+        now: float,
+        candidate: election.Candidate,
+        elector: ids.InstanceId,
+        request: messages.VoteRequest,
+    ) -> None:
+        """Send one request; the own elector answers at once."""
+        if elector != self.me:
+            self.sender.send(elector.name, request)
+            return
+        candidate.vote(now, self.me, self.vote(now, self.me, request))
+
+    def vote(
+        self,
+        now: float,
+        sender: ids.InstanceId,
+        request: messages.VoteRequest,
+    ) -> messages.Vote:
+        """Return the own elector's vote and record a new promise."""
+        before = self.promised(request.group)
+        vote = self.elector.request(now, sender, request)
+        if vote.granted and request.term != before:
+            self.events.emit(
+                'vote_given',
+                group=request.group,
+                term=request.term,
+                candidate=sender.name,
+            )
+        return vote
+
+    def promised(self, group: str) -> int:
+        """Return the highest term that the own elector promised."""
+        promise = self.elector.promises.get(group)
+        return promise.highest_term if promise else 0
+
+    def note_lease(self, now: float, group: str) -> None:
+        """Emit an event when a lease was won or has expired."""
+        lease = self.lease(now, group)
+        held = self.held.get(group, 0)
+        if held and (lease is None or lease.term != held):
+            del self.held[group]
+            self.events.emit('lease_lost', group=group, term=held)
+        if lease and lease.term != held:
+            self.held[group] = lease.term
+            self.events.emit('lease_acquired', group=group, term=lease.term)
+
+    def take(self, now: float, message: envelope.Received) -> None:
+        """Take a message of another instance."""
+        body = message.body
+        if isinstance(body, messages.VoteRequest):
+            self.take_request(now, message.sender, body)
+        elif isinstance(body, messages.Vote):
+            candidate = self.candidates.get(body.group)
+            if candidate is not None:
+                candidate.vote(now, message.sender, body)
+                self.note_lease(now, body.group)
+        else:
+            self.elector.release(message.sender, body)
+
+    def take_request(
+        self,
+        now: float,
+        sender: ids.InstanceId,
+        request: messages.VoteRequest,
+    ) -> None:
+        """Answer a request if this instance is an elector of the group."""
+        version, electors = self.view.electors(request.group)
+        # Between two versions of the set both members may be asked; a version
+        # that this instance does not know yet can name it.
+        known = version >= request.electors_version
+        if known and self.me not in electors:
+            return
+        if not 0 < request.lease_ms <= MAX_LEASE_MS:
+            return
+        self.sender.send(sender.name, self.vote(now, sender, request))
+
+    def release(self, now: float, group: str, quiet_at: float) -> bool:
+        """Give a lease back if all permits and grants have ended.
+
+        Returns
+        -------
+        bool
+            Whether it was given back.
+        """
+        candidate = self.candidates.get(group)
+        term = candidate.term if candidate else 0
+        if candidate is None or not term:
+            return True
+        releases = candidate.release(now, quiet_at)
+        if not releases:
+            return False
+        for elector, message in releases:
+            if elector == self.me:
+                self.elector.release(self.me, message)
+            else:
+                self.sender.send(elector.name, message)
+        self.held.pop(group, None)
+        self.events.emit('lease_released', group=group, term=term)
+        return True
+
+    def next_tick(self, now: float) -> float:
+        """Return when `tick` has to be called next."""
+        due = now + MAX_SLEEP_S
+        for group, candidate in self.candidates.items():
+            asks = self.me in candidate.electors and not self.stopping
+            if candidate.term or asks:
+                promised = self.elector.promised_until(group)
+                due = min(due, candidate.next_poll(now, promised))
+        return max(due, now + MIN_SLEEP_S)
+
+    async def run(self, boxes: mailboxes.Mailboxes) -> None:
+        """Vote and ask until cancelled."""
+        kinds: tuple[type[typing.Any], ...] = (
+            messages.VoteRequest,
+            messages.Vote,
+            messages.VoteRelease,
+        )
+        queue = boxes.subscribe(*kinds)
+        next_tick = time.monotonic()
+        while True:
+            message = None
+            try:
+                async with asyncio.timeout_at(next_tick):
+                    message = await queue.get()
+            except TimeoutError:
+                self.refresh()
+            now = time.monotonic()
+            if message is not None:
+                self.take(now, message)
+            if now >= next_tick or message is None:
+                self.tick(now)
+            next_tick = self.next_tick(now)
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/messages.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/messages.py
@@ -18,9 +18,13 @@
         Whether the sender takes requests.
     digest : str
         Digest of the configuration in force, to notice differences.
+    restored : bool
+        Whether the sender holds a complete configuration.
     log_reachable : bool
-        Whether the sender can read the log; a peer that cannot asks one that
-        can.
+        Whether the sender can read the log.
+    lost_upstreams : tuple of str
+        Upstreams of the groups that the sender coordinates and that do not
+        respond; plans leave them out.
     """
 
     failure_domain: str
@@ -28,7 +32,9 @@
     forward_address: str
     ready: bool
     digest: str
+    restored: bool
     log_reachable: bool
+    lost_upstreams: tuple[str, ...] = ()
 
 
 class ConfigRequest(typing.NamedTuple):
@@ -38,11 +44,14 @@
     ----------
     versions : dict of str to int
         Version held per ``kind/name``; the peer leaves out what is not newer.
+    whole : bool
+        Whether the whole state is wanted, with what decides on later records.
     number : int
         Number of the request.
     """
 
     versions: dict[str, int]
+    whole: bool
     number: int
 
 
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/upstream_client.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/upstream_client.py
@@ -10,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from knapweedhall_ownership import messages
 from knapweedhall_records import ids
 
 MAX_ANSWER_BYTES = 1024 * 1024
@@ -18,16 +19,8 @@
 _FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
 
 
-class Held(typing.NamedTuple):
-    """Slices that an upstream holds under one token."""
-
-    service: str
-    token: ids.Token
-    slices: tuple[int, ...]
-
-
-class HeldFields(typing.TypedDict):
-    """JSON form of `Held`."""
+class GrantFields(typing.TypedDict):
+    """JSON form of a grant."""
 
     service: str
     token: str
@@ -37,12 +30,12 @@
 class GrantAnswer(typing.TypedDict):
     """JSON answer to an accepted grant."""
 
-    incarnation: int | str
-    clock_ms: float
+    incarnation: int
+    clock_ms: int
     cold: bool
     slots: int
     connections: int
-    held: list[HeldFields]
+    held: list[GrantFields]
 
 
 class RefusalAnswer(typing.TypedDict):
@@ -57,27 +50,22 @@
 
     Attributes
     ----------
-    clock_ms : float
-        The upstream's monotonic clock, read between send and receipt.
+    answer : messages.GrantAnswer
+        What the upstream answered.
     received : float
         Receipt of the answer, in seconds of `time.monotonic`.
     """
 
-    incarnation: str
-    clock_ms: float
+    answer: messages.GrantAnswer
     received: float
-    cold: bool
-    slots: int
-    connections: int
-    held: tuple[Held, ...]
 
 
 @dataclasses.dataclass(frozen=True)
 class Healthy:
     """The upstream answered the first contact, which reads its clock."""
 
-    incarnation: str
-    clock_ms: float
+    incarnation: int
+    clock_ms: int
     received: float
 
 
@@ -139,8 +127,8 @@
         if isinstance(answer, Failed):
             return answer
         try:
-            clock_ms = float(answer.headers[CLOCK_HEADER])
-            incarnation = answer.headers[INCARNATION_HEADER]
+            clock_ms = int(answer.headers[CLOCK_HEADER])
+            incarnation = int(answer.headers[INCARNATION_HEADER])
         except (KeyError, ValueError) as error:
             return Failed(f'no clock or incarnation: {error}')
         # The status says nothing about the clock, and health reports may
@@ -148,15 +136,11 @@
         return Healthy(incarnation, clock_ms, answer.received)
 
     async def grant(
-        self, address: str, fields: dict[str, typing.Any], deadline: float
+        self, address: str, body: messages.GrantBody, deadline: float
     ) -> GrantOutcome:
-        """Put the whole set of grants of one upstream.
-
-        Parameters
-        ----------
-        fields : dict
-            JSON fields `group`, `term`, `deadline_ms`, `grants`.
-        """
+        """Put the whole set of grants of one upstream."""
+        fields = body._asdict()
+        fields['grants'] = [each._asdict() for each in body.grants]
         answer = await self.call('PUT', address, 'grants', fields, deadline)
         if isinstance(answer, Failed):
             return answer
@@ -171,15 +155,10 @@
             return Failed(f'malformed answer: {error}')
 
     async def release(
-        self, address: str, fields: dict[str, typing.Any], deadline: float
+        self, address: str, body: messages.ReleaseBody, deadline: float
     ) -> ReleaseOutcome:
-        """Ask for slices back; answered when their work is done.
-
-        Parameters
-        ----------
-        fields : dict
-            JSON fields `group`, `term`, `service`, `slices`.
-        """
+        """Ask for slices back; answered when their work is done."""
+        fields = body._asdict()
         answer = await self.call('POST', address, 'release', fields, deadline)
         if isinstance(answer, Failed):
             return answer
@@ -247,20 +226,17 @@
         If the JSON has another shape.
     """
     found = msgspec.json.decode(answer.raw, type=GrantAnswer)
-    held = tuple(
-        Held(
-            fields['service'],
-            ids.Token.parse(fields['token']),
-            tuple(fields['slices']),
-        )
-        for fields in found['held']
-    )
+    held = [messages.Grant(**fields) for fields in found['held']]
+    for grant in held:
+        ids.Token.parse(grant.token)
     return Accepted(
-        str(found['incarnation']),
-        found['clock_ms'],
+        messages.GrantAnswer(
+            found['incarnation'],
+            found['clock_ms'],
+            found['cold'],
+            found['slots'],
+            found['connections'],
+            held,
+        ),
         answer.received,
-        found['cold'],
-        found['slots'],
-        found['connections'],
-        held,
     )
--- a/packages/knapweedhall-entry/tests/test_settings.py
+++ b/packages/knapweedhall-entry/tests/test_settings.py
@@ -67,9 +67,7 @@
         for wrong in ('localhost:80', '127.0.0.1', '127.0.0.1:0', '::1:80'):
             text = EXAMPLE.read_text().replace('127.0.0.1:8000', wrong)
             with self.subTest(address=wrong):
-                self.assertEqual(
-                    self.faults(text), {('platform', 'address')}
-                )
+                self.assertEqual(self.faults(text), {('platform', 'address')})
 
     def test_unreadable_file_is_a_fault(self) -> None:
         """Guards against a traceback instead of a message."""
--- a/packages/knapweedhall-peering/src/knapweedhall_peering/envelope.py
+++ b/packages/knapweedhall-peering/src/knapweedhall_peering/envelope.py
@@ -75,7 +75,7 @@
             )
         self.key = key
         self.kind_names = {kind: name for name, kind in kinds.items()}
-        self.decoders = {
+        self.decoders: dict[str, msgspec.msgpack.Decoder[typing.Any]] = {
             name: msgspec.msgpack.Decoder(kind) for name, kind in kinds.items()
         }
         self.envelopes = msgspec.msgpack.Decoder(Envelope)
