--- a/packages/knapweedhall-entry/src/knapweedhall_entry/admin.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/admin.py
@@ -4,10 +4,10 @@
 
 import typing
 
-import msgspec
 from aiohttp import web
+import msgspec
 
-from knapweedhall_entry import metrics
+from knapweedhall_entry import metrics as metric_values
 
 Status = dict[str, typing.Any]
 
@@ -37,7 +37,9 @@
 class Admin:
     """Handlers of the admin port."""
 
-    def __init__(self, source: AdminSource, values: metrics.Metrics) -> None:
+    def __init__(
+        self, source: AdminSource, values: metric_values.Metrics
+    ) -> None:
         self.source = source
         self.values = values
 
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_inputs.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_inputs.py
@@ -45,7 +45,7 @@
         self, target: coordinator.Coordinator, group: str, now: float
     ) -> None:
         """Tell a coordinator all that it needs; repeats change nothing."""
-        upstreams = self.view.groups().get(group, [])
+        upstreams = self.view.by_group().get(group, [])
         services = sorted({each.view.service for each in upstreams})
         for name in services:
             service = self.view.service(name)
@@ -77,9 +77,7 @@
             )
             for release in releases:
                 if release.plan_version == record.version:
-                    target.release_read(
-                        service, release.group, release.slices
-                    )
+                    target.release_read(service, release.group, release.slices)
 
     def elsewhere(
         self, group: str, first: int, plan: bodies.Plan
@@ -135,6 +133,4 @@
 
     def upstreams(self, group: str) -> typing.Sequence[str]:
         """Return the names of a group's upstreams."""
-        return [
-            each.view.name for each in self.view.groups().get(group, [])
-        ]
+        return [each.view.name for each in self.view.by_group().get(group, [])]
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_task.py
@@ -165,7 +165,9 @@
         for given_up in orders.group_releases:
             self.append_release(given_up)
 
-    def spawn(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+    def spawn(
+        self, work: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
         """Run a call beside this task."""
         task = asyncio.create_task(work)
         self.tasks.add(task)
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
@@ -24,6 +24,10 @@
 MAX_LEASE_MS = 2 * election.LEASE_MS
 
 
+def ignore(group: str, term: int) -> None:
+    """Do nothing about a lease that was won."""
+
+
 class ElectionTask:
     """Owns the elector and one candidate per group.
 
@@ -42,6 +46,8 @@
     ----------
     stopping : bool
         Whether no new lease is asked for.
+    on_acquired : callable
+        Called with group and term when a lease was won.
     """
 
     def __init__(
@@ -60,6 +66,8 @@
         self.candidates: dict[str, election.Candidate] = {}
         self.held: dict[str, int] = {}
         self.stopping = False
+        self.resigned: set[str] = set()
+        self.on_acquired: typing.Callable[[str, int], None] = ignore
 
     def lease(self, now: float, group: str) -> election.Lease | None:
         """Return the lease of a group if this instance holds it."""
@@ -91,13 +99,21 @@
         """Send what is due and note leases that were won or lost."""
         for group, candidate in self.candidates.items():
             promised = self.elector.promised_until(group)
-            if not (self.stopping and not candidate.term):
+            if self.asks(group, candidate):
                 for elector, request in candidate.poll(now, promised):
                     self.ask(now, candidate, elector, request)
             for elector, release in candidate.abandoned():
                 self.sender.send(elector.name, release)
             self.note_lease(now, group)
 
+    def asks(self, group: str, candidate: election.Candidate) -> bool:
+        """Return whether the lease of a group is asked for or renewed."""
+        if group in self.resigned:
+            return False
+        if candidate.term:
+            return True
+        return self.me in candidate.electors and not self.stopping
+
     def ask(
         self,
         now: float,
@@ -144,6 +160,7 @@
         if lease and lease.term != held:
             self.held[group] = lease.term
             self.events.emit('lease_acquired', group=group, term=lease.term)
+            self.on_acquired(group, lease.term)
 
     def take(self, now: float, message: envelope.Received) -> None:
         """Take a message of another instance."""
@@ -199,12 +216,18 @@
         self.events.emit('lease_released', group=group, term=term)
         return True
 
+    def resign(self, group: str) -> None:
+        """Stop asking for and renewing the lease of a group.
+
+        The lease ends at its deadline, when its permits have ended, too.
+        """
+        self.resigned.add(group)
+
     def next_tick(self, now: float) -> float:
         """Return when `tick` has to be called next."""
         due = now + MAX_SLEEP_S
         for group, candidate in self.candidates.items():
-            asks = self.me in candidate.electors and not self.stopping
-            if candidate.term or asks:
+            if self.asks(group, candidate):
                 promised = self.elector.promised_until(group)
                 due = min(due, candidate.next_poll(now, promised))
         return max(due, now + MIN_SLEEP_S)
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/fleet.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/fleet.py
@@ -160,7 +160,7 @@
                 found.append(groups.DOMAIN_PREFIX + domain)
         return found
 
-    def groups(self) -> dict[str, list[Upstream]]:
+    def by_group(self) -> dict[str, list[Upstream]]:
         """Return the upstreams per lease group, sorted by name."""
         found: dict[str, list[Upstream]] = {}
         for name in sorted(self.upstreams):
@@ -176,9 +176,7 @@
             if self.upstreams[name].view.service == service
         ]
 
-    def electors(
-        self, group: str
-    ) -> tuple[int, groups.Electors]:
+    def electors(self, group: str) -> tuple[int, groups.Electors]:
         """Return version and members of a group's electors record."""
         record = self.store.get('electors', group)
         if record is None or not isinstance(record.body, bodies.Electors):
@@ -197,4 +195,20 @@
                 chunks[int(first)] = record
         return chunks
 
-
+    def has_release(
+        self, service: str, number: int, origin: bodies.Origin
+    ) -> bool:
+        """Return whether a group has released a slice since an origin."""
+        for name in self.names('release'):
+            record = self.store.get('release', name)
+            if record is None or not isinstance(record.body, bodies.Release):
+                continue
+            body = record.body
+            if (
+                body.service == service
+                and body.group == origin.group
+                and body.plan_version >= origin.version
+                and number in body.slices
+            ):
+                return True
+        return False
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/main.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/main.py
@@ -52,8 +52,7 @@
         return 0
     loguru.logger.remove()
     loguru.logger.add(sys.stderr, level=loaded.log.level, format=LOG_FORMAT)
-    asyncio.run(factory.run(loaded))
-    return 0
+    return asyncio.run(factory.run(loaded))
 
 
 if __name__ == '__main__':
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/membership.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/membership.py
@@ -1,4 +1,4 @@
-"""Which peers live, by heartbeats; the platform's list only names addresses."""
+"""Which peers live, by heartbeats; the list only names addresses."""
 
 from __future__ import annotations
 
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/messages.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/messages.py
@@ -18,6 +18,8 @@
         Whether the sender takes requests.
     digest : str
         Digest of the configuration in force, to notice differences.
+    leaving : bool
+        Whether the sender is in a planned stop.
     restored : bool
         Whether the sender holds a complete configuration.
     log_reachable : bool
@@ -32,6 +34,7 @@
     forward_address: str
     ready: bool
     digest: str
+    leaving: bool
     restored: bool
     log_reachable: bool
     lost_upstreams: tuple[str, ...] = ()
--- a/packages/knapweedhall-peering/tests/test_envelope.py
+++ b/packages/knapweedhall-peering/tests/test_envelope.py
@@ -117,9 +117,7 @@
         self.assertIsNone(self.check(6))
 
     def test_new_incarnation_starts_again(self) -> None:
-        """Guards against ignoring a restarted peer, also after a clock jump
-        that gives it a lower incarnation.
-        """
+        """Guards against ignoring a peer that restarts after a clock jump."""
         self.assertIsNone(self.check(5, incarnation=7))
         self.assertIsNone(self.check(1, incarnation=3))
         self.assertIsInstance(self.check(5, incarnation=7), errors.OldSequence)
--- a/tools/measure_peering.py
+++ b/tools/measure_peering.py
@@ -52,7 +52,10 @@
 def open_transport(name: str, port: int) -> transport.Transport:
     codec = envelope.Codec(KEY, {'Payload': Payload, 'Ack': Ack})
     result = transport.Transport(
-        ids.InstanceId(name, 1), f'{HOST}:{port}', codec, trace.TraceWriter(name)
+        ids.InstanceId(name, 1),
+        f'{HOST}:{port}',
+        codec,
+        trace.TraceWriter(name),
     )
     result.listen()
     return result
