--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/factory.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/factory.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import time
 import typing
 
+from aiohttp import http
 from aiohttp import web
 
 from knapweedhall_entry.gateway import answers
@@ -19,22 +21,42 @@
 from knapweedhall_entry.gateway import server
 from knapweedhall_entry.gateway import upstreams
 from knapweedhall_events import trace
+from knapweedhall_traffic import outcomes
 
 
 class Request(web.BaseRequest):
     """Request whose answer carries an outcome even if made by aiohttp.
 
     aiohttp answers requests that its parser refuses without calling the
-    handler; none of them ran.
+    handler; none of them ran. If the handler fails by a fault of its own
+    the request may have been sent.
     """
 
+    handled = False
     instance = ''
+    events: trace.TraceWriter
 
     async def _prepare_hook(self, response: web.StreamResponse) -> None:
-        if 'Knapweedhall-Outcome' not in response.headers:
-            response.headers['Knapweedhall-Outcome'] = 'not-run'
-            response.headers['Knapweedhall-Reason'] = 'malformed-request'
-            response.headers['Knapweedhall-Instance'] = self.instance
+        if 'Knapweedhall-Outcome' in response.headers:
+            return
+        outcome, reason = outcomes.UNKNOWN, 'internal-error'
+        if not self.handled:
+            outcome, reason = outcomes.NOT_RUN, 'malformed-request'
+            self.events.emit('request_malformed', reason=reason)
+        response.headers['Knapweedhall-Outcome'] = outcome
+        response.headers['Knapweedhall-Reason'] = reason
+        response.headers['Knapweedhall-Instance'] = self.instance
+        response.force_close()
+
+
+def _is_own_fault(record: logging.LogRecord) -> bool:
+    # A stack trace per malformed request would let callers fill the log.
+    error = record.exc_info[1] if record.exc_info else None
+    return not isinstance(error, http.HttpProcessingError)
+
+
+_LOGGER = logging.getLogger('knapweedhall.gateway')
+_LOGGER.addFilter(_is_own_fault)
 
 
 class Gateway:
@@ -61,8 +83,12 @@
         self.book = book
         self.forwarder = forwarder
         self.relay = relay
-        self.caller = _server(handler.from_caller, relay.instance)
-        self.forward = _server(handler.from_instance, relay.instance)
+        self.caller = _server(
+            handler.from_caller, relay.instance, handler.events
+        )
+        self.forward = _server(
+            handler.from_instance, relay.instance, handler.events
+        )
 
     def begin_stop(self) -> None:
         """Ask callers to leave: answers carry `Connection: close`.
@@ -124,16 +150,26 @@
         [web.BaseRequest], typing.Awaitable[web.StreamResponse]
     ],
     instance: str,
+    events: trace.TraceWriter,
 ) -> web.Server:
     loop = asyncio.get_running_loop()
-    kind = type('InstanceRequest', (Request,), {'instance': instance})
+    kind = type(
+        'InstanceRequest', (Request,), {'instance': instance, 'events': events}
+    )
 
     def make_request(*parts: typing.Any) -> web.BaseRequest:
         request: web.BaseRequest = kind(*parts, loop)
         return request
 
+    def handle(
+        request: web.BaseRequest,
+    ) -> typing.Awaitable[web.StreamResponse]:
+        typing.cast(Request, request).handled = True
+        return handler(request)
+
     return web.Server(
-        handler,
+        handle,
+        logger=_LOGGER,
         request_factory=make_request,
         # A caller that leaves ends its exchange at once.
         handler_cancellation=True,
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/server.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/server.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from aiohttp import web
+import loguru
 
 from knapweedhall_entry.gateway import answers
 from knapweedhall_entry.gateway import calls
@@ -20,6 +21,7 @@
 from knapweedhall_traffic import retries
 
 STATUS_MALFORMED = 400
+STATUS_FAULT = 500
 
 
 class Handler:
@@ -116,6 +118,11 @@
             raise
         except (aiohttp.ClientError, ConnectionError):
             result = outcomes.broken(call.handed_over, 'caller-gone')
+        except Exception:
+            loguru.logger.exception('request {} failed', call.request_id)
+            result = outcomes.Failure(
+                outcomes.UNKNOWN, STATUS_FAULT, 'internal-error'
+            )
         if isinstance(result, outcomes.Failure):
             return self._fail(call, result)
         return result
