--- a/packages/knapweedhall-entry/src/knapweedhall_entry/application.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/application.py
@@ -5,18 +5,17 @@
 import asyncio
 import signal
 import time
-import typing
 
 from aiohttp import web
 import loguru
 
 from knapweedhall_entry import admin
 from knapweedhall_entry import control_plane
+from knapweedhall_entry.gateway import factory as gateway_factory
 from knapweedhall_entry import messages
 from knapweedhall_entry import metrics
 from knapweedhall_entry import settings
 from knapweedhall_entry import status
-from knapweedhall_entry.gateway import factory as gateway_factory
 from knapweedhall_events import trace
 
 READY_CHECK_S = 0.05
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_inputs.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_inputs.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import typing
 
 from knapweedhall_entry import fleet
 from knapweedhall_entry import membership
 from knapweedhall_ownership import configuration
 from knapweedhall_ownership import coordinator
+from knapweedhall_ownership import groups
 from knapweedhall_records import bodies
 from knapweedhall_records import ids
 
@@ -45,72 +45,29 @@
         self, target: coordinator.Coordinator, group: str, now: float
     ) -> None:
         """Tell a coordinator all that it needs; repeats change nothing."""
+        services = {
+            name: service
+            for name, service in self.view.services().items()
+            if concerns(group, name, service)
+        }
+        for name, service in services.items():
+            target.set_service(name, service)
         upstreams = self.view.by_group().get(group, [])
-        services = sorted({each.view.service for each in upstreams})
-        for name in services:
-            service = self.view.service(name)
-            if service is not None:
-                target.set_service(name, service)
         target.set_upstreams(now, [each.view for each in upstreams])
         target.set_instances(self.instances())
-        for name, service in self.view.services().items():
+        target.set_groups_out(self.view.groups_out(now))
+        for release in self.view.releases():
+            if release.service in services:
+                target.release_read(release)
+        for name, service in services.items():
             if service.mode == 'divided':
-                self.feed_plan(target, group, name, now)
-        for out in self.view.groups_out(now):
-            target.group_out(out)
+                self.feed_plan(target, name)
 
-    def feed_plan(
-        self,
-        target: coordinator.Coordinator,
-        group: str,
-        service: str,
-        now: float,
-    ) -> None:
-        """Tell a coordinator the plan of one service and its releases."""
-        releases = self.releases(service)
+    def feed_plan(self, target: coordinator.Coordinator, service: str) -> None:
+        """Tell a coordinator the plan of one service."""
         for first, record in self.view.plan_chunks(service).items():
-            if not isinstance(record.body, bodies.Plan):
-                continue
-            elsewhere = self.elsewhere(group, first, record.body)
-            target.set_plan(
-                now, service, first, record.version, record.body, elsewhere
-            )
-            for release in releases:
-                if release.plan_version == record.version:
-                    target.release_read(service, release.group, release.slices)
-
-    def elsewhere(
-        self, group: str, first: int, plan: bodies.Plan
-    ) -> dict[int, str]:
-        """Return the slices of a group that another group gives up first.
-
-        A plan that moves a slice between groups keeps the old owner as the
-        last entry of the slice's list, so that every reader knows the old
-        group, even one that never saw the previous plan.
-        """
-        found: dict[int, str] = {}
-        for position, indices in enumerate(plan.slices):
-            owner = self.group_of(plan.upstreams[indices[0]])
-            last = self.group_of(plan.upstreams[indices[-1]])
-            if owner == group and last not in ('', group):
-                found[first + position] = last
-        return found
-
-    def group_of(self, upstream: str) -> str:
-        """Return the group of an upstream, '' if it is not known."""
-        known = self.view.upstreams.get(upstream)
-        return known.group if known else ''
-
-    def releases(self, service: str) -> list[bodies.Release]:
-        """Return the release records of a service."""
-        found = []
-        for name in self.view.names('release'):
-            record = self.view.store.get('release', name)
-            if record is None or not isinstance(record.body, bodies.Release):
-                continue
-            if record.body.service == service:
-                found.append(record.body)
-        return found
+            if isinstance(record.body, bodies.Plan):
+                target.set_plan(service, first, record.version, record.body)
 
     def release_version(self, name: str) -> int:
         """Return the version of a release record, 0 for none."""
@@ -131,6 +88,10 @@
         known = self.view.upstreams.get(upstream)
         return known.address if known else ''
 
-    def upstreams(self, group: str) -> typing.Sequence[str]:
-        """Return the names of a group's upstreams."""
-        return [each.view.name for each in self.view.by_group().get(group, [])]
+
+def concerns(group: str, name: str, service: bodies.Service) -> bool:
+    """Return whether a group can have upstreams of a service."""
+    own = groups.SERVICE_PREFIX + name
+    if service.mode == 'divided' and service.partition_mode == 'handover':
+        return group == own
+    return group.startswith(groups.DOMAIN_PREFIX)
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_supervisor.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_supervisor.py
@@ -89,7 +89,7 @@
         """
         now = time.monotonic()
         for task in self.running.values():
-            task.close(now, now + RELEASE_LEASE_S)
+            task.coordinator.close(now + RELEASE_LEASE_S)
         while self.running and time.monotonic() < deadline:
             for group, task in list(self.running.items()):
                 quiet_at = task.coordinator.quiet_at()
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_task.py
@@ -14,6 +14,7 @@
 from knapweedhall_entry import upstream_client
 from knapweedhall_events import trace
 from knapweedhall_ownership import coordinator
+from knapweedhall_ownership import orders as order_types
 from knapweedhall_peering import envelope
 from knapweedhall_records import bodies
 
@@ -109,7 +110,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.calling: set[tuple[str, str]] = set()
         self.appending: set[str] = set()
-        self.heard: dict[str, float] = {}
+        self.reasons: dict[str, str] = {}
         self.lost: set[str] = set()
         self.next_feed = now
         self.closed_until: float | None = None
@@ -151,8 +152,8 @@
         if now >= self.next_feed:
             self.next_feed = now + FEED_S
             self.inputs.feed(self.coordinator, self.group, now)
-            self.note_silence(now)
         orders = self.coordinator.step(now, deadline)
+        self.note_states()
         self.record(orders.events)
         for name in orders.probes:
             self.start('health', name, self.probe(name))
@@ -203,7 +204,7 @@
         )
         self.queue.put_nowait(HealthResult(name, outcome))
 
-    async def grant(self, order: coordinator.GrantOrder) -> None:
+    async def grant(self, order: order_types.GrantOrder) -> None:
         """Send a grant."""
         outcome = await self.calls.grant(
             self.inputs.address(order.upstream),
@@ -214,7 +215,7 @@
             GrantResult(order.upstream, order.number, outcome)
         )
 
-    async def release(self, order: coordinator.ReleaseOrder) -> None:
+    async def release(self, order: order_types.ReleaseOrder) -> None:
         """Ask an upstream for slices back."""
         outcome = await self.calls.release(
             self.inputs.address(order.upstream),
@@ -225,7 +226,7 @@
             ReleaseResult(order.upstream, order.number, outcome)
         )
 
-    def append_release(self, given_up: coordinator.GroupRelease) -> None:
+    def append_release(self, given_up: order_types.GroupRelease) -> None:
         """Append the record that slices have left this group."""
         name = f'{given_up.service}/{given_up.plan_version}/{self.group}'
         if name in self.appending:
@@ -249,10 +250,10 @@
 
         self.spawn(append())
 
-    def record(self, events: list[coordinator.Event]) -> None:
+    def record(self, events: list[order_types.Event]) -> None:
         """Write the coordinator's events to the trace."""
         for event in events:
-            if isinstance(event, coordinator.Activation):
+            if isinstance(event, order_types.Activation):
                 self.events.emit(
                     'slices_activated',
                     group=self.group,
@@ -271,30 +272,33 @@
                     reason=event.reason,
                 )
 
-    def note_silence(self, now: float) -> None:
-        """Note upstreams that have stopped responding."""
-        known = self.inputs.upstreams(self.group)
-        for name in known:
-            last = self.heard.setdefault(name, now)
-            if name not in self.lost and now - last >= coordinator.LOST_S:
-                self.lost.add(name)
+    def note_states(self) -> None:
+        """Emit events for upstreams that fell silent, returned or leave."""
+        contacts = self.coordinator.contacts
+        lost = {name for name, each in contacts.items() if each.lost}
+        for name in sorted(lost - self.lost):
+            self.events.emit('upstream_lost', group=self.group, upstream=name)
+        for name in sorted((self.lost - lost) & set(contacts)):
+            self.events.emit('upstream_back', group=self.group, upstream=name)
+        self.lost = lost
+        for name, each in contacts.items():
+            reason = each.reason()
+            if self.reasons.get(name) == reason:
+                continue
+            self.reasons[name] = reason
+            if reason in ('leaving', 'out', 'gone'):
                 self.events.emit(
-                    'upstream_lost', group=self.group, upstream=name
+                    'upstream_draining', upstream=name, reason=reason
                 )
-        for name in set(self.heard) - set(known):
-            del self.heard[name]
-            self.lost.discard(name)
-
-    def note_answer(self, name: str) -> None:
-        """Note that an upstream has responded."""
-        self.heard[name] = time.monotonic()
-        if name in self.lost:
-            self.lost.discard(name)
-            self.events.emit('upstream_back', group=self.group, upstream=name)
+        for name in set(self.reasons) - set(contacts):
+            del self.reasons[name]
+
+    def knows(self, upstream: str) -> bool:
+        """Return whether the coordinator still has an upstream.
 
-    def close(self, now: float, deadline: float) -> None:
-        """Bound all further permits and grants; the lease is given back."""
-        self.coordinator.close(now, deadline)
+        A call may end after its upstream has left the group.
+        """
+        return upstream in self.coordinator.contacts
 
 
 @functools.singledispatch
@@ -318,8 +322,9 @@
 
 @take.register
 def _take_health(item: HealthResult, task: CoordinatorTask) -> None:
+    if not task.knows(item.upstream):
+        return
     if isinstance(item.outcome, upstream_client.Healthy):
-        task.note_answer(item.upstream)
         task.coordinator.clock_read(
             item.outcome.received,
             item.upstream,
@@ -331,8 +336,9 @@
 @take.register
 def _take_grant(item: GrantResult, task: CoordinatorTask) -> None:
     outcome = item.outcome
+    if not task.knows(item.upstream):
+        return
     if isinstance(outcome, upstream_client.Accepted):
-        task.note_answer(item.upstream)
         task.coordinator.granted(
             outcome.received, item.upstream, item.number, outcome.answer
         )
@@ -341,7 +347,6 @@
     if isinstance(outcome, upstream_client.Failed):
         task.coordinator.grant_failed(now, item.upstream, item.number)
         return
-    task.note_answer(item.upstream)
     task.events.emit(
         'grant_refused',
         upstream=item.upstream,
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/factory.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/factory.py
@@ -20,6 +20,8 @@
 from knapweedhall_entry import election_task
 from knapweedhall_entry import electors_writer
 from knapweedhall_entry import fleet
+from knapweedhall_entry.gateway import factory as gateway_factory
+from knapweedhall_entry.gateway import interfaces
 from knapweedhall_entry import instance_list
 from knapweedhall_entry import log_follower
 from knapweedhall_entry import mailboxes
@@ -31,8 +33,6 @@
 from knapweedhall_entry import publisher
 from knapweedhall_entry import settings
 from knapweedhall_entry import upstream_client
-from knapweedhall_entry.gateway import factory as gateway_factory
-from knapweedhall_entry.gateway import interfaces
 from knapweedhall_events import trace
 from knapweedhall_ownership import groups
 from knapweedhall_ownership import messages as ownership_messages
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/fleet.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/fleet.py
@@ -199,16 +199,19 @@
         self, service: str, number: int, origin: bodies.Origin
     ) -> bool:
         """Return whether a group has released a slice since an origin."""
+        return any(
+            release.service == service
+            and release.group == origin.group
+            and release.plan_version >= origin.version
+            and number in release.slices
+            for release in self.releases()
+        )
+
+    def releases(self) -> list[bodies.Release]:
+        """Return all releases in force."""
+        found = []
         for name in self.names('release'):
             record = self.store.get('release', name)
-            if record is None or not isinstance(record.body, bodies.Release):
-                continue
-            body = record.body
-            if (
-                body.service == service
-                and body.group == origin.group
-                and body.plan_version >= origin.version
-                and number in body.slices
-            ):
-                return True
-        return False
+            if record and isinstance(record.body, bodies.Release):
+                found.append(record.body)
+        return found
