--- a/packages/knapweedhall-traffic/src/knapweedhall_traffic/fairness.py
+++ b/packages/knapweedhall-traffic/src/knapweedhall_traffic/fairness.py
@@ -76,6 +76,12 @@
             for customer, finish in self.finish.items()
             if finish > self.virtual
         }
+        if len(self.finish) < MAX_IDLE_CUSTOMERS // 2:
+            return
+        # Callers choose the names, so that there may be any number; all are
+        # forgiven at once instead of scanning the map for each request.
+        self.virtual = max(self.finish.values())
+        self.finish.clear()
 
     def push(
         self,
--- a/packages/knapweedhall-traffic/src/knapweedhall_traffic/headers.py
+++ b/packages/knapweedhall-traffic/src/knapweedhall_traffic/headers.py
@@ -47,6 +47,8 @@
 # attempt to make the next hop read the message differently.
 NEVER_HOP_BY_HOP = frozenset((CONTENT_LENGTH, b'host', KEY))
 
+# The blanks of HTTP; bytes.strip without them also takes vertical tabs.
+BLANKS = b' \t'
 MAX_KEY_LENGTH = 256
 MAX_REQUEST_ID_LENGTH = 128
 RESERVED_SEGMENT = 'knapweedhall'
@@ -96,7 +98,9 @@
 def connection_tokens(value: bytes) -> frozenset[bytes]:
     """Return the lower-case names that a Connection header lists."""
     return frozenset(
-        token for part in value.lower().split(b',') if (token := part.strip())
+        token
+        for part in value.lower().split(b',')
+        if (token := part.strip(BLANKS))
     )
 
 
@@ -130,7 +134,7 @@
             return Malformed('length-and-transfer-encoding')
         if not length.isdigit():
             return Malformed('content-length')
-    if coding is not None and coding.strip().lower() != b'chunked':
+    if coding is not None and coding.strip(BLANKS).lower() != b'chunked':
         return Malformed('transfer-encoding')
     if CONNECTION in first:
         if _connection_names(raw, found) & NEVER_HOP_BY_HOP:
