Add failure scenarios on separate processes

Cause: the ten points have to hold under kills, freezes, partitions and log outages; only separate processes show that.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
@@ -139,6 +139,17 @@
             await self.wait_ready(name)
 
     async def close(self) -> None:
+        """End all processes, and give back ports and folder."""
+        try:
+            await self.close_processes()
+        finally:
+            await self.session.close()
+            self.events.close()
+            self.block.close()
+            if self.temporary is not None:
+                self.temporary.cleanup()
+
+    async def close_processes(self) -> None:
         """End all processes, the entry instances before the others."""
         order = [*self.entries, *self.upstreams, RELAY, PLATFORM]
         try:
@@ -152,11 +163,6 @@
         finally:
             for child in self.children.values():
                 child.kill()
-            await self.session.close()
-            self.events.close()
-            self.block.close()
-            if self.temporary is not None:
-                self.temporary.cleanup()
 
     def start_child(self, name: str) -> None:
         """Start a process, or start it again after its end."""
--- /dev/null
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Failure scenarios on separate processes, judged by the trace checker."""
