Add the ownership model and its broken variants

knapweedhall_model explores one slice on two upstreams, with and without token check, one sender, successive coordinators, grants, permits, releases and pauses before any step. The election is abstracted to one lease holder at a time. make model explores it; make model-broken removes one of seven safeguards at a time and wants a counterexample for each.

Election, log and elector set changes are not modelled yet.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(wildcard packages/*/src)))
 
-.PHONY: setup test lint format demo catalogue
+.PHONY: setup test lint format demo model model-broken catalogue
 
 setup: $(STAMP)
 
@@ -32,3 +32,11 @@
 
 catalogue: setup
 	$(BIN)/python tools/write_catalogue.py
+
+# Explores the specification of the core protocol exhaustively.
+model: setup
+	$(BIN)/python -m knapweedhall_model.main
+
+# Removes one safeguard at a time; succeeds if each has a counterexample.
+model-broken: setup
+	$(BIN)/python -m knapweedhall_model.main --broken
--- /dev/null
+++ b/packages/knapweedhall-model/src/knapweedhall_model/__init__.py
@@ -0,0 +1,1 @@
+"""Model of the core protocol in Maude."""
