--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/contacts.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/contacts.py
@@ -56,6 +56,7 @@
         self.answered = False
         self.lost = False
         self.gone = False
+        self.was_usable = False
         self.cold = False
         self.dirty = True
         self.sent_at = float('-inf')
@@ -179,6 +180,9 @@
         if number > self.answered_number:
             self.answered_number = number
             self.answered_end = end
+        else:
+            # The upstream may have applied the older grant last.
+            self.answered_end = max(self.answered_end, end)
 
     def _take_held(self, answer: messages.GrantAnswer) -> None:
         for grant in answer.held:
@@ -205,6 +209,11 @@
         """Return the end of all grants that may be in force."""
         return max(self.answered_end, *self.unanswered.values(), 0.0)
 
+    def stale_end(self, number: int) -> float:
+        """Return when no grant up to a number can still arrive."""
+        ends = (end for n, end in self.unanswered.items() if n <= number)
+        return max(ends, default=0.0)
+
     def forget(self, now: float) -> None:
         """Drop unanswered grants that have ended."""
         for number, end in list(self.unanswered.items()):
