Remove conflict markers from the Makefile

Cause: a merge kept the markers, so every make target stopped with 'missing separator'. Change: both sides of the conflict stay: the demo and the model targets. Conclusion: none beyond the change.

--- a/Makefile
+++ b/Makefile
@@ -33,10 +33,9 @@
 catalogue: setup
 	$(BIN)/python tools/write_catalogue.py
 
-<<<<<<< HEAD
 demo: setup
 	$(BIN)/python -m knapweedhall_bench.demo $(DEMO_OPTIONS)
-=======
+
 # Explores the specification of the core protocol exhaustively.
 model: setup
 	$(BIN)/python -m knapweedhall_model.main
@@ -44,4 +43,3 @@
 # Removes one safeguard at a time; succeeds if each has a counterexample.
 model-broken: setup
 	$(BIN)/python -m knapweedhall_model.main --broken
->>>>>>> model
