--- a/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
@@ -22,6 +22,10 @@
 # Highest lease length that a vote is given for; a longer one would block the
 # group when its holder is lost.
 MAX_LEASE_MS = 2 * election.LEASE_MS
+# An instance that joins a set of electors knows of no promise yet. Without
+# this wait it would ask for a new term, and its vote for itself would keep
+# the holder from renewing.
+JOIN_WAIT_S = 1.5 * election.LEASE_S
 
 
 def ignore(group: str, term: int) -> None:
@@ -67,6 +71,7 @@
         self.held: dict[str, int] = {}
         self.stopping = False
         self.resigned: set[str] = set()
+        self.joined_at: dict[str, float] = {}
         self.on_acquired: typing.Callable[[str, int], None] = ignore
 
     def lease(self, now: float, group: str) -> election.Lease | None:
@@ -84,7 +89,7 @@
         found = {group: self.lease(now, group) for group in self.candidates}
         return {group: lease for group, lease in found.items() if lease}
 
-    def refresh(self) -> None:
+    def refresh(self, now: float) -> None:
         """Take the groups and electors records in force."""
         for group in self.view.names('electors'):
             version, electors = self.view.electors(group)
@@ -93,26 +98,33 @@
             if candidate is None:
                 candidate = election.Candidate(self.me, group, self.rng)
                 self.candidates[group] = candidate
+            if self.me in electors and self.me not in candidate.electors:
+                first = version == 1
+                self.joined_at[group] = now - JOIN_WAIT_S * first
             candidate.set_electors(version, electors)
 
     def tick(self, now: float) -> None:
         """Send what is due and note leases that were won or lost."""
         for group, candidate in self.candidates.items():
             promised = self.elector.promised_until(group)
-            if self.asks(group, candidate):
+            if self.asks(now, group, candidate):
                 for elector, request in candidate.poll(now, promised):
                     self.ask(now, candidate, elector, request)
             for elector, release in candidate.abandoned():
                 self.sender.send(elector.name, release)
             self.note_lease(now, group)
 
-    def asks(self, group: str, candidate: election.Candidate) -> bool:
+    def asks(
+        self, now: float, group: str, candidate: election.Candidate
+    ) -> bool:
         """Return whether the lease of a group is asked for or renewed."""
         if group in self.resigned:
             return False
         if candidate.term:
             return True
-        return self.me in candidate.electors and not self.stopping
+        if self.stopping or self.me not in candidate.electors:
+            return False
+        return now >= self.joined_at.get(group, now) + JOIN_WAIT_S
 
     def ask(
         self,
@@ -227,7 +239,7 @@
         """Return when `tick` has to be called next."""
         due = now + MAX_SLEEP_S
         for group, candidate in self.candidates.items():
-            if self.asks(group, candidate):
+            if self.asks(now, group, candidate):
                 promised = self.elector.promised_until(group)
                 due = min(due, candidate.next_poll(now, promised))
         return max(due, now + MIN_SLEEP_S)
@@ -247,7 +259,7 @@
                 async with asyncio.timeout_at(next_tick):
                     message = await queue.get()
             except TimeoutError:
-                self.refresh()
+                self.refresh(time.monotonic())
             now = time.monotonic()
             if message is not None:
                 self.take(now, message)
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/fleet.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/fleet.py
@@ -34,6 +34,11 @@
         Records in force.
     listed : instance_list.InstanceListFollower
         The platform's list.
+
+    Attributes
+    ----------
+    complete : bool
+        Whether the upstreams were joined after the list had been read.
     """
 
     def __init__(
@@ -46,6 +51,7 @@
         self.upstreams: Upstreams = {}
         self.unlisted: dict[str, tuple[Upstream, float]] = {}
         self.out_since: dict[str, float] = {}
+        self.complete = False
 
     def service(self, name: str) -> bodies.Service | None:
         """Return the service's record in force."""
@@ -83,6 +89,7 @@
                 leaving = upstream.view._replace(state='leaving')
                 found[name] = upstream._replace(view=leaving)
         self.upstreams = found
+        self.complete = self.listed.read_at is not None or bool(found)
         self.note_marks(now)
 
     def described(self) -> Upstreams:
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/permit_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/permit_task.py
@@ -21,6 +21,9 @@
 # Bounds the delay until a new group is noticed.
 TICK_S = 0.05
 
+# Longest time that a new instance waits for the permits of all groups.
+WARM_UP_S = 3.0
+
 Hottest = dict[str, list[tuple[str, float]]]
 
 
@@ -39,6 +42,7 @@
         self.coordinator = ''
         self.next_request = 0.0
         self.expired = True
+        self.served = False
 
 
 class PermitTask:
@@ -72,6 +76,7 @@
         self.changed = changed
         self.events = events
         self.groups: dict[str, GroupState] = {}
+        self.first_request: float | None = None
 
     def refresh(self) -> None:
         """Take the groups and the rules of the services."""
@@ -80,6 +85,8 @@
             self.groups[group] = GroupState(group)
         for group in set(self.groups) - wanted:
             del self.groups[group]
+        if self.view.complete and self.first_request is None:
+            self.first_request = time.monotonic()
         services = self.view.services()
         for state in self.groups.values():
             for name, service in services.items():
@@ -90,6 +97,22 @@
                     service.max_work_ms,
                 )
 
+    def ready(self, now: float) -> bool:
+        """Return whether callers can be served.
+
+        At first every group has to give a permit; one that gives none, as on
+        the minority side of a partition, delays this only for a while. Later
+        a single permit is enough.
+        """
+        if self.first_request is None:
+            return False
+        states = self.groups.values()
+        waited = now >= self.first_request + WARM_UP_S
+        if not waited and not all(each.served for each in states):
+            return False
+        live = (now < each.table.deadline for each in states)
+        return not self.groups or any(live)
+
     def table(self, group: str) -> permits.PermitTable | None:
         """Return the permit table of a group."""
         state = self.groups.get(group)
@@ -135,6 +158,7 @@
         held = state.table.term, state.table.version
         due = state.table.take(now, offer)
         state.coordinator = message.sender.name
+        state.served = True
         state.expired = now >= state.table.deadline
         if held != (offer.term, offer.table_version):
             self.events.emit(
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/status.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/status.py
@@ -36,9 +36,7 @@
             return 'stopping'
         if not self.plane.follower.restored:
             return 'the configuration is not restored'
-        groups = self.plane.held.groups.values()
-        now = time.monotonic()
-        if groups and not any(now < each.table.deadline for each in groups):
+        if not self.plane.held.ready(time.monotonic()):
             return 'no send permit'
         return ''
 
