--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/permits.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/permits.py
@@ -121,15 +121,18 @@
 
         A request that was written under an older version to an upstream
         that checks no tokens can still take effect there, so the version
-        that withdrew the upstream waits for its answer or its deadline.
+        that withdrew the upstream waits for its answer or its deadline. An
+        offer does not say which version withdrew it, so the one held before
+        the offer is acknowledged meanwhile.
         """
         self.unsettled = [
             (version, activation)
             for version, activation in self.unsettled
             if any(end > now for end in self.outstanding.get(activation, ()))
         ]
-        oldest = min((version for version, _ in self.unsettled), default=0)
-        return oldest - 1 if oldest else self.version
+        return min(
+            (version for version, _ in self.unsettled), default=self.version
+        )
 
     def take(self, now: float, offer: messages.PermitOffer) -> bool:
         """Take an offer; return whether the next request is due at once.
@@ -143,7 +146,7 @@
             self._reset(offer.term)
         changed = offer.table_version > self.version
         for entry in offer.entries:
-            self._apply(entry, offer.table_version)
+            self._apply(entry)
         self.version = offer.table_version
         self.shares_version = offer.shares_version
         self.shares = offer.shares
@@ -166,13 +169,13 @@
             and offer.base_version <= self.version <= offer.table_version
         )
 
-    def _apply(self, entry: messages.TableEntry, version: int) -> None:
+    def _apply(self, entry: messages.TableEntry) -> None:
         owners = self.owners.setdefault(entry.service, {})
         hot = self.hot_keys.setdefault(entry.service, {})
         before = owners.get(entry.slice)
         after = _Owner(entry.upstream, entry.sequence)
         if before and before != after:
-            self._note_withdrawn(entry.service, entry.slice, before, version)
+            self._note_withdrawn(entry.service, entry.slice, before)
         if entry.removed:
             hot.pop(entry.key, None)
             owners.pop(entry.slice, None)
@@ -182,14 +185,14 @@
         owners[entry.slice] = after
 
     def _note_withdrawn(
-        self, service: str, number: int, owner: _Owner, version: int
+        self, service: str, number: int, owner: _Owner
     ) -> None:
         activation = service, number, ids.Token(self.term, owner.sequence)
         rules = self.services.get(service)
         if self.outstanding.get(activation) and not (
             rules and rules.checks_tokens
         ):
-            self.unsettled.append((version, activation))
+            self.unsettled.append((self.version, activation))
 
     def route(
         self, now: float, service_name: str, key: str
