--- a/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_inputs.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_inputs.py
@@ -5,7 +5,6 @@
 
 from knapweedhall_entry import fleet
 from knapweedhall_entry import membership
-from knapweedhall_ownership import configuration
 from knapweedhall_ownership import coordinator
 from knapweedhall_ownership import groups
 from knapweedhall_records import bodies
@@ -69,11 +68,12 @@
             if isinstance(record.body, bodies.Plan):
                 target.set_plan(service, first, record.version, record.body)
 
-    def release_version(self, name: str) -> int:
-        """Return the version of a release record, 0 for none."""
-        key: configuration.Key = ('release', name)
-        entry = self.view.store.entries.get(key)
-        return entry.record.version if entry else 0
+    def release(self, name: str) -> tuple[int, tuple[int, ...]]:
+        """Return version and slices of a release record, 0 for none."""
+        record = self.view.store.get('release', name)
+        if record is None or not isinstance(record.body, bodies.Release):
+            return 0, ()
+        return record.version, record.body.slices
 
     def instances(self) -> ByDomain:
         """Return the live instances per failure domain, with this one."""
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_task.py
@@ -231,15 +231,17 @@
         name = f'{given_up.service}/{given_up.plan_version}/{self.group}'
         if name in self.appending:
             return
-        self.appending.add(name)
+        # A later record replaces the earlier one, so it names its slices, too.
+        version, earlier = self.inputs.release(name)
+        slices = tuple(sorted({*earlier, *given_up.slices}))
+        if slices == earlier:
+            return
         body = bodies.Release(
-            given_up.service,
-            given_up.plan_version,
-            self.group,
-            given_up.slices,
+            given_up.service, given_up.plan_version, self.group, slices
         )
-        replaces = self.inputs.release_version(name)
-        draft = publisher.Draft('release', name, replaces, body)
+        draft = publisher.Draft('release', name, version, body)
+
+        self.appending.add(name)
 
         async def append() -> None:
             deadline = time.monotonic() + APPEND_TIMEOUT_S
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/factory.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/factory.py
@@ -28,6 +28,7 @@
 from knapweedhall_entry import membership
 from knapweedhall_entry import messages
 from knapweedhall_entry import messenger
+from knapweedhall_entry import observer
 from knapweedhall_entry import permit_task
 from knapweedhall_entry import planner
 from knapweedhall_entry import publisher
@@ -227,6 +228,7 @@
             base.events,
             interfaces.Options(base.me.name),
             base.rng,
+            observer.PermitObserver(late.plane.view, late.plane.held),
         )
         late.running = application.Application(
             options, late.plane, late.gateway, base.events
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/dispatch.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/dispatch.py
@@ -131,12 +131,16 @@
         if not upstream.limits.can_finish(now, end):
             self._put_back(upstream, connection)
             return outcomes.not_run('deadline')
+        # Noted before the write: a moved slice's next owner waits for it.
+        upstream.observer.request_sent(call.name, route, end)
         self._write(call, route, connection, clocks.deadline_on(reading, end))
         if time.monotonic() >= permit:
             # The pause between check and write may have been of any length.
             connection.abort()
             return outcomes.broken(True, 'permit-expired')
-        return await self._answer(call, upstream, connection, now)
+        result = await self._answer(call, upstream, connection, now)
+        upstream.observer.request_answered(call.name, route, end)
+        return result
 
     async def _reading(
         self,
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/interfaces.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/interfaces.py
@@ -122,6 +122,18 @@
     def request_routed(self, service: str, key: str, upstream: str) -> None:
         """Take note of a request, for the count of hot keys."""
 
+    def request_sent(self, service: str, route: Route, end: float) -> None:
+        """Take note that a request is about to be written.
+
+        Its work may run until `end`, in seconds of `time.monotonic`.
+        """
+
+    def request_answered(self, service: str, route: Route, end: float) -> None:
+        """Take note that a request that was sent has a complete answer.
+
+        Without one its work may still run, and nothing is reported.
+        """
+
     def upstream_cold(self, upstream: str, sign: str) -> None:
         """Take note that an upstream started cold."""
 
@@ -135,6 +147,12 @@
     def request_routed(self, service: str, key: str, upstream: str) -> None:
         """Ignore the request."""
 
+    def request_sent(self, service: str, route: Route, end: float) -> None:
+        """Ignore the request."""
+
+    def request_answered(self, service: str, route: Route, end: float) -> None:
+        """Ignore the answer."""
+
     def upstream_cold(self, upstream: str, sign: str) -> None:
         """Ignore the cold start."""
 
--- a/packages/knapweedhall-ownership/tests/schedules.py
+++ b/packages/knapweedhall-ownership/tests/schedules.py
@@ -55,9 +55,7 @@
         self.instances = [Instance(self, i) for i in range(instances)]
         self.spawned = instances
         self.electors: list[groups.Electors] = []
-        self.publish_electors(
-            tuple(each.id for each in self.instances[:3]), 0
-        )
+        self.publish_electors(tuple(each.id for each in self.instances[:3]), 0)
         for service in SERVICES:
             self.publish_plan(service, 1)
         self.later(1.0, self.disturb)
@@ -361,9 +359,7 @@
         if lease:
             self.coordinate(lease)
 
-    def vote(
-        self, candidate: Instance, request: messages.VoteRequest
-    ) -> None:
+    def vote(self, candidate: Instance, request: messages.VoteRequest) -> None:
         """Answer a candidate."""
         vote = self.elector.request(self.now(), candidate.id, request)
 
@@ -394,11 +390,15 @@
         started.set_upstreams(
             self.now(),
             [
-                orders.UpstreamView(each.name, each.service, 'a', 'live', LIMITS)
+                orders.UpstreamView(
+                    each.name, each.service, 'a', 'live', LIMITS
+                )
                 for each in self.world.upstreams.values()
             ],
         )
-        started.set_instances({'a': [each.id for each in self.world.instances]})
+        started.set_instances(
+            {'a': [each.id for each in self.world.instances]}
+        )
         return started
 
     def change_electors(self) -> None:
@@ -474,9 +474,7 @@
                 self, lambda: leader.released(self.now(), name, number)
             )
 
-        self.world.send(
-            upstream, lambda: upstream.release(order.body, answer)
-        )
+        self.world.send(upstream, lambda: upstream.release(order.body, answer))
         self.world.later(
             0.5,
             lambda: self.do(
