Refuse votes to candidates that have read less of the log

Cause: a later coordinator of a group that does not know a plan could grant slices that its predecessor had released to another group. Change: votes carry how far the log was read; a release record is appended only when a majority of electors has read the plan.

--- a/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_inputs.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_inputs.py
@@ -68,6 +68,16 @@
             if isinstance(record.body, bodies.Plan):
                 target.set_plan(service, first, record.version, record.body)
 
+    def plan_offset(self, service: str) -> int:
+        """Return the highest offset of the plan records in force."""
+        return max(
+            (
+                self.view.store.entries['plan', record.name].offset
+                for record in self.view.plan_chunks(service).values()
+            ),
+            default=0,
+        )
+
     def release(self, name: str) -> tuple[int, tuple[int, ...]]:
         """Return version and slices of a release record, 0 for none."""
         record = self.view.store.get('release', name)
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_task.py
@@ -236,6 +236,11 @@
         slices = tuple(sorted({*earlier, *given_up.slices}))
         if slices == earlier:
             return
+        # A later coordinator of this group must not win without knowing the
+        # plan, so a majority of its electors has to know it first.
+        offset = self.inputs.plan_offset(given_up.service)
+        if not self.elections.majority_has_read(self.group, offset):
+            return
         body = bodies.Release(
             given_up.service, given_up.plan_version, self.group, slices
         )
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
@@ -84,6 +84,11 @@
         candidate = self.candidates.get(group)
         return candidate.term if candidate else 0
 
+    def majority_has_read(self, group: str, offset: int) -> bool:
+        """Return whether a majority of a group's electors read an offset."""
+        candidate = self.candidates.get(group)
+        return candidate is not None and candidate.majority_has_read(offset)
+
     def leases(self, now: float) -> dict[str, election.Lease]:
         """Return all leases that this instance holds."""
         found = {group: self.lease(now, group) for group in self.candidates}
@@ -91,6 +96,8 @@
 
     def refresh(self, now: float) -> None:
         """Take the groups and electors records in force."""
+        offset = self.view.store.next_offset
+        self.elector.offset = offset
         for group in self.view.names('electors'):
             version, electors = self.view.electors(group)
             self.elector.set_electors_version(group, version)
@@ -102,6 +109,7 @@
                 first = version == 1
                 self.joined_at[group] = now - JOIN_WAIT_S * first
             candidate.set_electors(version, electors)
+            candidate.offset = offset
 
     def tick(self, now: float) -> None:
         """Send what is due and note leases that were won or lost."""
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/election.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/election.py
@@ -50,10 +50,16 @@
     The promises and the highest terms live as long as the process; a
     restarted process has another incarnation and is no elector until an
     electors record names it.
+
+    Attributes
+    ----------
+    offset : int
+        First offset of the log that this instance has not read.
     """
 
     def __init__(self) -> None:
         self.promises: dict[str, Promise] = {}
+        self.offset = 0
 
     def _promise(self, group: str) -> Promise:
         return self.promises.setdefault(group, Promise())
@@ -87,6 +93,7 @@
             promise.highest_term,
             promise.electors_version,
             request.number,
+            self.offset,
         )
 
     def may_grant(
@@ -101,6 +108,10 @@
             return False
         if request.term == promise.highest_term:
             return sender == promise.holder and not promise.released
+        # A candidate that has read less of the log may not know a plan that
+        # moved slices to another group, and would grant them a second time.
+        if request.offset < self.offset:
+            return False
         # The holder itself may not ask for a new term either: the permits of
         # its previous term have not expired on other clocks.
         return request.term > promise.highest_term and (
@@ -185,6 +196,8 @@
         self.term = 0
         self.deadline = 0.0
         self.majority_version = 0
+        self.offset = 0
+        self.read_offsets: dict[ids.InstanceId, int] = {}
         self.to_release: VoteReleases = []
 
     def set_electors(
@@ -265,7 +278,12 @@
         while len(self.rounds) > KEPT_ROUNDS:
             del self.rounds[min(self.rounds)]
         request = messages.VoteRequest(
-            self.group, self.electors_version, term, LEASE_MS, self.number
+            self.group,
+            self.electors_version,
+            term,
+            LEASE_MS,
+            self.number,
+            self.offset,
         )
         return [(elector, request) for elector in self.electors]
 
@@ -287,6 +305,7 @@
     ) -> None:
         """Count the answer of an elector."""
         self.highest_term = max(self.highest_term, vote.highest_term)
+        self.read_offsets[sender] = vote.offset
         counted = self.rounds.get(vote.number)
         if counted is None or sender not in counted.electors:
             return
@@ -327,6 +346,18 @@
         current = self.majority_version == self.electors_version
         return self.lease(now) is not None and current
 
+    def majority_has_read(self, offset: int) -> bool:
+        """Return whether a majority of electors has read the log to `offset`.
+
+        No candidate that has not read the record at `offset` can win a later
+        term then.
+        """
+        readers = sum(
+            self.read_offsets.get(elector, 0) > offset
+            for elector in self.electors
+        )
+        return 2 * readers > len(self.electors)
+
     def release(self, now: float, quiet_at: float) -> VoteReleases:
         """Give the lease back; return the messages to the electors.
 
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/messages.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/messages.py
@@ -24,6 +24,8 @@
         Length of the promise from the elector's receipt.
     number : int
         Number of the request within the candidate's incarnation.
+    offset : int
+        First offset of the log that the candidate has not read.
     """
 
     group: str
@@ -31,16 +33,22 @@
     term: int
     lease_ms: int
     number: int
+    offset: int = 0
 
 
 class Vote(typing.NamedTuple):
-    """Answer of an elector; `number` is that of the request."""
+    """Answer of an elector.
+
+    `number` is that of the request, `offset` the first offset of the log
+    that the elector has not read.
+    """
 
     group: str
     granted: bool
     highest_term: int
     electors_version: int
     number: int
+    offset: int = 0
 
 
 class VoteRelease(typing.NamedTuple):
