--- a/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_inputs.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_inputs.py
@@ -10,6 +10,7 @@
 from knapweedhall_records import bodies
 from knapweedhall_records import ids
 
+Revision = tuple[int, int, tuple[str, ...]]
 ByDomain = dict[str, list[ids.InstanceId]]
 
 
@@ -40,6 +41,11 @@
         self.view = view
         self.members = members
 
+    def revision(self, now: float) -> Revision:
+        """Return a value that changes with anything that `feed` tells."""
+        out = tuple(sorted(self.view.groups_out(now)))
+        return self.view.revision, self.members.revision, out
+
     def feed(
         self, target: coordinator.Coordinator, group: str, now: float
     ) -> None:
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_task.py
@@ -113,6 +113,7 @@
         self.reasons: dict[str, str] = {}
         self.lost: set[str] = set()
         self.next_feed = now
+        self.fed: coordinator_inputs.Revision | None = None
         self.closed_until: float | None = None
 
     async def run(self) -> None:
@@ -151,7 +152,10 @@
             return
         if now >= self.next_feed:
             self.next_feed = now + FEED_S
-            self.inputs.feed(self.coordinator, self.group, now)
+            revision = self.inputs.revision(now)
+            if revision != self.fed:
+                self.fed = revision
+                self.inputs.feed(self.coordinator, self.group, now)
         orders = self.coordinator.step(now, deadline)
         self.note_states()
         self.record(orders.events)
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
@@ -72,6 +72,7 @@
         self.stopping = False
         self.resigned: set[str] = set()
         self.joined_at: dict[str, float] = {}
+        self.digest = ''
         self.on_acquired: typing.Callable[[str, int], None] = ignore
 
     def lease(self, now: float, group: str) -> election.Lease | None:
@@ -96,6 +97,10 @@
 
     def refresh(self, now: float) -> None:
         """Take the groups and electors records in force."""
+        digest = self.view.store.digest()
+        if digest == self.digest:
+            return
+        self.digest = digest
         offset = self.view.store.next_offset
         self.elector.offset = offset
         for group in self.view.names('electors'):
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/fleet.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/fleet.py
@@ -39,6 +39,9 @@
     ----------
     complete : bool
         Whether the upstreams were joined after the list had been read.
+    revision : int
+        Grows with each change of records or upstreams, so that readers need
+        not compare them.
     """
 
     def __init__(
@@ -52,6 +55,8 @@
         self.unlisted: dict[str, tuple[Upstream, float]] = {}
         self.out_since: dict[str, float] = {}
         self.complete = False
+        self.revision = 0
+        self.joined: tuple[int, int] | None = None
 
     def service(self, name: str) -> bodies.Service | None:
         """Return the service's record in force."""
@@ -77,7 +82,12 @@
         return record.body.state == 'out'
 
     def refresh(self, now: float) -> None:
-        """Join the list and the records anew."""
+        """Join the list and the records anew if either has changed."""
+        sources = self.store.combined, self.listed.revision
+        if sources == self.joined and not self.unlisted:
+            return
+        self.joined = sources
+        self.revision += 1
         found = self.described()
         for name, upstream in self.upstreams.items():
             if name not in found and name not in self.unlisted:
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/instance_list.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/instance_list.py
@@ -24,6 +24,8 @@
         The last list, empty before the first one.
     absent_since : dict of str to float
         When an entry instance left the list, in seconds of `time.monotonic`.
+    revision : int
+        Grows with each list that differs from the last one.
     read_at : float or None
         When the last list was received.
     """
@@ -38,6 +40,7 @@
         self.interval_s = interval_s
         self.request_timeout_s = request_timeout_s
         self.rows: outcomes.ListedInstances = ()
+        self.revision = 0
         self.absent_since: dict[str, float] = {}
         self.read_at: float | None = None
         self.listeners: list[Listener] = []
@@ -50,6 +53,7 @@
                 self.absent_since.setdefault(row.name, now)
         for name in present & set(self.absent_since):
             del self.absent_since[name]
+        self.revision += rows != self.rows or self.read_at is None
         self.rows = rows
         self.read_at = now
         for listener in self.listeners:
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/membership.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/membership.py
@@ -42,6 +42,8 @@
 class Membership:
     """Sends heartbeats and keeps the state of all peers.
 
+    The attribute `revision` grows whenever a peer comes up or goes down.
+
     Parameters
     ----------
     name : str
@@ -73,6 +75,7 @@
         self.up: set[str] = set()
         self.listed: dict[str, outcomes.ListedInstance] = {}
         self.forget_at: dict[str, float] = {}
+        self.revision = 0
 
     def note_list(self, rows: outcomes.ListedInstances) -> None:
         """Take the addresses of the entry instances in the list."""
@@ -102,6 +105,7 @@
         self.update_address(name)
         if name not in self.up:
             self.up.add(name)
+            self.revision += 1
             self.events.emit(
                 'peer_up',
                 peer=name,
@@ -156,6 +160,7 @@
         if name not in self.up:
             return
         self.up.discard(name)
+        self.revision += 1
         domain = self.states[name].heartbeat.failure_domain
         self.events.emit('peer_down', peer=name, failure_domain=domain)
 
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/permit_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/permit_task.py
@@ -77,9 +77,13 @@
         self.events = events
         self.groups: dict[str, GroupState] = {}
         self.first_request: float | None = None
+        self.revision = -1
 
     def refresh(self) -> None:
         """Take the groups and the rules of the services."""
+        if self.view.revision == self.revision:
+            return
+        self.revision = self.view.revision
         wanted = set(self.view.by_group())
         for group in wanted - set(self.groups):
             self.groups[group] = GroupState(group)
--- a/packages/knapweedhall-peering/src/knapweedhall_peering/transport.py
+++ b/packages/knapweedhall-peering/src/knapweedhall_peering/transport.py
@@ -20,6 +20,8 @@
 # stale after a second, so a longer queue would only carry old news.
 SEND_QUEUE_MESSAGES = 64
 RECEIVE_QUEUE_MESSAGES = 512
+# Messages taken before other tasks run, so that a flood does not stop them.
+MAX_BATCH = 32
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 250
 # Keeps a peer with a wrong key from filling the log.
@@ -182,10 +184,11 @@
         """Receive until cancelled; `deliver` gets each accepted message."""
         assert self.pull is not None, 'call listen() first'
         while True:
-            decoded = self.accept(await self.pull.arecv())
-            if decoded is not None:
-                deliver(decoded)
-            # A flood of messages must not keep other tasks from running.
+            # Receiving gives way to other tasks only if no message waits.
+            for _ in range(MAX_BATCH):
+                decoded = self.accept(await self.pull.arecv())
+                if decoded is not None:
+                    deliver(decoded)
             await asyncio.sleep(0)
 
     def close(self) -> None:
