--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(wildcard packages/*/src)))
 
-.PHONY: setup test lint format demo model model-broken catalogue
+.PHONY: setup test lint format demo failures model model-broken catalogue
 
 setup: $(STAMP)
 
@@ -36,6 +36,10 @@
 demo: setup
 	$(BIN)/python -m knapweedhall_bench.demo $(DEMO_OPTIONS)
 
+# Runs all failure scripts on separate processes and prints their figures.
+failures: setup
+	$(BIN)/python -m knapweedhall_bench.failures
+
 # Explores the specification of the core protocol exhaustively.
 model: setup
 	$(BIN)/python -m knapweedhall_model.main
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/failures/__main__.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/failures/__main__.py
@@ -21,12 +21,12 @@
             f'{name}={count}' for name, count in summary.counts.items()
         )
         lines.append(
-            f'{report.name:28} {service:10} {counts} wrong={summary.wrong} '
+            f'{report.name} {service:19} {counts} wrong={summary.wrong} '
             f'p99={summary.p99_ms:.0f}ms '
             f'unserved={summary.longest_unserved_ms:.0f}ms'
         )
     lines.append(
-        f'{report.name:28} records={report.appends} '
+        f'{report.name} records={report.appends} '
         f'slices_moved={report.slices_moved}'
     )
     for result in report.results:
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/failures/runner.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/failures/runner.py
@@ -19,9 +19,11 @@
 from knapweedhall_events import trace
 from knapweedhall_replay import checker
 
-KEYS = 48
+# Few keys at a high rate, so that the time between two calls of a key adds
+# little to the time that it is seen as unserved.
+KEYS = 12
 SLICES = 32
-RATE = 40.0
+RATE = 60.0
 # Calls after the script has ended show that everything recovers.
 TAIL_S = 2.0
 MAX_LENGTH_S = 60.0
@@ -67,7 +69,7 @@
     results : list of checker.Result
         Verdicts on the ten points.
     summaries : dict of str to results.Summary
-        Figures per service.
+        Figures per service and failure domain of the entry instance.
     appends : int
         Records that came into force during the script.
     slices_moved : int
@@ -175,18 +177,28 @@
     return Report(
         name,
         checker.check(traces, UNCHECKED),
-        {
-            service: results.summarize(
-                [each for each in finished if f'-{service}-' in each.request],
-                ended,
-            )
-            for service in SERVICES
-        },
+        _summarize(finished, ended),
         appends,
         found.slices_moved,
     )
 
 
+def _summarize(
+    finished: typing.Sequence[results.Finished], ended_s: float
+) -> dict[str, results.Summary]:
+    """Return figures per service, and per failure domain that was called."""
+    groups: dict[str, list[results.Finished]] = {}
+    for each in finished:
+        service = each.request.split('-')[1]
+        domain = each.target.split('.')[2] if each.target else 'none'
+        groups.setdefault(f'{service} all', []).append(each)
+        groups.setdefault(f'{service} domain-{domain}', []).append(each)
+    return {
+        name: results.summarize(calls, ended_s)
+        for name, calls in sorted(groups.items())
+    }
+
+
 def _count_records(running: deployment.Deployment) -> int:
     """Return the number of records in force, by the busiest trace."""
     return max(
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/failures/scripts.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/failures/scripts.py
@@ -12,6 +12,8 @@
 # Longer than every lease, permit and grant.
 LONG_S = 4.0
 SHORT_S = 2.0
+# Longer than the time within which new work has to end.
+LEAVING_S = 8.0
 
 
 def mark(name: str, state: str) -> dict[str, object]:
@@ -165,7 +167,7 @@
 async def domain_out_and_back(scene: stage.Stage) -> None:
     """An operator takes a living failure domain out, and brings it back."""
     await scene.publish(mark('domain/domain-1', 'out'))
-    await asyncio.sleep(LONG_S)
+    await asyncio.sleep(LEAVING_S)
     await scene.publish(mark('domain/domain-1', 'in'))
     await asyncio.sleep(LONG_S)
 
@@ -174,7 +176,7 @@
     """The platform lists an upstream as leaving, then it ends."""
     name = scene.upstreams(STAY)[0]
     await scene.running.register(name, 'leaving')
-    await asyncio.sleep(LONG_S)
+    await asyncio.sleep(LEAVING_S)
     await scene.running.terminate(name)
     await scene.running.unregister(name)
     await asyncio.sleep(SHORT_S)
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/publishing.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/publishing.py
@@ -62,7 +62,8 @@
         importlib.util.find_spec(OPERATOR_MODULE) is None
     ):
         return await append(running, draft)
-    path = running.folder / f'{draft["kind"]}-{draft["name"]}.json'
+    name = draft['name'].replace('/', '-')
+    path = running.folder / f'{draft["kind"]}-{name}.json'
     path.write_bytes(msgspec.json.format(msgspec.json.encode(draft)))
     return await run_operator_command(
         'publish',
