--- a/packages/knapweedhall-ownership/tests/schedules.py
+++ b/packages/knapweedhall-ownership/tests/schedules.py
@@ -55,9 +55,7 @@
         self.instances = [Instance(self, i) for i in range(instances)]
         self.spawned = instances
         self.electors: list[groups.Electors] = []
-        self.publish_electors(
-            tuple(each.id for each in self.instances[:3]), 0
-        )
+        self.publish_electors(tuple(each.id for each in self.instances[:3]), 0)
         for service in SERVICES:
             self.publish_plan(service, 1)
         self.later(1.0, self.disturb)
@@ -76,11 +74,18 @@
             action()
         return self.violations
 
-    def send(self, target: Process, action: Action) -> None:
+    def send(
+        self, target: Process, action: Action, sender: Process | None = None
+    ) -> None:
         """Deliver a message, perhaps late, twice or never.
 
+        `sender` is named for votes only, which a cut instance cannot send
+        while it still reaches upstreams and other senders.
+
         Exchanges with upstreams are HTTP over TCP, which duplicates nothing.
         """
+        if sender and max(sender.cut_until, target.cut_until) > self.time:
+            return
         twice = isinstance(target, Instance) and self.rng.random() < 0.05
         for _ in range(1 + twice):
             if self.rng.random() < 0.08:
@@ -97,11 +102,17 @@
         if kind < 0.5:
             paused = self.rng.choice(processes)
             paused.paused_until = self.time + self.rng.expovariate(1.2)
+        elif kind < 0.6:
+            cut = self.rng.choice(self.instances)
+            cut.cut_until = self.time + self.rng.uniform(0.5, 2.5)
         elif kind < 0.75:
             service = self.rng.choice(list(SERVICES))
             self.publish_plan(service, self.plan_versions[service] + 1)
-        elif kind < 0.9:
+        elif kind < 0.85:
             self.rng.choice(list(self.upstreams.values())).restart()
+        elif kind < 0.93:
+            for instance in self.instances:
+                instance.do(instance.close)
         else:
             self.replace_instance()
 
@@ -165,6 +176,7 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.paused_until = 0.0
+        self.cut_until = 0.0
         self.ended = False
         self.offset = world.rng.uniform(0, 1000)
         self.rate = world.rng.choice([0.998, 0.999, 1.001, 1.002])
@@ -348,22 +360,24 @@
             target = self.find(name)
             if target:
                 vote = functools.partial(target.vote, self, request)
-                self.world.send(target, vote)
-        for name, release in self.candidate.abandoned():
+                self.world.send(target, vote, self)
+        self.release_votes(self.candidate.abandoned())
+        self.world.check_leases()
+        lease = self.lease()
+        if lease:
+            self.coordinate(lease)
+
+    def release_votes(self, releases: election.VoteReleases) -> None:
+        """Send votes back to the electors."""
+        for name, release in releases:
             target = self.find(name)
             if target:
                 give = functools.partial(
                     target.elector.release, self.id, release
                 )
-                self.world.send(target, typing.cast(Action, give))
-        self.world.check_leases()
-        lease = self.lease()
-        if lease:
-            self.coordinate(lease)
+                self.world.send(target, typing.cast(Action, give), self)
 
-    def vote(
-        self, candidate: Instance, request: messages.VoteRequest
-    ) -> None:
+    def vote(self, candidate: Instance, request: messages.VoteRequest) -> None:
         """Answer a candidate."""
         vote = self.elector.request(self.now(), candidate.id, request)
 
@@ -371,7 +385,7 @@
             candidate.candidate.vote(candidate.now(), self.id, vote)
             self.world.check_leases()
 
-        self.world.send(candidate, count)
+        self.world.send(candidate, count, self)
 
     def coordinate(self, lease: election.Lease) -> None:
         """Run one step of the coordinator."""
@@ -385,6 +399,19 @@
             pause = self.world.rng.expovariate(0.8)
             self.paused_until = self.world.time + pause
         self.do(functools.partial(self.execute, self.coordinator, found))
+        self.release(self.coordinator)
+
+    def close(self) -> None:
+        """Begin a planned release of the lease, if there is one."""
+        if self.coordinator and self.lease():
+            self.coordinator.close(self.now() + 0.5)
+
+    def release(self, leader: coordinator.Coordinator) -> None:
+        """Give the lease back when all permits and grants have ended."""
+        if leader.closing > self.now():
+            return
+        given = self.candidate.release(self.now(), leader.quiet_at())
+        self.release_votes(given)
 
     def start(self, term: int) -> coordinator.Coordinator:
         """Return the coordinator of a new term."""
@@ -394,11 +421,15 @@
         started.set_upstreams(
             self.now(),
             [
-                orders.UpstreamView(each.name, each.service, 'a', 'live', LIMITS)
+                orders.UpstreamView(
+                    each.name, each.service, 'a', 'live', LIMITS
+                )
                 for each in self.world.upstreams.values()
             ],
         )
-        started.set_instances({'a': [each.id for each in self.world.instances]})
+        started.set_instances(
+            {'a': [each.id for each in self.world.instances]}
+        )
         return started
 
     def change_electors(self) -> None:
@@ -474,9 +505,7 @@
                 self, lambda: leader.released(self.now(), name, number)
             )
 
-        self.world.send(
-            upstream, lambda: upstream.release(order.body, answer)
-        )
+        self.world.send(upstream, lambda: upstream.release(order.body, answer))
         self.world.later(
             0.5,
             lambda: self.do(
@@ -525,6 +554,13 @@
 
             self.world.send(target, take)
 
+    def check_senders(self, service: str, key: str, owner: str) -> None:
+        """Note when another instance sends a key elsewhere."""
+        for other in self.world.instances:
+            route = other.table.route(other.now(), service, key)
+            if isinstance(route, permits.Route) and route.upstream != owner:
+                self.world.violations.append(f'two owners of key {key}')
+
     def work(self) -> None:
         """Send a request to the owner of a random key."""
         self.world.later(
@@ -538,6 +574,7 @@
             return
         if not self.table.still_valid(self.now(), service, route):
             return
+        self.check_senders(service, key, route.upstream)
         caller = self.now() + 5.0
         deadline = self.table.request_deadline(service, caller)
         self.table.begin(service, route, deadline)
--- a/packages/knapweedhall-ownership/tests/test_schedules.py
+++ b/packages/knapweedhall-ownership/tests/test_schedules.py
@@ -30,4 +30,10 @@
             with self.subTest(seed=seed):
                 world = schedules.World(seed)
                 self.assertEqual([], world.run(LENGTH_S))
-                print(seed, len(world.terms), world.activations, world.executed, len(world.electors))
+                print(
+                    seed,
+                    len(world.terms),
+                    world.activations,
+                    world.executed,
+                    len(world.electors),
+                )
