--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/assignments.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/assignments.py
@@ -12,6 +12,7 @@
 class _Chunk(typing.NamedTuple):
     version: int
     plan: bodies.Plan
+    known_names: dict[tuple[int, ...], tuple[str, ...]]
 
 
 class HotKey(typing.NamedTuple):
@@ -53,7 +54,7 @@
         if known and known.version >= version:
             return None
         before = known.plan if known else None
-        self.chunks[service, first] = _Chunk(version, plan)
+        self.chunks[service, first] = _Chunk(version, plan, {})
         changed = [
             first + place
             for place, indices in enumerate(plan.slices)
@@ -99,7 +100,11 @@
         chunk = self.chunks.get((service, first))
         if chunk is None or number - first >= len(chunk.plan.slices):
             return ()
-        return _names(chunk.plan, chunk.plan.slices[number - first])
+        indices = chunk.plan.slices[number - first]
+        names = chunk.known_names.get(indices)
+        if names is None:
+            names = chunk.known_names[indices] = _names(chunk.plan, indices)
+        return names
 
     def origin(self, service: str, number: int) -> bodies.Origin | None:
         """Return the group that has to release a slice first, if any."""
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/coordinator.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/coordinator.py
@@ -25,7 +25,8 @@
 class Coordinator:
     """One term of one group.
 
-    `step` has to be called at least every 0.1 s, and after each input.
+    `step` has to be called at least every 0.1 s, after each input, and again
+    while `busy` returns true.
 
     Parameters
     ----------
@@ -278,6 +279,10 @@
             events,
         )
 
+    def busy(self) -> bool:
+        """Return whether the last step left slices for the next one."""
+        return bool(self.slices.queue)
+
     def _watch(self, now: float) -> None:
         self.permits.forget(now)
         for name, contact in list(self.contacts.items()):
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/placement.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/placement.py
@@ -139,7 +139,8 @@
     quotas = _quotas(len(lists), upstreams, loads, inherited)
     surplus = [max(0, load - quotas[i]) for i, load in enumerate(loads)]
     # The order by hash takes a donor's slices from all over the range.
-    for number in sorted(range(len(owners)), key=_scatter):
+    order = sorted(range(len(owners)), key=_scatter) if any(surplus) else []
+    for number in order:
         owner = owners[number]
         if owner >= 0 and surplus[owner] and number not in pinned:
             surplus[owner] -= 1
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/slice_table.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/slice_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from knapweedhall_ownership import assignments
@@ -16,6 +17,9 @@
 
 # How long a new coordinator waits for the upstreams to say what they hold.
 DISCOVERY_S = 0.25
+# Bounds the time of a step: a coordinator that examined all slices of a large
+# service at once would miss renewals of its lease.
+EXAMINED_PER_STEP = 4096
 
 SliceKey = tuple[str, int]
 Contacts = dict[str, contacts.Contact]
@@ -70,6 +74,7 @@
         self.activated: set[SliceKey] = set()
         self.sequence = 0
         self.changed = True
+        self.queue: collections.deque[SliceKey] = collections.deque()
         self.events: list[orders.Event] = []
 
     def set_plan(
@@ -251,12 +256,13 @@
 
     def activate_idle(self, now: float) -> None:
         """Activate idle slices whose waits are over at usable upstreams."""
-        if not self.changed:
-            return
-        self.changed = False
+        if not self.queue and self.changed:
+            self.changed = False
+            self.queue.extend(sorted(self.idle))
         batches: dict[tuple[str, str], set[int]] = {}
-        for key in sorted(self.idle):
-            upstream = self._choose(now, key)
+        for _ in range(min(len(self.queue), EXAMINED_PER_STEP)):
+            key = self.queue.popleft()
+            upstream = self._choose(now, key) if key in self.idle else ''
             if upstream:
                 batch = batches.setdefault((key[0], upstream), set())
                 batch.add(key[1])
