Tell cold starts by latency apart from pauses of the process

Change: a jump needs 20 ms, a quarter of the slots, and three answers whose requests were sent one after the other.

--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/dispatch.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/dispatch.py
@@ -262,6 +262,7 @@
             first.get(headers.UPSTREAM_COLD) == b'1',
             refusal is not None and refusal.reason in outcomes.SHEDDING,
             first.get(headers.INCARNATION, b''),
+            sent,
         )
         upstream.answered(sample, now)
         return refusal
--- a/packages/knapweedhall-traffic/src/knapweedhall_traffic/cold.py
+++ b/packages/knapweedhall-traffic/src/knapweedhall_traffic/cold.py
@@ -9,8 +9,9 @@
 JUMP_FACTOR = 4.0
 # One slow answer is no cold start; three in a row at low concurrency are.
 JUMP_ANSWERS = 3
-# Below this, scheduling noise of a busy process makes factors of four.
-JUMP_FLOOR_S = 0.005
+# Below this, the delays that this process adds under load make factors of
+# four.
+JUMP_FLOOR_S = 0.02
 # An upstream that became slower for good would stay at its cold budget, as
 # no answer is within twice the old latency; after this many answers without
 # growth the measured latency becomes the new warm one.
@@ -33,6 +34,8 @@
         Whether the answer is a load-shedding refusal.
     incarnation : bytes
         Run of the upstream, b'' if not stated.
+    sent : float
+        When the request was sent, seconds.
     """
 
     latency: float
@@ -40,6 +43,7 @@
     says_cold: bool = False
     sheds: bool = False
     incarnation: bytes = b''
+    sent: float = 0.0
 
 
 class ColdState:
@@ -63,6 +67,7 @@
         self.good_answers = 0
         self.stuck_answers = 0
         self.slow_answers = 0
+        self.slow_until = 0.0
         self.incarnation = b''
         self.refused = False
 
@@ -134,8 +139,13 @@
         if not self.smoothed or sample.latency <= limit:
             self.slow_answers = 0
             return False
-        if sample.outstanding > max(1, slots // 2):
+        if sample.outstanding > max(1, slots // 4):
             return False
+        # One pause, of the upstream or of this process, delays all requests
+        # under way; only those sent after it tell more.
+        if self.slow_answers and sample.sent < self.slow_until:
+            return False
+        self.slow_until = sample.sent + sample.latency
         self.slow_answers += 1
         return self.slow_answers >= JUMP_ANSWERS
 
