--- a/packages/knapweedhall-records/src/knapweedhall_records/codec.py
+++ b/packages/knapweedhall-records/src/knapweedhall_records/codec.py
@@ -59,6 +59,10 @@
         tuple(fields['upstreams']),
         tuple(tuple(indices) for indices in fields['slices']),
         {key: tuple(indices) for key, indices in hot_keys.items()},
+        {
+            number: bodies.Origin(group, version)
+            for number, group, version in fields.get('origins', ())
+        },
     )
 
 
@@ -145,8 +149,8 @@
             f'remove it or use a schema version other than {schema}',
         )
     try:
-        fields = msgspec.json.decode(envelope['body'], type=shape.fields)
-    except msgspec.DecodeError as error:
+        fields = msgspec.convert(envelope['body'], shape.fields)
+    except msgspec.ValidationError as error:
         return errors.InvalidField(
             f'{kind} {envelope["name"]!r}: {error}',
             'correct the field that the path names',
@@ -160,16 +164,10 @@
     return _check_versions(record)
 
 
-def _unknown_fields(raw: msgspec.Raw, fields: typing.Any) -> list[str]:
+def _unknown_fields(body: Fields, fields: typing.Any) -> list[str]:
     # msgspec ignores unknown keys of a TypedDict, so a misspelt option would
     # silently keep its default.
-    try:
-        found = msgspec.json.decode(raw)
-    except msgspec.DecodeError:
-        return []
-    if not isinstance(found, dict):
-        return []
-    return sorted(set(found) - set(typing.get_type_hints(fields)))
+    return sorted(set(body) - set(typing.get_type_hints(fields)))
 
 
 def _check_versions(record: bodies.Record) -> bodies.Record | errors.Refusal:
@@ -269,6 +267,17 @@
     return {**fields, 'limits': limits._asdict()} if limits else fields
 
 
+@body_fields.register
+def _plan_fields(body: bodies.Plan, schema: int) -> dict[str, typing.Any]:
+    origins = [
+        (number, *origin) for number, origin in sorted(body.origins.items())
+    ]
+    fields = dict(body._asdict(), origins=origins)
+    if not origins:
+        del fields['origins']
+    return fields
+
+
 def encode(record: bodies.Record) -> bytes:
     """Encode a record as JSON in the schema version that it names."""
     fields = dict(record._asdict())
