Watch keys after a failed call

Change: the demo's load generator reads a key every 50 ms after a failed call until one read is answered.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/demo.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/demo.py
@@ -166,7 +166,7 @@
     killed = random_numbers.choice(sorted(running.upstreams))
     loop = asyncio.get_running_loop()
     loop.call_later(length_s / 2, running.kill, killed)
-    callers = load.LoadGenerator(targets, events)
+    callers = load.LoadGenerator(targets, events, watch=True)
     mix = workload.Mix(SERVICE, RATE, length_s, keys=KEYS, skew=0.5)
     calls = await callers.run(workload.generate(mix, random_numbers))
     summary = results.summarize(calls, loop.time())
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/load.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import typing
 
@@ -15,6 +16,11 @@
 # A response may take this much longer than the timeout that the caller
 # stated before the call counts as lost.
 GRACE_S = 2.0
+# Reads that find out when a key is served again after a failed call: gap
+# between them, timeout that each states, and how long they go on.
+WATCH_PERIOD_S = 0.05
+WATCH_TIMEOUT_MS = 500
+WATCH_LIMIT_S = 10.0
 OUTCOME_HEADER = 'Knapweedhall-Outcome'
 NOT_RUN_HEADER = 'Knapweedhall-Not-Run'
 
@@ -46,6 +52,10 @@
         The callers' own trace.
     connections : int
         Open connections; 0 for no limit.
+    watch : bool
+        Whether a failed call is followed by reads of its key until one is
+        answered. Without them the time at which a key is served again is
+        known only at its next call, which may be seconds later.
     """
 
     def __init__(
@@ -53,10 +63,13 @@
         targets: Targets,
         events: trace.TraceWriter,
         connections: int = 0,
+        watch: bool = False,
     ) -> None:
         self.targets = targets
         self.events = events
         self.connections = connections
+        self.watch = watch
+        self.watched: set[str] = set()
         self.finished: list[results.Finished] = []
 
     async def run(
@@ -73,15 +86,49 @@
                 for call in calls:
                     due_s = start_s + call.at_s
                     await asyncio.sleep(due_s - loop.time())
-                    group.create_task(self._call(session, call, due_s))
+                    group.create_task(self._send(session, call, due_s))
         return self.finished
 
-    async def _call(
+    async def _send(
         self,
         session: aiohttp.ClientSession,
         call: workload.Call,
         due_s: float,
     ) -> None:
+        found = await self._call(session, call, due_s)
+        failed = found.outcome != results.ANSWERED
+        if not (self.watch and failed) or call.key in self.watched:
+            return
+        self.watched.add(call.key)
+        try:
+            await self._watch_key(session, call)
+        finally:
+            self.watched.discard(call.key)
+
+    async def _watch_key(
+        self, session: aiohttp.ClientSession, failed: workload.Call
+    ) -> None:
+        """Read the key of a failed call until it is served."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + WATCH_LIMIT_S
+        for number in itertools.count(1):
+            probe = failed._replace(
+                request=f'{failed.request}-w{number}',
+                method='GET',
+                body=b'',
+                timeout_ms=WATCH_TIMEOUT_MS,
+            )
+            found = await self._call(session, probe, loop.time())
+            if found.outcome == results.ANSWERED or loop.time() > deadline:
+                return
+            await asyncio.sleep(WATCH_PERIOD_S)
+
+    async def _call(
+        self,
+        session: aiohttp.ClientSession,
+        call: workload.Call,
+        due_s: float,
+    ) -> results.Finished:
         target = self.targets(call)
         self.events.emit(
             'call_sent',
@@ -97,17 +144,17 @@
         self.events.emit(
             'call_finished', request=call.request, **response._asdict()
         )
-        self.finished.append(
-            results.Finished(
-                request=call.request,
-                key=call.key,
-                idempotent=call.idempotent,
-                target=target or '',
-                due_s=due_s,
-                ended_s=asyncio.get_running_loop().time(),
-                **response._asdict(),
-            )
+        finished = results.Finished(
+            request=call.request,
+            key=call.key,
+            idempotent=call.idempotent,
+            target=target or '',
+            due_s=due_s,
+            ended_s=asyncio.get_running_loop().time(),
+            **response._asdict(),
         )
+        self.finished.append(finished)
+        return finished
 
 
 def _headers(call: workload.Call) -> dict[str, str]:
--- a/packages/knapweedhall-bench/tests/test_load.py
+++ b/packages/knapweedhall-bench/tests/test_load.py
@@ -103,6 +103,29 @@
         found = await self._judge(502)
         self.assertEqual(results.UNKNOWN, found.outcome)
 
+    async def test_failed_call_is_watched_until_its_key_is_served(
+        self,
+    ) -> None:
+        """Guards against an unserved time that sparse traffic prolongs."""
+        outcomes = ['unknown', 'not-run', 'answered']
+
+        async def answer(request: web.BaseRequest) -> web.Response:
+            self.assertEqual(self.handled > 0, request.method == 'GET')
+            self.handled += 1
+            outcome = outcomes[min(self.handled, 3) - 1]
+            return web.Response(headers={'Knapweedhall-Outcome': outcome})
+
+        write = self.call._replace(at_s=0, method='POST')
+        async with test_utils.RawTestServer(answer) as server:
+            target = f'127.0.0.1:{server.port}'
+            callers = load.LoadGenerator(
+                lambda call: target, self.events, watch=True
+            )
+            found = await callers.run([write])
+        self.assertEqual(outcomes, [call.outcome for call in found])
+        self.assertEqual({write.key}, {call.key for call in found})
+        self.assertEqual(3, len({call.request for call in found}))
+
     async def test_refused_connection_did_not_run(self) -> None:
         """Guards against a dead instance that counts as a lost request."""
         async with test_utils.RawTestServer(web.Response) as server:
