Judge the demo by the trace checker as well

Cause: the demo compared only starts of work; two owners or a reverted configuration would have passed. Change: the ten points are checked over the traces of the run; a broken one fails the demo and names its violations. Conclusion: none beyond the change.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/demo.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/demo.py
@@ -4,12 +4,15 @@
 
 import argparse
 import asyncio
+import collections
 import pathlib
 import random
 import sys
 import typing
 
 from knapweedhall_events import trace
+from knapweedhall_replay import checker
+from knapweedhall_replay import verdicts
 import loguru
 
 from knapweedhall_bench import deployment
@@ -36,11 +39,15 @@
 
 
 class Outcome(typing.NamedTuple):
-    """Figures and evidence of a demonstration."""
+    """Figures and evidence of a demonstration.
+
+    `points` are the trace checker's verdicts on the ten points.
+    """
 
     summary: results.Summary
     found: evidence.Evidence
     killed: str
+    points: list[checker.Result]
 
 
 def list_failures(outcome: Outcome) -> list[str]:
@@ -56,6 +63,10 @@
     failures = [f'{count} {text}' for count, text in checks if count]
     if not counts[results.ANSWERED]:
         failures.append('no request was answered')
+    for point in outcome.points:
+        if isinstance(point.verdict, verdicts.Broken):
+            reasons = [each.reason for each in point.verdict.violations]
+            failures.append(f'point {point.number}: {"; ".join(reasons)}')
     return failures
 
 
@@ -79,11 +90,17 @@
         ),
         ('slices moved', f'{found.slices_moved} of {SLICES}'),
         ('upstream killed', outcome.killed),
+        ('trace check', _count_verdicts(outcome.points)),
     ]
     width = max(len(name) for name, _ in rows)
     return '\n'.join(f'{name:<{width}}  {value}' for name, value in rows)
 
 
+def _count_verdicts(points: typing.Sequence[checker.Result]) -> str:
+    counts = collections.Counter(point.verdict.tag for point in points)
+    return ', '.join(f'{counts[tag]} {tag}' for tag in sorted(counts))
+
+
 def _probe_calls(attempt: int) -> list[workload.Call]:
     """Return one call per key that only reads."""
     mix = workload.Mix(SERVICE, RATE, 1, write_share=0)
@@ -171,10 +188,9 @@
     calls = await callers.run(workload.generate(mix, random_numbers))
     summary = results.summarize(calls, loop.time())
     events.close()
-    found = evidence.examine(
-        evidence.read_traces(running.trace_paths()), calls
-    )
-    return Outcome(summary, found, killed)
+    traces = [trace.read_trace(path) for path in running.trace_paths()]
+    found = evidence.examine(trace.merge(traces), calls)
+    return Outcome(summary, found, killed, checker.check(traces))
 
 
 def parse_arguments(
--- a/packages/knapweedhall-bench/tests/test_results.py
+++ b/packages/knapweedhall-bench/tests/test_results.py
@@ -10,6 +10,8 @@
 from knapweedhall_bench import results
 from knapweedhall_events import catalogue
 from knapweedhall_events import trace
+from knapweedhall_replay import checker
+from knapweedhall_replay import verdicts
 
 
 def _call(
@@ -126,7 +128,17 @@
         )
         for calls, found, expected in cases:
             summary = results.summarize(calls, 1)
-            outcome = demo.Outcome(summary, found, 'u')
+            outcome = demo.Outcome(summary, found, 'u', [])
             failures = demo.list_failures(outcome)
             self.assertEqual(expected, len(failures), (calls, found))
             self.assertIn('slices moved', demo.format_table(outcome))
+
+    def test_broken_point_fails_the_demo(self) -> None:
+        """Guards against a demo that ignores the trace checker."""
+        summary = results.summarize([_call(0, 1)], 1)
+        found = evidence.Evidence([], [], [], 0)
+        violations = (verdicts.Violation('two owners', ()),)
+        broken = checker.Result(1, 'one owner', verdicts.Broken(violations))
+        outcome = demo.Outcome(summary, found, 'u', [broken])
+        self.assertEqual(['point 1: two owners'], demo.list_failures(outcome))
+        self.assertIn('1 broken', demo.format_table(outcome))
