Clean up when the demo gets SIGTERM

Cause: the signal ended the launcher at once; the kernel ended its children, but the temporary folder stayed. Change: SIGTERM cancels the run, which ends the processes in order. Conclusion: none beyond the change.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/demo.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/demo.py
@@ -7,6 +7,7 @@
 import collections
 import pathlib
 import random
+import signal
 import sys
 import typing
 
@@ -155,6 +156,10 @@
     base_port: int = 0,
 ) -> Outcome:
     """Run the demonstration and return its figures."""
+    task = asyncio.current_task()
+    assert task is not None
+    # Without a handler the signal would leave the folder behind.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     async with deployment.Deployment(
         size, base_port=base_port, folder=folder
     ) as running:
@@ -241,6 +246,9 @@
     except (deployment.StartFailed, publishing.PublishFailed) as error:
         print(f'demo failed: {error}', file=sys.stderr)
         return 1
+    except asyncio.CancelledError:
+        print('demo failed: stopped by a signal', file=sys.stderr)
+        return 1
     print(format_table(outcome))
     failures = list_failures(outcome)
     for failure in failures:
