Refuse plans and services that give slice numbers another meaning

Forwards go only to ready instances: one without configuration answered 404 for 1.2 s. Both are decided by all readers alike.

--- a/packages/knapweedhall-entry/src/knapweedhall_entry/control_view.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/control_view.py
@@ -159,11 +159,16 @@
         return interfaces.NoRoute('no-share')
 
     def instances(self, domain: str) -> list[ids.InstanceId]:
-        """Return the live instances of a failure domain."""
+        """Return the instances of a failure domain that take requests.
+
+        One that is not ready may lack the configuration and would refuse a
+        request for good.
+        """
         found = [
             state.instance
             for state in self.members.live().values()
             if state.heartbeat.failure_domain == domain
+            and state.heartbeat.ready
         ]
         return found + [self.me] * (domain == self.failure_domain)
 
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_inputs.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_inputs.py
@@ -92,9 +92,14 @@
         return record.version, record.body.slices
 
     def instances(self) -> ByDomain:
-        """Return the live instances per failure domain, with this one."""
+        """Return the instances that send, per failure domain.
+
+        A leaving instance still finishes requests.
+        """
         found: ByDomain = {self.failure_domain: [self.me]}
         for state in self.members.live().values():
+            if not (state.heartbeat.ready or state.heartbeat.leaving):
+                continue
             domain = state.heartbeat.failure_domain
             found.setdefault(domain, []).append(state.instance)
         return found
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/membership.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/membership.py
@@ -42,7 +42,8 @@
 class Membership:
     """Sends heartbeats and keeps the state of all peers.
 
-    The attribute `revision` grows whenever a peer comes up or goes down.
+    The attribute `revision` grows whenever a peer comes up, goes down,
+    becomes ready or begins to leave.
 
     Parameters
     ----------
@@ -99,6 +100,12 @@
             if now < known.last_heard + 2 * HEARTBEAT_PERIOD_S:
                 return
             self.mark_down(name)
+        body = message.body
+        if known and (known.heartbeat.ready, known.heartbeat.leaving) != (
+            body.ready,
+            body.leaving,
+        ):
+            self.revision += 1
         self.states[name] = PeerState(
             message.sender, message.body, now, now + PEER_TIMEOUT_S
         )
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/planner.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/planner.py
@@ -105,10 +105,6 @@
         if not usable or not self.settled(name, names, now):
             return None
         previous = self.current(name)
-        if previous and len(previous.slices) != service.slices:
-            # A change of the number of slices would need a new token for
-            # every key; it is not supported while a plan is in force.
-            return None
         if previous and set(previous.upstreams) == names:
             return None
         plan = placement.make_plan(
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/configuration.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/configuration.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from knapweedhall_ownership import consistency
 from knapweedhall_ownership import slices
 from knapweedhall_records import bodies
 from knapweedhall_records import errors
@@ -148,6 +149,9 @@
             return Superseded(record, version)
         if record.version <= version:
             return Refused(_not_above(record, version))
+        refusal = consistency.check(record, self.get)
+        if refusal is not None:
+            return Refused(refusal)
         self._put(entry)
         return InForce(record, current.record if current else None)
 
