--- a/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/coordinator_task.py
@@ -232,7 +232,7 @@
 
     def append_release(self, given_up: order_types.GroupRelease) -> None:
         """Append the record that slices have left this group."""
-        name = f'{given_up.service}/{given_up.plan_version}/{self.group}'
+        name = f'{given_up.plan}/{given_up.plan_version}/{self.group}'
         if name in self.appending:
             return
         # A later record replaces the earlier one, so it names its slices, too.
--- a/packages/knapweedhall-entry/tests/control_fakes.py
+++ b/packages/knapweedhall-entry/tests/control_fakes.py
@@ -8,6 +8,7 @@
 from knapweedhall_entry import fleet
 from knapweedhall_entry import instance_list
 from knapweedhall_entry import messages
+from knapweedhall_events import catalogue
 from knapweedhall_events import trace
 from knapweedhall_ownership import configuration
 from knapweedhall_peering import envelope
@@ -28,7 +29,8 @@
         self.events: list[tuple[str, dict[str, typing.Any]]] = []
 
     def emit(self, name: str, **fields: trace.FieldValue) -> None:
-        super().emit(name, **fields)
+        kind = catalogue.BY_NAME[name]
+        assert set(fields) == set(kind.fields), (name, fields)
         self.events.append((name, fields))
 
     def names(self) -> list[str]:
