Bound waiting and retries per service and report routed requests

One service without owners or with a failing upstream took the places and retries of all others. Paths are encoded as they were decoded. The observer learns of each routed request for the count of hot keys.

--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/dispatch.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/dispatch.py
@@ -55,7 +55,8 @@
         upstream = self.book.find(route.upstream)
         if upstream.connections is None:
             call.waited = 'no-address'
-            await self.router.changes.wait()
+            if not await self.router.changes.wait(call.name):
+                return outcomes.not_run('queue-full')
             return MOVED
         verdict = await upstream.admit(call, route)
         if not verdict.admitted:
@@ -134,6 +135,7 @@
             return outcomes.not_run('deadline')
         # Noted before the write: a moved slice's next owner waits for it.
         upstream.observer.request_sent(call.name, route, end)
+        upstream.observer.request_routed(call.name, call.key, upstream.name)
         self._write(call, route, connection, clocks.deadline_on(reading, end))
         if time.monotonic() >= permit:
             # The pause between check and write may have been of any length.
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/exchange.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/exchange.py
@@ -36,7 +36,9 @@
     method: str, target: str, raw: headers.HeaderList, call: calls.Call
 ) -> bytes:
     """Return the encoded head of a request with its framing header."""
-    parts = [f'{method} {target} HTTP/1.1\r\n'.encode('utf-8')]
+    parts = [
+        f'{method} {target} HTTP/1.1\r\n'.encode('utf-8', 'surrogateescape')
+    ]
     for name, value in raw:
         parts += (name, b': ', value, b'\r\n')
     parts.append(_framing(call))
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/interfaces.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/interfaces.py
@@ -192,7 +192,8 @@
     instance : str
         Name for the `Knapweedhall-Instance` header.
     queue_length : int
-        Requests that may wait for an owner, and for a slot per upstream.
+        Requests that may wait for an owner per service, and for a slot per
+        upstream.
     max_timeout_ms : int
         Longest timeout that a caller may ask for.
     retry_share : float
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/routes.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/routes.py
@@ -29,26 +29,36 @@
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.version = 0
-        self.waiting: set[asyncio.Future[None]] = set()
+        self.waiting: dict[str, set[asyncio.Future[None]]] = {}
 
     def notify(self) -> None:
         """Take note of a change and wake all who wait."""
         self.version += 1
-        waiting, self.waiting = self.waiting, set()
-        for future in waiting:
-            if not future.done():
-                future.set_result(None)
-
-    async def wait(self) -> bool:
-        """Wait for the next change; return False if too many wait."""
-        if len(self.waiting) >= self.limit:
+        waiting, self.waiting = self.waiting, {}
+        for futures in waiting.values():
+            for future in futures:
+                if not future.done():
+                    future.set_result(None)
+
+    async def wait(self, service: str) -> bool:
+        """Wait for the next change.
+
+        Returns
+        -------
+        bool
+            False, at once, if too many requests of the service wait; the
+            limit is per service, so that one without owners fills no place
+            of another.
+        """
+        futures = self.waiting.setdefault(service, set())
+        if len(futures) >= self.limit:
             return False
         future = asyncio.get_running_loop().create_future()
-        self.waiting.add(future)
+        futures.add(future)
         try:
             await future
         finally:
-            self.waiting.discard(future)
+            futures.discard(future)
         return True
 
 
@@ -149,5 +159,5 @@
             if found.lasting:
                 return outcomes.not_run(found.reason)
             call.waited = found.reason
-            if not await self.changes.wait():
+            if not await self.changes.wait(call.name):
                 return outcomes.not_run('queue-full')
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/server.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/server.py
@@ -52,9 +52,9 @@
         self.relay = relay
         self.events = events
         self.traced = options.request_events
-        self.budget = retries.RetryBudget(
-            options.retry_share, options.retry_burst
-        )
+        self.options = options
+        # One per service, so that a failing one leaves the others theirs.
+        self.budgets: dict[str, retries.RetryBudget] = {}
         self.running = 0
         self.idle = asyncio.Event()
         self.idle.set()
@@ -87,7 +87,7 @@
                 key=call.key,
                 idempotent=call.idempotent,
             )
-        self.budget.earn()
+        self._budget(call.name).earn()
         self.running += 1
         self.idle.clear()
         try:
@@ -148,7 +148,7 @@
                 return result
             if result.reason in outcomes.WAITS_FOR_TABLE:
                 call.waited = result.reason
-                if not await self.router.changes.wait():
+                if not await self.router.changes.wait(call.name):
                     return result
 
     async def _attempt(self, call: calls.Call) -> dispatch.Result:
@@ -170,9 +170,18 @@
             outcomes.may_repeat(
                 last, call.idempotent, call.replayable(), call.attempts
             )
-            and self.budget.spend()
+            and self._budget(call.name).spend()
         )
 
+    def _budget(self, service: str) -> retries.RetryBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = retries.RetryBudget(
+                self.options.retry_share, self.options.retry_burst
+            )
+            self.budgets[service] = budget
+        return budget
+
     def _fail(
         self, call: calls.Call, last: outcomes.Failure
     ) -> web.StreamResponse:
--- a/packages/knapweedhall-entry/tests/gateway/fakes.py
+++ b/packages/knapweedhall-entry/tests/gateway/fakes.py
@@ -95,17 +95,17 @@
     def __init__(self, script: Script) -> None:
         self.script = script
         self.arrivals: list[Arrival] = []
-        self.accepted = 0
         self.writers: list[asyncio.StreamWriter] = []
 
-    async def start(self) -> interfaces.Address:
-        self.server = await asyncio.start_server(self.run, '127.0.0.1', 0)
-        return interfaces.Address(*self.server.sockets[0].getsockname())
+    async def start(self, port: int = 0) -> None:
+        self.server = await asyncio.start_server(self.run, '127.0.0.1', port)
+        self.address = interfaces.Address(
+            *self.server.sockets[0].getsockname()
+        )
 
     async def run(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.accepted += 1
         self.writers.append(writer)
         try:
             while await self.serve(reader, writer):
@@ -118,12 +118,7 @@
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        head = (await reader.readuntil(b'\r\n\r\n')).decode()
-        line, *rest = head.strip().split('\r\n')
-        headers = {
-            name.lower(): value
-            for name, value in (field.split(': ', 1) for field in rest)
-        }
+        line, headers = await read_head(reader)
         if line.startswith('GET /knapweedhall/health'):
             writer.write(whole(b'', 'Knapweedhall-Clock-Ms: 500'))
             return True
@@ -137,6 +132,16 @@
             writer.close()
 
 
+def answering(data: bytes, keep: bool = True) -> Script:
+    """Return a script that gives the same answer to each request."""
+
+    async def script(arrival, reader, writer):  # type: ignore
+        writer.write(data)
+        return keep
+
+    return script
+
+
 def whole(body: bytes, *fields: str, status: str = '200 OK') -> bytes:
     """Return an encoded answer with its length."""
     lines = [f'HTTP/1.1 {status}', f'Content-Length: {len(body)}', *fields]
@@ -210,9 +215,22 @@
         await site.start()
         return interfaces.Address(*runner.addresses[0][:2])
 
+    async def serve(
+        self,
+        script: Script,
+        service: dict[str, typing.Any] | None = None,
+        **options: typing.Any,
+    ) -> RawUpstream:
+        """Start an upstream and a data path that sends everything to it."""
+        upstream = await self.start_upstream(script)
+        self.control = Control(**(service or {}))
+        self.control.own('u1', upstream.address)
+        self.gateway = await self.start_gateway(self.control, **options)
+        return upstream
+
     async def start_upstream(self, script: Script) -> RawUpstream:
         upstream = RawUpstream(script)
-        upstream.address = await upstream.start()  # type: ignore
+        await upstream.start()
         self.addAsyncCleanup(upstream.stop)
         return upstream
 
@@ -230,19 +248,22 @@
             writer.close()
 
 
-async def read_answer(reader: asyncio.StreamReader, head: bool) -> Answer:
-    """Read one answer; its body is None if it was cut."""
-    text = (await reader.readuntil(b'\r\n\r\n')).decode()
+async def read_head(
+    reader: asyncio.StreamReader,
+) -> tuple[str, dict[str, str]]:
+    text = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     line, *rest = text.strip().split('\r\n')
-    headers = {
-        name.lower(): value
-        for name, value in (field.split(': ', 1) for field in rest)
-    }
+    fields = (field.split(': ', 1) for field in rest)
+    return line, {name.lower(): value for name, value in fields}
+
+
+async def read_answer(
+    reader: asyncio.StreamReader, head: bool = False
+) -> Answer:
+    line, headers = await read_head(reader)
     status = int(line.split()[1])
-    if head:
-        return Answer(status, headers, b'')
     try:
-        body = await _read_body(reader, headers)
+        body = b'' if head else await _read_body(reader, headers)
     except (asyncio.IncompleteReadError, ConnectionError):
         return Answer(status, headers, None)
     return Answer(status, headers, body)
--- a/packages/knapweedhall-entry/tests/gateway/test_admission.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_admission.py
@@ -10,18 +10,6 @@
 
 
 class AdmissionTest(fakes.GatewayCase):
-    async def serve(
-        self,
-        script: fakes.Script,
-        service: dict[str, object] | None = None,
-        **options: object,
-    ) -> fakes.RawUpstream:
-        upstream = await self.start_upstream(script)
-        self.control = fakes.Control(**(service or {}))
-        self.control.own('u1', upstream.address)
-        self.gateway = await self.start_gateway(self.control, **options)
-        return upstream
-
     async def hold(self) -> fakes.RawUpstream:
         """Start an upstream that answers once `proceed` is set."""
         self.proceed = asyncio.Event()
@@ -157,9 +145,7 @@
         calls = self.start_calls(8)
         await self.until_waiting(8)
         self.assertLessEqual(len(refusals), 4)
-        upstream.server = await asyncio.start_server(
-            upstream.run, *upstream.address
-        )
+        await upstream.start(upstream.address.port)
         answers = await asyncio.gather(*calls)
         self.assertEqual({200}, {answer.status for answer in answers})
         signs = [
--- a/packages/knapweedhall-entry/tests/gateway/test_answers.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_answers.py
@@ -13,15 +13,6 @@
 
 
 class CompleteAnswerTest(fakes.GatewayCase):
-    async def serve(
-        self, script: fakes.Script, **service: object
-    ) -> fakes.RawUpstream:
-        upstream = await self.start_upstream(script)
-        self.control = fakes.Control(**service)
-        self.control.own('u1', upstream.address)
-        self.gateway = await self.start_gateway(self.control)
-        return upstream
-
     async def test_passes_answer_on(self) -> None:
         """Guards against lost bodies, leaked headers, missing outcomes."""
 
@@ -139,7 +130,7 @@
         late.set()
         answer = await self.call(fakes.encode('POST', '/ofrendas/next'))
         self.assertEqual(b'POST /next HTTP/1.1', answer.body)
-        self.assertEqual(2, upstream.accepted)
+        self.assertEqual(2, len(upstream.writers))
 
     async def test_unsolicited_answer_on_idle_connection(self) -> None:
         """Guards against bytes of an earlier exchange answering the next."""
@@ -158,7 +149,7 @@
         await sent.wait()
         answer = await self.call(fakes.encode(target='/ofrendas/next'))
         self.assertEqual(b'GET /next HTTP/1.1', answer.body)
-        self.assertEqual(2, upstream.accepted)
+        self.assertEqual(2, len(upstream.writers))
 
     async def test_caller_leaves(self) -> None:
         """Guards against slots and connections kept for callers that left."""
--- a/packages/knapweedhall-entry/tests/gateway/test_refusals.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_refusals.py
@@ -77,6 +77,7 @@
                 'Content-Length: 1',
                 body='a',
             ),
+            'path not ASCII': fakes.encode().replace(b'/x', b'/\xff'),
             'no request line': b'\x16\x03\x01\r\n\r\n',
         }
         for name, data in requests.items():
