--- a/packages/knapweedhall-entry/tests/gateway/fakes.py
+++ b/packages/knapweedhall-entry/tests/gateway/fakes.py
@@ -132,24 +132,26 @@
             writer.close()
 
 
-def answering(data: bytes, keep: bool = True) -> Script:
-    """Return a script that gives the same answer to each request."""
+def answering(
+    data: bytes, keep: bool = True, until: asyncio.Event | None = None
+) -> Script:
+    """Return a script that answers all alike, then waits for `until`."""
 
     async def script(arrival, reader, writer):  # type: ignore
         writer.write(data)
+        if until is not None:
+            await until.wait()
         return keep
 
     return script
 
 
 def whole(body: bytes, *fields: str, status: str = '200 OK') -> bytes:
-    """Return an encoded answer with its length."""
     lines = [f'HTTP/1.1 {status}', f'Content-Length: {len(body)}', *fields]
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
 
 
 def not_run(reason: str) -> bytes:
-    """Return an upstream's refusal."""
     return whole(
         b'',
         'Knapweedhall-Not-Run: 1',
@@ -180,7 +182,6 @@
     key: str = 'k',
     fields: typing.Sequence[str] = (),
 ) -> bytes:
-    """Return an encoded request."""
     lines = [f'{method} {target} HTTP/1.1', 'Host: h', *fields]
     if key:
         lines.append(f'Knapweedhall-Key: {key}')
--- a/packages/knapweedhall-entry/tests/gateway/test_admission.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_admission.py
@@ -90,11 +90,9 @@
         moved = self.start_calls(3)
         await self.until_waiting(3)
 
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(b'new owner'))
-            return True
-
-        successor = await self.start_upstream(script)
+        successor = await self.start_upstream(
+            fakes.answering(fakes.whole(b'new owner'))
+        )
         self.control.own('u2', successor.address)
         self.control.listener()
         for answer in await asyncio.gather(*moved):
@@ -133,12 +131,7 @@
         The requests wait while their owner is down and are served, one at
         a time at first, when it accepts connections again.
         """
-
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(b''))
-            return True
-
-        upstream = await self.serve(script)
+        upstream = await self.serve(fakes.answering(fakes.whole(b'')))
         await upstream.stop()
         refusals = []
         self.gateway.book.observer.upstream_refused = refusals.append
--- a/packages/knapweedhall-entry/tests/gateway/test_answers.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_answers.py
@@ -15,16 +15,13 @@
 class CompleteAnswerTest(fakes.GatewayCase):
     async def test_passes_answer_on(self) -> None:
         """Guards against lost bodies, leaked headers, missing outcomes."""
-
-        async def script(arrival, reader, writer):
-            writer.write(
+        upstream = await self.serve(
+            fakes.answering(
                 fakes.whole(
                     b'whole', 'X-Own: 1', 'Keep-Alive: 9', 'Set-Cookie: a=b'
                 )
             )
-            return True
-
-        upstream = await self.serve(script)
+        )
         answer = await self.call(
             fakes.encode(
                 'POST',
@@ -71,20 +68,13 @@
             b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf',
         ):
             with self.subTest(start=start):
-
-                async def script(arrival, reader, writer):
-                    writer.write(start)
-                    await writer.drain()
-                    # Lets the part reach the caller before the end.
-                    await self.seen.wait()
-                    return False
-
-                self.seen = asyncio.Event()
-                await self.serve(script)
+                # The upstream ends when the part has reached the caller.
+                seen = asyncio.Event()
+                await self.serve(fakes.answering(start, False, seen))
                 reader, writer = await asyncio.open_connection(*self.caller)
                 writer.write(fakes.encode())
                 await reader.readuntil(b'\r\n\r\n')
-                self.seen.set()
+                seen.set()
                 with self.assertRaises(ConnectionResetError):
                     await reader.read()
                 writer.close()
@@ -92,12 +82,9 @@
 
     async def test_answer_without_recognizable_end(self) -> None:
         """Guards against trusting bodies that end with the connection."""
-
-        async def script(arrival, reader, writer):
-            writer.write(b'HTTP/1.1 200 OK\r\n\r\nhalf')
-            return False
-
-        await self.serve(script)
+        await self.serve(
+            fakes.answering(b'HTTP/1.1 200 OK\r\n\r\nhalf', keep=False)
+        )
         answer = await self.call(fakes.encode())
         self.assertEqual(
             (502, 'unknown', 'answer-without-length'), answer.outcome()
@@ -217,12 +204,7 @@
 
     async def test_permit_ends_during_write(self) -> None:
         """Guards against answers to work sent under an ended permit."""
-
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(b''))
-            return True
-
-        await self.serve(script)
+        await self.serve(fakes.answering(fakes.whole(b'')))
         await self.call(fakes.encode())
         emit = self.events.emit
         end = time.monotonic() + 0.05
@@ -241,12 +223,7 @@
 
     async def test_expired_permit_sends_nothing(self) -> None:
         """Guards against sending under a permit that has expired."""
-
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(b''))
-            return True
-
-        upstream = await self.serve(script)
+        upstream = await self.serve(fakes.answering(fakes.whole(b'')))
         self.control.found = self.control.found._replace(deadline=0.0)
         answer = await self.call(
             fakes.encode(fields=('Knapweedhall-Timeout-Ms: 20',))
@@ -256,12 +233,7 @@
 
     async def test_waits_for_owner(self) -> None:
         """Guards against refusing a request whose key is being moved."""
-
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(b'there'))
-            return True
-
-        await self.serve(script)
+        await self.serve(fakes.answering(fakes.whole(b'there')))
         owned = self.control.found
         self.control.found = interfaces.NoRoute('no-owner')
         waiting = asyncio.create_task(self.call(fakes.encode()))
--- a/packages/knapweedhall-entry/tests/gateway/test_refusals.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_refusals.py
@@ -16,11 +16,9 @@
 
 class MalformedRequestTest(fakes.GatewayCase):
     async def asyncSetUp(self) -> None:
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(b''))
-            return True
-
-        self.upstream = await self.start_upstream(script)
+        self.upstream = await self.start_upstream(
+            fakes.answering(fakes.whole(b''))
+        )
         self.control = fakes.Control()
         self.control.own('u1', self.upstream.address)
         await self.start_gateway(self.control)
--- a/packages/knapweedhall-entry/tests/gateway/test_repeats.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_repeats.py
@@ -53,12 +53,9 @@
 
     async def test_idle_connection_closed_by_peer(self) -> None:
         """Guards against `unknown` for a connection known to be closed."""
-
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(b'ok'))
-            return False
-
-        upstream = await self.two_hops(script)
+        upstream = await self.two_hops(
+            fakes.answering(fakes.whole(b'ok'), keep=False)
+        )
         for _ in range(3):
             answer = await self.call(fakes.encode('POST'))
             self.assertEqual(200, answer.status)
@@ -68,12 +65,9 @@
 
     async def test_headers_of_a_forwarded_request(self) -> None:
         """Guards against lost outcomes and deadlines on the second hop."""
-
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(b'', status='404 Not Found'))
-            return True
-
-        upstream = await self.two_hops(script)
+        upstream = await self.two_hops(
+            fakes.answering(fakes.whole(b'', status='404 Not Found'))
+        )
         answer = await self.call(
             fakes.encode(
                 'POST',
