--- a/packages/knapweedhall-entry/tests/gateway/fakes.py
+++ b/packages/knapweedhall-entry/tests/gateway/fakes.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 from knapweedhall_entry.gateway import factory
+from knapweedhall_entry.gateway import fixed
 from knapweedhall_entry.gateway import interfaces
 from knapweedhall_events import trace
 from knapweedhall_records import bodies
@@ -17,6 +18,9 @@
 
 FAR = 3600.0
 TOKEN = ids.Token(7, 1)
+Reader = asyncio.StreamReader
+Writer = asyncio.StreamWriter
+Headers = dict[str, str]
 
 
 class Recorder(trace.TraceWriter):
@@ -34,55 +38,38 @@
         return [name for name, _ in self.events]
 
 
-class Control:
-    """Control side whose lookups a test sets."""
+class Control(fixed.FixedControl):
+    """Control side whose lookups a test sets; the service is `fixed`."""
 
     def __init__(self, **service: typing.Any) -> None:
+        super().__init__((), 4)
         limits = bodies.Limits(4, 8)
         self.record = bodies.Service(
             **{'mode': 'divided', 'limits': limits, **service}
         )
         self.found: typing.Any = interfaces.NoRoute('no-owner')
-        self.addresses: dict[str, interfaces.Address] = {}
-        self.shares = interfaces.Share(4, 8, 1)
-        self.listener: typing.Callable[[], None] = lambda: None
 
     def own(self, name: str, address: interfaces.Address) -> None:
         self.addresses[name] = address
         deadline = time.monotonic() + FAR
         self.found = interfaces.Route(3, name, TOKEN, deadline)
 
-    def service(self, name: str) -> bodies.Service | None:
-        return self.record if name == 'ofrendas' else None
-
     def route(self, now: float, service: str, key: str) -> typing.Any:
         return self.found
 
     def candidates(self, now: float, service: str) -> typing.Any:
         return self.found
 
-    def address(self, upstream: str) -> interfaces.Address | None:
-        return self.addresses.get(upstream)
-
-    def share(self, upstream: str) -> interfaces.Share | None:
-        return self.shares
-
-    def subscribe(self, listener: typing.Callable[[], None]) -> None:
-        self.listener = listener
-
 
 class Arrival(typing.NamedTuple):
     """One request as an upstream received it."""
 
     line: str
-    headers: dict[str, str]
+    headers: Headers
     body: bytes
 
 
-Script = typing.Callable[
-    [Arrival, asyncio.StreamReader, asyncio.StreamWriter],
-    typing.Awaitable[bool],
-]
+Script = typing.Callable[[Arrival, Reader, Writer], typing.Awaitable[bool]]
 
 
 class RawUpstream:
@@ -95,7 +82,7 @@
     def __init__(self, script: Script) -> None:
         self.script = script
         self.arrivals: list[Arrival] = []
-        self.writers: list[asyncio.StreamWriter] = []
+        self.writers: list[Writer] = []
 
     async def start(self, port: int = 0) -> None:
         self.server = await asyncio.start_server(self.run, '127.0.0.1', port)
@@ -103,9 +90,7 @@
             *self.server.sockets[0].getsockname()
         )
 
-    async def run(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def run(self, reader: Reader, writer: Writer) -> None:
         self.writers.append(writer)
         try:
             while await self.serve(reader, writer):
@@ -115,9 +100,7 @@
         finally:
             writer.close()
 
-    async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> bool:
+    async def serve(self, reader: Reader, writer: Writer) -> bool:
         line, headers = await read_head(reader)
         if line.startswith('GET /knapweedhall/health'):
             writer.write(whole(b'', 'Knapweedhall-Clock-Ms: 500'))
@@ -133,15 +116,20 @@
 
 
 def answering(
-    data: bytes, keep: bool = True, until: asyncio.Event | None = None
+    *answers: bytes, keep: bool = True, until: asyncio.Event | None = None
 ) -> Script:
-    """Return a script that answers all alike, then waits for `until`."""
+    """Return a script that gives these answers in turn, then the last one.
+
+    An empty answer closes the connection. After each `until` is awaited.
+    """
+    rest = list(answers)
 
     async def script(arrival, reader, writer):  # type: ignore
+        data = rest.pop(0) if len(rest) > 1 else rest[0]
         writer.write(data)
         if until is not None:
             await until.wait()
-        return keep
+        return keep and bool(data)
 
     return script
 
@@ -152,19 +140,15 @@
 
 
 def not_run(reason: str) -> bytes:
-    return whole(
-        b'',
-        'Knapweedhall-Not-Run: 1',
-        f'Knapweedhall-Reason: {reason}',
-        status='503 Service Unavailable',
-    )
+    fields = 'Knapweedhall-Not-Run: 1', f'Knapweedhall-Reason: {reason}'
+    return whole(b'', *fields, status='503 Service Unavailable')
 
 
 class Answer(typing.NamedTuple):
     """What a caller saw; `body` is None if the answer was cut."""
 
     status: int
-    headers: dict[str, str]
+    headers: Headers
     body: bytes | None
 
     def outcome(self) -> tuple[int, str | None, str | None]:
@@ -177,7 +161,7 @@
 
 def encode(
     method: str = 'GET',
-    target: str = '/ofrendas/x',
+    target: str = '/fixed/x',
     body: bytes = b'',
     key: str = 'k',
     fields: typing.Sequence[str] = (),
@@ -197,11 +181,9 @@
         self, control: Control, **options: typing.Any
     ) -> factory.Gateway:
         self.events = Recorder()
+        made = interfaces.Options('e1', **options)
         gateway = factory.build_gateway(
-            control,
-            self.events,
-            interfaces.Options('e1', **options),
-            random.Random(5),
+            control, self.events, made, random.Random(5)
         )
         self.caller = await self.listen(gateway.caller)
         self.forward = await self.listen(gateway.forward)
@@ -217,14 +199,11 @@
         return interfaces.Address(*runner.addresses[0][:2])
 
     async def serve(
-        self,
-        script: Script,
-        service: dict[str, typing.Any] | None = None,
-        **options: typing.Any,
+        self, script: Script, mode: str = 'divided', **options: typing.Any
     ) -> RawUpstream:
         """Start an upstream and a data path that sends everything to it."""
         upstream = await self.start_upstream(script)
-        self.control = Control(**(service or {}))
+        self.control = Control(mode=mode)
         self.control.own('u1', upstream.address)
         self.gateway = await self.start_gateway(self.control, **options)
         return upstream
@@ -235,13 +214,9 @@
         self.addAsyncCleanup(upstream.stop)
         return upstream
 
-    async def call(
-        self, data: bytes, address: interfaces.Address | None = None
-    ) -> Answer:
+    async def call(self, data: bytes) -> Answer:
         """Send raw bytes on a new connection and read one answer."""
-        reader, writer = await asyncio.open_connection(
-            *(address or self.caller)
-        )
+        reader, writer = await asyncio.open_connection(*self.caller)
         writer.write(data)
         try:
             return await read_answer(reader, data.startswith(b'HEAD'))
@@ -249,18 +224,14 @@
             writer.close()
 
 
-async def read_head(
-    reader: asyncio.StreamReader,
-) -> tuple[str, dict[str, str]]:
+async def read_head(reader: Reader) -> tuple[str, Headers]:
     text = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     line, *rest = text.strip().split('\r\n')
     fields = (field.split(': ', 1) for field in rest)
     return line, {name.lower(): value for name, value in fields}
 
 
-async def read_answer(
-    reader: asyncio.StreamReader, head: bool = False
-) -> Answer:
+async def read_answer(reader: Reader, head: bool = False) -> Answer:
     line, headers = await read_head(reader)
     status = int(line.split()[1])
     try:
@@ -270,9 +241,7 @@
     return Answer(status, headers, body)
 
 
-async def _read_body(
-    reader: asyncio.StreamReader, headers: dict[str, str]
-) -> bytes:
+async def _read_body(reader: Reader, headers: Headers) -> bytes:
     if 'content-length' in headers:
         return await reader.readexactly(int(headers['content-length']))
     body = b''
--- a/packages/knapweedhall-entry/tests/gateway/test_admission.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_admission.py
@@ -156,7 +156,7 @@
             writer.write(fakes.whole(b''))
             return True
 
-        first = await self.serve(script, {'mode': 'choice'})
+        first = await self.serve(script, 'choice')
         second = await self.start_upstream(script)
         self.control.addresses['u2'] = second.address
         route = self.control.found
--- a/packages/knapweedhall-entry/tests/gateway/test_answers.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_answers.py
@@ -25,7 +25,7 @@
         answer = await self.call(
             fakes.encode(
                 'POST',
-                '/ofrendas/a/b?c=d',
+                '/fixed/a/b?c=d',
                 b'give',
                 fields=(
                     'Knapweedhall-Token: 99.99',
@@ -70,7 +70,9 @@
             with self.subTest(start=start):
                 # The upstream ends when the part has reached the caller.
                 seen = asyncio.Event()
-                await self.serve(fakes.answering(start, False, seen))
+                await self.serve(
+                    fakes.answering(start, keep=False, until=seen)
+                )
                 reader, writer = await asyncio.open_connection(*self.caller)
                 writer.write(fakes.encode())
                 await reader.readuntil(b'\r\n\r\n')
@@ -109,13 +111,13 @@
         answer = await self.call(
             fakes.encode(
                 'POST',
-                '/ofrendas/late',
+                '/fixed/late',
                 fields=('Knapweedhall-Timeout-Ms: 400',),
             )
         )
         self.assertEqual((504, 'unknown', 'deadline'), answer.outcome())
         late.set()
-        answer = await self.call(fakes.encode('POST', '/ofrendas/next'))
+        answer = await self.call(fakes.encode('POST', '/fixed/next'))
         self.assertEqual(b'POST /next HTTP/1.1', answer.body)
         self.assertEqual(2, len(upstream.writers))
 
@@ -132,9 +134,9 @@
             return True
 
         upstream = await self.serve(script)
-        await self.call(fakes.encode(target='/ofrendas/first'))
+        await self.call(fakes.encode(target='/fixed/first'))
         await sent.wait()
-        answer = await self.call(fakes.encode(target='/ofrendas/next'))
+        answer = await self.call(fakes.encode(target='/fixed/next'))
         self.assertEqual(b'GET /next HTTP/1.1', answer.body)
         self.assertEqual(2, len(upstream.writers))
 
--- a/packages/knapweedhall-entry/tests/gateway/test_refusals.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_refusals.py
@@ -10,10 +10,6 @@
 KEY = 'Knapweedhall-Key: k'
 
 
-def raw(*lines: str, body: str = '') -> bytes:
-    return '\r\n'.join((*lines, '', body)).encode('latin-1')
-
-
 class MalformedRequestTest(fakes.GatewayCase):
     async def asyncSetUp(self) -> None:
         self.upstream = await self.start_upstream(
@@ -25,61 +21,37 @@
 
     async def test_refuses_ambiguous_requests(self) -> None:
         """Guards against requests that two servers read differently."""
-        post = ('POST /ofrendas/x HTTP/1.1', 'Host: h', KEY)
-        chunk = '0\r\n\r\n'
-        requests = {
-            'both lengths': raw(
-                *post,
-                'Content-Length: 5',
-                'Transfer-Encoding: chunked',
-                body=chunk,
-            ),
-            'both lengths, other order': raw(
-                *post,
-                'Transfer-Encoding: chunked',
-                'Content-Length: 5',
-                body=chunk,
-            ),
-            'two lengths': raw(
-                *post, 'Content-Length: 1', 'Content-Length: 2', body='ab'
-            ),
-            'equal lengths': raw(
-                *post, 'Content-Length: 1', 'Content-Length: 1', body='a'
-            ),
-            'signed length': raw(*post, 'Content-Length: +1', body='a'),
-            'listed length': raw(*post, 'Content-Length: 1, 1', body='a'),
-            'unknown coding': raw(*post, 'Transfer-Encoding: xchunked'),
-            'coding list': raw(
-                *post, 'Transfer-Encoding: gzip, chunked', body=chunk
-            ),
-            'two codings': raw(
-                *post,
-                'Transfer-Encoding: chunked',
-                'Transfer-Encoding: chunked',
-                body=chunk,
-            ),
-            'space before colon': raw(*post, 'Content-Length : 1', body='a'),
-            'folded line': raw(*post, 'X: a', ' b: c'),
-            'bare line feed': raw(*post, 'X: a\nContent-Length: 1', body='a'),
-            'zero byte': raw(*post, 'X: a\0b'),
-            'nominated length': raw(
-                *post, 'Connection: content-length', 'Content-Length: 1'
-            ),
-            'nominated key': raw(*post, 'Connection: knapweedhall-key'),
-            'two keys': raw(*post, 'Knapweedhall-Key: other'),
-            'two hosts': raw(*post, 'Host: other'),
-            'upgrade with body': raw(
-                *post,
-                'Connection: upgrade',
-                'Upgrade: h2c',
-                'Content-Length: 1',
-                body='a',
-            ),
-            'path not ASCII': fakes.encode().replace(b'/x', b'/\xff'),
-            'no request line': b'\x16\x03\x01\r\n\r\n',
-        }
-        for name, data in requests.items():
-            with self.subTest(name):
+        chunked, length = 'Transfer-Encoding: chunked', 'Content-Length: 1'
+        ambiguous: list[tuple[str, ...]] = [
+            (length, chunked),
+            (chunked, length),
+            (length, 'Content-Length: 2'),
+            (length, length),
+            ('Content-Length: +1',),
+            ('Content-Length: 1, 1',),
+            ('Transfer-Encoding: xchunked',),
+            ('Transfer-Encoding: gzip, chunked',),
+            (chunked, chunked),
+            ('Content-Length : 1',),
+            ('X: a', ' b: c'),
+            ('X: a\nContent-Length: 1',),
+            ('X: a\0b',),
+            ('Connection: content-length', length),
+            ('Connection: knapweedhall-key',),
+            ('Content_Length: 1',),
+            ('Knapweedhall_Token: 7.1',),
+            (KEY,),
+            ('Host: other',),
+            ('Connection: upgrade', 'Upgrade: h2c', length),
+        ]
+        requests = [
+            fakes.encode('POST', fields=fields) + b'0\r\n\r\n'
+            for fields in ambiguous
+        ]
+        requests.append(fakes.encode().replace(b'/x', b'/\xff'))
+        requests.append(b'\x16\x03\x01\r\n\r\n')
+        for data in requests:
+            with self.subTest(data):
                 reader, writer = await asyncio.open_connection(*self.caller)
                 # What follows must not be read as a second request.
                 writer.write(data + fakes.encode())
@@ -97,16 +69,16 @@
     async def test_refuses_reserved_paths(self) -> None:
         """Guards against callers that reach the upstream's control calls."""
         for target in (
-            '/ofrendas/knapweedhall/grants',
-            '/ofrendas/Knapweedhall/grants',
-            '/ofrendas//knapweedhall/grants',
-            '/ofrendas/%6bnapweedhall/grants',
-            '/ofrendas/knapweedhall;a=b/grants',
-            '/ofrendas/x/../knapweedhall/grants',
-            '/ofrendas/x/%2e%2e/knapweedhall/grants',
-            '/ofrendas/%2fknapweedhall/grants',
-            '/ofrendas/x\\..\\knapweedhall',
-            'http://h/ofrendas/x',
+            '/fixed/knapweedhall/grants',
+            '/fixed/Knapweedhall/grants',
+            '/fixed//knapweedhall/grants',
+            '/fixed/%6bnapweedhall/grants',
+            '/fixed/knapweedhall;a=b/grants',
+            '/fixed/x/../knapweedhall/grants',
+            '/fixed/x/%2e%2e/knapweedhall/grants',
+            '/fixed/%2fknapweedhall/grants',
+            '/fixed/x\\..\\knapweedhall',
+            'http://h/fixed/x',
             '/',
         ):
             with self.subTest(target):
@@ -117,21 +89,16 @@
     async def test_refuses_by_key_service_and_timeout(self) -> None:
         """Guards against sending a request that belongs nowhere."""
         timeout = ('Knapweedhall-Timeout-Ms: soon',)
-        for data, wanted in (
-            (fakes.encode(key=''), (400, 'not-run', 'missing-key')),
-            (fakes.encode(key='k' * 257), (400, 'not-run', 'malformed-key')),
-            (fakes.encode(key='k\xe9'), (400, 'not-run', 'malformed-key')),
-            (
-                fakes.encode(fields=timeout),
-                (400, 'not-run', 'malformed-timeout'),
-            ),
-            (
-                fakes.encode(target='/other/x'),
-                (404, 'not-run', 'unknown-service'),
-            ),
+        for data, status, reason in (
+            (fakes.encode(key=''), 400, 'missing-key'),
+            (fakes.encode(key='k' * 257), 400, 'malformed-key'),
+            (fakes.encode(key='k\xe9'), 400, 'malformed-key'),
+            (fakes.encode(fields=timeout), 400, 'malformed-timeout'),
+            (fakes.encode(target='/other/x'), 404, 'unknown-service'),
         ):
-            with self.subTest(wanted):
+            with self.subTest(reason):
                 answer = await self.call(data)
+                wanted = status, 'not-run', reason
                 self.assertEqual(wanted, answer.outcome())
         self.assertEqual([], self.upstream.arrivals)
         self.assertIn('request_malformed', self.events.names())
@@ -145,13 +112,8 @@
 
     async def test_truncated_upload_is_no_whole_body(self) -> None:
         """Guards against an upstream that takes half a body for the whole."""
-        chunked = raw(
-            'POST /ofrendas/x HTTP/1.1',
-            'Host: h',
-            KEY,
-            'Transfer-Encoding: chunked',
-            body='5\r\nhello\r\nnot-a-size\r\n',
-        )
+        chunked = fakes.encode('POST', fields=('Transfer-Encoding: chunked',))
+        chunked += b'5\r\nhello\r\nnot-a-size\r\n'
         await self.call(chunked)
         for arrival in self.upstream.arrivals:
             self.assertNotIn('content-length', arrival.headers)
--- a/packages/knapweedhall-entry/tests/gateway/test_repeats.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_repeats.py
@@ -11,7 +11,7 @@
 class RepeatTest(fakes.GatewayCase):
     async def two_hops(self, script: fakes.Script) -> fakes.RawUpstream:
         """Start an upstream, its instance and one that forwards to it."""
-        upstream = await self.start_upstream(script)
+        upstream = await self.serve(script)
         near = fakes.Control()
         near.own('u1', upstream.address)
         await self.start_gateway(near)
@@ -31,17 +31,10 @@
         """
         for method, arrivals, attempts in (('POST', 1, 1), ('GET', 3, 3)):
             with self.subTest(method):
-
-                async def script(arrival, reader, writer):
-                    if 'first' not in arrival.line:
-                        return False
-                    writer.write(fakes.whole(b'ok'))
-                    return True
-
-                upstream = await self.two_hops(script)
-                first = await self.call(
-                    fakes.encode(method, '/ofrendas/first')
+                upstream = await self.two_hops(
+                    fakes.answering(fakes.whole(b'ok'), b'')
                 )
+                first = await self.call(fakes.encode(method, '/fixed/first'))
                 self.assertEqual(200, first.status)
                 answer = await self.call(fakes.encode(method))
                 self.assertEqual(
@@ -111,15 +104,9 @@
 
     async def test_not_run_is_repeated(self) -> None:
         """Guards against giving up on work that surely did not run."""
-
-        async def script(arrival, reader, writer):
-            first = len(upstream.arrivals) == 1
-            writer.write(
-                fakes.not_run('shed') if first else fakes.whole(b'done')
-            )
-            return True
-
-        upstream = await self.two_hops(script)
+        upstream = await self.two_hops(
+            fakes.answering(fakes.not_run('shed'), fakes.whole(b'done'))
+        )
         answer = await self.call(fakes.encode('POST', body=b'same'))
         self.assertEqual(b'done', answer.body)
         self.assertEqual(
@@ -128,54 +115,32 @@
 
     async def test_stale_token_waits_for_a_new_table(self) -> None:
         """Guards against repeating at once what only a new table changes."""
-
-        async def script(arrival, reader, writer):
-            fresh = arrival.headers['knapweedhall-token'] == '7.2'
-            writer.write(
-                fakes.whole(b'') if fresh else fakes.not_run('stale-token')
-            )
-            return True
-
-        upstream = await self.start_upstream(script)
-        control = fakes.Control()
-        control.own('u1', upstream.address)
-        gateway = await self.start_gateway(control)
+        upstream = await self.serve(
+            fakes.answering(fakes.not_run('stale-token'), fakes.whole(b''))
+        )
         waiting = asyncio.create_task(self.call(fakes.encode('POST')))
-        while not gateway.router.changes.waiting:
+        while not self.gateway.router.changes.waiting:
             await asyncio.sleep(0)
         self.assertEqual(1, len(upstream.arrivals))
         token = fakes.TOKEN._replace(sequence=2)
-        control.found = control.found._replace(token=token)
-        control.listener()
+        self.control.found = self.control.found._replace(token=token)
+        self.control.listener()
         self.assertEqual(200, (await waiting).status)
+        arrived = upstream.arrivals[-1].headers
+        self.assertEqual('7.2', arrived['knapweedhall-token'])
 
     async def test_refusal_does_not_hide_an_earlier_attempt(self) -> None:
         """Guards against `not-run` after an attempt that may have run."""
-
-        async def script(arrival, reader, writer):
-            if len(upstream.arrivals) == 1:
-                return False
-            writer.write(fakes.not_run('past-deadline'))
-            return True
-
-        upstream = await self.start_upstream(script)
-        control = fakes.Control()
-        control.own('u1', upstream.address)
-        await self.start_gateway(control)
+        upstream = await self.serve(
+            fakes.answering(b'', fakes.not_run('past-deadline'))
+        )
         answer = await self.call(fakes.encode('GET'))
         self.assertEqual('unknown', answer.outcome()[1])
         self.assertEqual(3, len(upstream.arrivals))
 
     async def test_retry_budget_bounds_a_storm(self) -> None:
         """Guards against retries that multiply the load of a failure."""
-
-        async def script(arrival, reader, writer):
-            return False
-
-        upstream = await self.start_upstream(script)
-        control = fakes.Control()
-        control.own('u1', upstream.address)
-        await self.start_gateway(control, retry_burst=5)
+        upstream = await self.serve(fakes.answering(b''), retry_burst=5)
         for _ in range(50):
             answer = await self.call(fakes.encode('GET'))
             self.assertEqual('unknown', answer.outcome()[1])
