--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/contacts.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/contacts.py
@@ -59,6 +59,7 @@
         self.was_usable = False
         self.cold = False
         self.dirty = True
+        self.named: list[messages.Grant] | None = None
         self.sent_at = float('-inf')
         self.in_flight = 0
         self.owned: dict[str, dict[int, int]] = {}
@@ -108,6 +109,7 @@
             owned[number] = sequence
             self.unpublished[service, number] = sequence, self.last_number
         self.dirty = True
+        self.named = None
 
     def disown(self, service: str, numbers: typing.Iterable[int]) -> None:
         """Name slices in no further grant."""
@@ -116,6 +118,7 @@
             owned.pop(number, None)
             self.unpublished.pop((service, number), None)
         self.dirty = True
+        self.named = None
 
     def grant(
         self, now: float, bound: float, number: int, group: str, term: int
@@ -136,9 +139,10 @@
         self.last_number = self.in_flight = number
         self.sent_at = now
         self.dirty = False
-        grants = self._grants(term)
+        if self.named is None:
+            self.named = self._grants(term)
         return messages.GrantBody(
-            group, term, deadline_ms, grants, self.clock.incarnation
+            group, term, deadline_ms, self.named, self.clock.incarnation
         )
 
     def _grants(self, term: int) -> list[messages.Grant]:
