--- a/packages/knapweedhall-ownership/tests/test_schedules.py
+++ b/packages/knapweedhall-ownership/tests/test_schedules.py
@@ -6,12 +6,13 @@
 import unittest
 from unittest import mock
 
+from knapweedhall_bench.schedules import upstream
+from knapweedhall_bench.schedules import world
 from knapweedhall_ownership import coordinator
 from knapweedhall_ownership import drains
 from knapweedhall_ownership import election
 from knapweedhall_ownership import holders
 from knapweedhall_ownership import permits
-from tests import schedules
 
 LENGTH_S = 25.0
 # Schedules that a missing safeguard gets until it must have been noticed.
@@ -120,7 +121,7 @@
     ),
     (
         "grants refer to one run's clock",
-        [(schedules.Upstream, 'accepts', lambda self, body: True)],
+        [(upstream.Upstream, 'accepts', lambda self, body: True)],
         0,
         'two owners',
     ),
@@ -166,7 +167,7 @@
 def violations(seeds: typing.Iterable[int]) -> list[str]:
     """Return what the first failing schedule violates."""
     for seed in seeds:
-        found = schedules.World(seed).run(LENGTH_S)
+        found = world.World(seed).run(LENGTH_S)
         if found:
             return found
     return []
@@ -180,11 +181,11 @@
         terms = activations = executed = 0
         for seed in range(12):
             with self.subTest(seed=seed):
-                world = schedules.World(seed)
-                self.assertEqual([], world.run(LENGTH_S))
-                terms += len(world.terms)
-                activations += world.activations
-                executed += world.executed
+                schedule = world.World(seed)
+                self.assertEqual([], schedule.run(LENGTH_S))
+                terms += len(schedule.terms)
+                activations += schedule.activations
+                executed += schedule.executed
         # A schedule in which nothing happens would pass as well.
         self.assertGreater(terms, 24)
         self.assertGreater(activations, 200)
