--- a/packages/knapweedhall-entry/src/knapweedhall_entry/application.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/application.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import time
+import typing
 
 from aiohttp import web
 import loguru
@@ -21,6 +22,8 @@
 READY_CHECK_S = 0.05
 # Kept from the time limit of a planned stop for giving the leases back.
 RELEASE_S = 2.0
+# The data path has waited for its requests before; what is left is cut soon.
+RUNNER: dict[str, typing.Any] = {'access_log': None, 'shutdown_timeout': 1.0}
 Task = asyncio.Task[None]
 
 
@@ -70,6 +73,7 @@
             self.status.stopping,
             plane.complete(),
             plane.follower.reachable,
+            tuple(sorted(plane.supervisor.running)),
             plane.supervisor.lost_upstreams(),
         )
 
@@ -136,13 +140,15 @@
         listen = self.options.listen
         application = admin.Admin(self.status, values).application()
         await self.serve(
-            web.AppRunner(application, access_log=None), listen.admin_address
+            web.AppRunner(application, **RUNNER), listen.admin_address
         )
         await self.serve(
-            web.ServerRunner(self.gateway.forward), listen.forward_address
+            web.ServerRunner(self.gateway.forward, **RUNNER),
+            listen.forward_address,
         )
         await self.serve(
-            web.ServerRunner(self.gateway.caller), listen.caller_address
+            web.ServerRunner(self.gateway.caller, **RUNNER),
+            listen.caller_address,
         )
 
     async def serve(
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/control_plane.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/control_plane.py
@@ -110,12 +110,14 @@
         now = time.monotonic()
         return self.elections.lease(now, f'service/{name}') is not None
 
-    def lost_upstreams(self) -> set[str]:
-        """Return the upstreams that their coordinators find silent."""
+    def silence(self) -> planner.Silence:
+        """Return what the coordinators say of silent upstreams."""
+        groups = set(self.supervisor.running)
         lost = set(self.supervisor.lost_upstreams())
         for state in self.members.live().values():
+            groups.update(state.heartbeat.groups)
             lost.update(state.heartbeat.lost_upstreams)
-        return lost
+        return planner.Silence(groups, lost)
 
     def complete(self) -> bool:
         """Return whether the configuration is restored without a gap."""
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/factory.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/factory.py
@@ -195,7 +195,7 @@
             view,
             appender,
             lambda name, service: late.plane.plans_service(name, service),
-            lambda: late.plane.lost_upstreams(),
+            lambda: late.plane.silence(),
         ),
         checkpoint_writer.CheckpointWriter(
             follower,
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/messages.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/messages.py
@@ -24,9 +24,10 @@
         Whether the sender holds a complete configuration.
     log_reachable : bool
         Whether the sender can read the log.
+    groups : tuple of str
+        Lease groups that the sender coordinates.
     lost_upstreams : tuple of str
-        Upstreams of the groups that the sender coordinates and that do not
-        respond; plans leave them out.
+        Upstreams of these groups that do not respond; plans leave them out.
     """
 
     failure_domain: str
@@ -37,6 +38,7 @@
     leaving: bool
     restored: bool
     log_reachable: bool
+    groups: tuple[str, ...] = ()
     lost_upstreams: tuple[str, ...] = ()
 
 
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/planner.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/planner.py
@@ -23,6 +23,21 @@
 RETRY_S = 1.0
 
 
+class Silence(typing.NamedTuple):
+    """What coordinators say of upstreams that do not respond.
+
+    Attributes
+    ----------
+    groups : set of str
+        Groups whose coordinator is heard; of the others nothing is known.
+    lost : set of str
+        Silent upstreams of these groups.
+    """
+
+    groups: set[str]
+    lost: set[str]
+
+
 class Planner:
     """Plans the services for which this instance is responsible.
 
@@ -35,8 +50,8 @@
     responsible : callable
         Returns whether this instance plans a service; two planners at the
         same time do no harm, as one of their plans loses on the log.
-    lost : callable
-        Returns the names of upstreams that do not respond.
+    silence : callable
+        Returns which upstreams do not respond.
     """
 
     def __init__(
@@ -44,12 +59,12 @@
         view: fleet.Fleet,
         appender: publisher.Publisher,
         responsible: typing.Callable[[str, bodies.Service], bool],
-        lost: typing.Callable[[], typing.Collection[str]],
+        silence: typing.Callable[[], Silence],
     ) -> None:
         self.view = view
         self.appender = appender
         self.responsible = responsible
-        self.lost = lost
+        self.silence = silence
         self.lost_since: dict[str, float] = {}
         self.wanted_since: dict[str, tuple[frozenset[str], float]] = {}
 
@@ -69,12 +84,18 @@
         return self.lost_since.get(name, now) + LOST_BEFORE_PLAN_S
 
     def note_lost(self, now: float) -> None:
-        """Remember since when upstreams do not respond."""
-        silent = set(self.lost())
-        for name in silent:
+        """Remember since when upstreams do not respond.
+
+        An upstream whose coordinator is not heard keeps its state: a
+        partition must not bring a lost upstream back into the plans.
+        """
+        found = self.silence()
+        for name in found.lost:
             self.lost_since.setdefault(name, now)
-        for name in set(self.lost_since) - silent:
-            del self.lost_since[name]
+        for name in set(self.lost_since) - found.lost:
+            known = self.view.upstreams.get(name)
+            if known is None or known.group in found.groups:
+                del self.lost_since[name]
 
     def current(self, service: str) -> bodies.Plan | None:
         """Return the whole plan in force, None if there is none."""
@@ -127,20 +148,15 @@
         known = {
             each.view.name: each.group for each in self.view.of_service(name)
         }
+
+        def released(number: int, origin: bodies.Origin) -> bool:
+            return self.view.has_release(name, number, origin)
+
+        plan = placement.keep_in_flight(plan, previous, known, released)
         return placement.mark_origins(
-            plan,
-            version + 1,
-            previous,
-            known,
-            lambda number, origin: self.released(name, number, origin),
+            plan, version + 1, previous, known, released
         )
 
-    def released(
-        self, service: str, number: int, origin: bodies.Origin
-    ) -> bool:
-        """Return whether the origin group has released a slice."""
-        return self.view.has_release(service, number, origin)
-
     async def publish(self, name: str, plan: bodies.Plan) -> None:
         """Publish the chunks of a plan that differ from those in force."""
         for record_name, chunk in placement.divide(name, plan).items():
--- a/packages/knapweedhall-entry/tests/test_planner.py
+++ b/packages/knapweedhall-entry/tests/test_planner.py
@@ -32,6 +32,7 @@
         self.service = fakes.service()
         fakes.put(self.store, 'service', 's', self.service)
         self.lost: set[str] = set()
+        self.heard = {GROUP}
         self.view = fakes.make_fleet(
             *(fakes.upstream_row(name, 's', 'x') for name in UPSTREAMS),
             store=self.store,
@@ -40,7 +41,7 @@
             self.view,
             typing.cast(typing.Any, None),
             lambda name, service: True,
-            lambda: self.lost,
+            lambda: planner.Silence(self.heard, self.lost),
         )
 
     def wanted(self, now: float) -> bodies.Plan | None:
@@ -84,6 +85,20 @@
         assert plan is not None
         self.assertEqual(plan.upstreams, ('u',))
 
+    def test_unheard_coordinator_brings_no_upstream_back(self) -> None:
+        """Guards against slices on a lost upstream during a partition."""
+        self.publish(0.0)
+        self.lost.add('v')
+        self.wanted(5.0)
+        plan = self.settle(10.0)
+        assert plan is not None
+        fakes.put(self.store, 'plan', 's', plan, 1)
+        self.lost.clear()
+        self.heard.clear()
+        self.assertIsNone(self.settle(12.0))
+        self.heard.add(GROUP)
+        self.assertIsNotNone(self.settle(14.0))
+
     def test_marked_upstream_leaves_the_plan(self) -> None:
         """Guards against a mark without effect."""
         self.publish(0.0)
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/placement.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/placement.py
@@ -329,15 +329,51 @@
     origins = {}
     for number, indices in enumerate(plan.slices):
         origin = previous.origins.get(number)
-        if origin is not None and not released(number, origin):
-            origins[number] = origin
-            continue
         before = _group(previous, previous.slices[number], groups)
-        if before and before != _group(plan, indices, groups):
+        after = _group(plan, indices, groups)
+        waiting = origin is not None and not released(number, origin)
+        if origin and waiting and after != origin.group:
+            origins[number] = origin
+        elif before and before != after:
+            # Also for a slice that goes back to its origin: the group in
+            # between may have activated it when the release came in time.
             origins[number] = bodies.Origin(before, version)
     return plan._replace(origins=origins)
 
 
+def keep_in_flight(
+    plan: bodies.Plan,
+    previous: bodies.Plan | None,
+    groups: typing.Mapping[str, str],
+    released: typing.Callable[[int, bodies.Origin], bool],
+) -> bodies.Plan:
+    """Return the plan without moves of waiting slices to a third group.
+
+    A slice whose origin has not released it may be active in the origin or,
+    if the release is just being read, in the next group. A third group could
+    only wait for one of them, so such a slice goes back to its origin.
+    """
+    if previous is None:
+        return plan
+    lists = list(plan.slices)
+    for number, origin in previous.origins.items():
+        after = _group(plan, plan.slices[number], groups)
+        before = _group(previous, previous.slices[number], groups)
+        if after in (before, origin.group) or released(number, origin):
+            continue
+        home = [
+            place
+            for place, name in enumerate(plan.upstreams)
+            if groups.get(name) == origin.group
+        ]
+        if home:
+            first = _scatter(number) % len(home)
+            lists[number] = tuple(home[first:] + home[:first])[
+                : len(plan.slices[number])
+            ]
+    return plan._replace(slices=tuple(lists))
+
+
 def _group(
     plan: bodies.Plan,
     indices: typing.Iterable[int],
