--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/dispatch.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/dispatch.py
@@ -41,6 +41,7 @@
         self.book = book
         self.relay = relay
         self.events = events
+        self.traced = router.options.request_events
 
     async def send(self, call: calls.Call, route: interfaces.Route) -> Result:
         """Send a call to the upstream of its route; return the answer.
@@ -195,14 +196,15 @@
         method = call.request.method
         head = exchange.request_head(method, call.target, raw, call)
         connection.expect_answer(method != 'HEAD')
-        self.events.emit(
-            'request_sent',
-            request=call.request_id,
-            service=call.name,
-            upstream=route.upstream,
-            slice=route.slice,
-            token=str(route.token),
-        )
+        if self.traced:
+            self.events.emit(
+                'request_sent',
+                request=call.request_id,
+                service=call.name,
+                upstream=route.upstream,
+                slice=route.slice,
+                token=str(route.token),
+            )
         transport = connection.transport
         if transport is None or transport.is_closing():
             raise exchange.BrokenExchange('connection-closed')
@@ -232,12 +234,13 @@
                 result, size = await self.relay.relay(
                     call, answer, upstream.name
                 )
-                self.events.emit(
-                    'request_answered',
-                    request=call.request_id,
-                    status=answer.message.code,
-                    bytes=size,
-                )
+                if self.traced:
+                    self.events.emit(
+                        'request_answered',
+                        request=call.request_id,
+                        status=answer.message.code,
+                        bytes=size,
+                    )
         finally:
             whole = exchange.finish_upload(upload)
         if whole:
@@ -266,6 +269,7 @@
             first.get(headers.UPSTREAM_COLD) == b'1',
             refusal is not None and refusal.reason in outcomes.SHEDDING,
             first.get(headers.INCARNATION, b''),
+            sent,
         )
         upstream.answered(sample, now)
         return refusal
