Decide records of other kinds by the offset; send one grant at a time

Cause: a reader with a service from a peer accepted a plan at an offset where the service did not exist yet, and others refused it; a repeat of a record that contradicted another kind could win later. Origins of plans in several chunks named the version of another chunk, so their releases never counted. A grant that its task does not send while another one is under way counted as unanswered for a second. Change: entries carry the offset of the first version; refused records are remembered like those that replace a future version; origins name the version of their chunk; a contact has one grant under way.

--- a/packages/knapweedhall-entry/src/knapweedhall_entry/planner.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/planner.py
@@ -120,16 +120,17 @@
         self, name: str, plan: bodies.Plan, previous: bodies.Plan | None
     ) -> bodies.Plan:
         """Return the plan with the groups that give slices up first."""
-        version = max(
-            (each.version for each in self.view.plan_chunks(name).values()),
-            default=0,
-        )
+        chunks = self.view.plan_chunks(name)
+        versions = {
+            first: chunks[first].version + 1 if first in chunks else 1
+            for first in range(0, len(plan.slices), placement.PLAN_CHUNK)
+        }
         known = {
             each.view.name: each.group for each in self.view.of_service(name)
         }
         return placement.mark_origins(
             plan,
-            version + 1,
+            versions,
             previous,
             known,
             lambda number, origin: self.released(name, number, origin),
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/checkpoints.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/checkpoints.py
@@ -1,9 +1,10 @@
 """Division of a snapshot into checkpoint records, and its reassembly.
 
 The chunks together hold one text: a line with the next offset and the number
-of entries in force, then a line per entry with its offset and the encoded
-record, those in force first. A record can be almost as long as a chunk, and
-quoting makes it longer, so the text is cut at any position.
+of entries in force, then a line per entry with its offset, the offset of the
+first version and the encoded record, those in force first. A record can be
+almost as long as a chunk, and quoting makes it longer, so the text is cut at
+any position.
 """
 
 from __future__ import annotations
@@ -25,7 +26,8 @@
     """Return the checkpoint chunks, each small enough for one record."""
     lines = [f'{snapshot.next_offset} {len(snapshot.entries)}']
     for entry in (*snapshot.entries, *snapshot.ahead):
-        lines.append(f'{entry.offset} {codec.encode(entry.record).decode()}')
+        encoded = codec.encode(entry.record).decode()
+        lines.append(f'{entry.offset} {entry.first} {encoded}')
     pieces = list(_pieces('\n'.join(lines)))
     return [
         bodies.Checkpoint(snapshot.next_offset, chunk, len(pieces), (piece,))
@@ -114,11 +116,11 @@
 
 
 def _entry(line: str) -> configuration.Entry | None:
-    offset, _, encoded = line.partition(' ')
+    offset, first, encoded = line.split(' ', 2)
     record = codec.decode(encoded)
     if isinstance(record, errors.Refusal):
         return None
-    return configuration.Entry(int(offset), record)
+    return configuration.Entry(int(offset), record, int(first))
 
 
 def due(
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/configuration.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/configuration.py
@@ -16,10 +16,16 @@
 
 
 class Entry(typing.NamedTuple):
-    """A record and the offset at which it was read."""
+    """A record and the offset at which it was read.
+
+    `first` is the offset of the first version in force of the same kind and
+    name. It tells a reader that has a record from a peer whether there was
+    one when an older offset was decided.
+    """
 
     offset: int
     record: bodies.Record
+    first: int
 
 
 class InForce(typing.NamedTuple):
@@ -68,8 +74,9 @@
         Records in force with their offsets.
     ahead : tuple of Entry
         Records that lost because they replace a version above the one in
-        force. A repeat of such a record could win once that version is in
-        force, so a reader without them would decide differently.
+        force, or contradict a record of another kind. A repeat of such a
+        record could win later, so a reader without them would decide
+        differently.
     """
 
     next_offset: int
@@ -128,7 +135,9 @@
             return CheckpointPart(record)
         if repeated:
             return Repeated(record)
-        return self._decide(Entry(offset, record))
+        current = self.entries.get(key_of(record))
+        first = current.first if current else offset
+        return self._decide(Entry(offset, record, first))
 
     def _decide(self, entry: Entry) -> Outcome:
         record = entry.record
@@ -149,12 +158,24 @@
             return Superseded(record, version)
         if record.version <= version:
             return Refused(_not_above(record, version))
-        refusal = consistency.check(record, self.get)
+        refusal = consistency.check(record, self._at(entry.offset))
         if refusal is not None:
+            # Its repeat could come into force once the record that it
+            # contradicts or lacks has changed.
+            self._keep_ahead(entry)
             return Refused(refusal)
         self._put(entry)
         return InForce(record, current.record if current else None)
 
+    def _at(self, offset: int) -> consistency.Get:
+        """Return what finds the records that exist before an offset."""
+
+        def get(kind: str, name: str) -> bodies.Record | None:
+            entry = self.entries.get((kind, name))
+            return entry.record if entry and entry.first < offset else None
+
+        return get
+
     def _is_repeat(self, entry: Entry, current: Entry | None) -> bool:
         identity = identity_of(entry.record)
         if current and identity == identity_of(current.record):
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/contacts.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/contacts.py
@@ -95,12 +95,14 @@
             self.lost = True
 
     def due(self, now: float) -> bool:
-        """Return whether a grant has to be sent."""
-        if now >= self.sent_at + PROBE_S:
-            return True
-        # One grant at a time: an older one that arrives late would undo a
-        # newer one.
-        return self.dirty and not self.in_flight
+        """Return whether a grant has to be sent.
+
+        There is one at a time, until it is answered, has failed or has
+        ended: an older one that arrives late would undo a newer one.
+        """
+        if self.in_flight:
+            return False
+        return self.dirty or now >= self.sent_at + PROBE_S
 
     def own(self, service: str, numbers: set[int], sequence: int) -> None:
         """Name slices in the grants from now on."""
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/placement.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/placement.py
@@ -68,10 +68,7 @@
         Slices that keep their owner while it is among `upstreams`, as those
         whose move between groups is not complete.
 
-    Raises
-    ------
-    ValueError
-        If there is no upstream.
+    Raises ValueError if there is no upstream.
     """
     if not upstreams:
         raise ValueError('a plan needs at least one upstream')
@@ -304,7 +301,7 @@
 
 def mark_origins(
     plan: bodies.Plan,
-    version: int,
+    versions: typing.Mapping[int, int],
     previous: bodies.Plan | None,
     groups: typing.Mapping[str, str],
     released: typing.Callable[[int, bodies.Origin], bool],
@@ -315,8 +312,8 @@
     ----------
     plan : bodies.Plan
         Whole plan that `make_plan` returned.
-    version : int
-        Version that the plan's record will have.
+    versions : mapping of int to int
+        Version that the record of each chunk will have, by first slice.
     previous : bodies.Plan or None
         Whole plan in force.
     groups : mapping of str to str
@@ -334,7 +331,9 @@
             continue
         before = _group(previous, previous.slices[number], groups)
         if before and before != _group(plan, indices, groups):
-            origins[number] = bodies.Origin(before, version)
+            origins[number] = bodies.Origin(
+                before, versions[number - number % PLAN_CHUNK]
+            )
     return plan._replace(origins=origins)
 
 
--- a/packages/knapweedhall-ownership/tests/test_coordinator.py
+++ b/packages/knapweedhall-ownership/tests/test_coordinator.py
@@ -45,6 +45,7 @@
         }
         self.asked: dict[ids.InstanceId, float] = {}
         self.ended: set[ids.InstanceId] = set()
+        self.failing: list[tuple[float, orders.GrantOrder]] = []
         self.events: list[tuple[float, str, str]] = []
         self.bodies: dict[str, messages.GrantBody] = {}
         self.released: list[float] = []
@@ -81,6 +82,12 @@
 
     def step(self) -> None:
         """Run one step and all exchanges that follow."""
+        for at, order in self.failing:
+            if at <= self.now:
+                self.leader.grant_failed(
+                    self.now, order.upstream, order.number
+                )
+        self.failing = [each for each in self.failing if each[0] > self.now]
         found = self.leader.step(self.now, min(self.lease, self.now + 1))
         for event in found.events:
             kind = type(event).__name__
@@ -105,6 +112,7 @@
     def grant(self, order: orders.GrantOrder) -> None:
         """Answer a grant unless the upstream is frozen."""
         if order.upstream in self.frozen:
+            self.failing.append((self.now + 0.25, order))
             return
         token = str(ids.Token(TERM - 1, 1 + (order.upstream == self.held)))
         answer = messages.GrantAnswer(
--- a/packages/knapweedhall-ownership/tests/test_election.py
+++ b/packages/knapweedhall-ownership/tests/test_election.py
@@ -123,3 +123,44 @@
         self.assertEqual([], self.candidate.release(1.5, 1.6))
         self.assertEqual(3, len(self.candidate.release(1.6, 1.6)))
         self.assertIsNone(self.candidate.lease(1.6))
+
+
+class ElectorStepTest(unittest.TestCase):
+    """Steps from one set of electors to the next but one."""
+
+    def leases(self, renews: bool) -> list[election.Lease | None]:
+        """Return the leases of A and D after two steps.
+
+        A wins with the votes of A and B among A, B and C; then D is added
+        and A removed; only then D asks C and itself, too.
+        """
+        d = ids.InstanceId('d', 1)
+        electors = {each: election.Elector() for each in (A, B, C, d)}
+        sets = [(A, B, C), (A, B, C, d), (B, C, d)]
+        first, last = (
+            election.Candidate(each, 'g', random.Random(1)) for each in (A, d)
+        )
+
+        def ask(
+            who: election.Candidate, now: float, reached: election.VoteRequests
+        ) -> None:
+            for each, sent in reached:
+                vote = electors[each].request(now, who.instance, sent)
+                who.vote(now, each, vote)
+
+        first.set_electors(1, sets[0])
+        ask(first, 1.0, first.poll(1.0, 0.0)[:2])
+        first.set_electors(2, sets[1])
+        self.assertFalse(first.may_change_electors(1.1))
+        if renews:
+            sent = first.poll(1.1, 0.0)
+            ask(first, 1.1, [each for each in sent if each[0] != C])
+            self.assertTrue(first.may_change_electors(1.1))
+        last.set_electors(3, sets[2])
+        ask(last, 1.9, last.poll(1.9, 0.0))
+        return [first.lease(1.9), last.lease(1.9)]
+
+    def test_next_step_waits_for_a_renewal(self) -> None:
+        """Guards against majorities of two sets that do not intersect."""
+        self.assertIn(None, self.leases(renews=True))
+        self.assertNotIn(None, self.leases(renews=False))
