Ask the own elector last and compare offsets of all records

The offset that electors compare now grows with records that change nothing, such as checkpoints; instances disagreed on it.

--- a/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
@@ -72,7 +72,8 @@
         self.stopping = False
         self.resigned: set[str] = set()
         self.joined_at: dict[str, float] = {}
-        self.digest = ''
+        self.state = '', -1
+        self.own_requests: dict[str, messages.VoteRequest] = {}
         self.on_acquired: typing.Callable[[str, int], None] = ignore
 
     def lease(self, now: float, group: str) -> election.Lease | None:
@@ -97,11 +98,12 @@
 
     def refresh(self, now: float) -> None:
         """Take the groups and electors records in force."""
-        digest = self.view.store.digest()
-        if digest == self.digest:
-            return
-        self.digest = digest
+        # Records without effect advance the offset, too; electors compare it.
         offset = self.view.store.next_offset
+        state = self.view.store.digest(), offset
+        if state == self.state:
+            return
+        self.state = state
         self.elector.offset = offset
         for group in self.view.names('electors'):
             version, electors = self.view.electors(group)
@@ -146,11 +148,30 @@
         elector: ids.InstanceId,
         request: messages.VoteRequest,
     ) -> None:
-        """Send one request; the own elector answers at once."""
+        """Send one request, or ask the own elector.
+
+        For a new term the own elector is asked last. A vote for itself that
+        cannot win would make the elector of an isolated instance refuse the
+        holder's renewals after the isolation has ended.
+        """
         if elector != self.me:
             self.sender.send(elector.name, request)
+        elif candidate.term:
+            candidate.vote(now, self.me, self.vote(now, self.me, request))
+        else:
+            self.own_requests[candidate.group] = request
+            self.ask_own(now, candidate)
+
+    def ask_own(self, now: float, candidate: election.Candidate) -> None:
+        """Ask the own elector if only its vote is missing for a majority."""
+        request = self.own_requests.get(candidate.group)
+        asked = candidate.rounds.get(request.number) if request else None
+        if request is None or asked is None:
+            self.own_requests.pop(candidate.group, None)
             return
-        candidate.vote(now, self.me, self.vote(now, self.me, request))
+        if len(asked.granted) >= len(asked.electors) // 2:
+            del self.own_requests[candidate.group]
+            candidate.vote(now, self.me, self.vote(now, self.me, request))
 
     def vote(
         self,
@@ -196,6 +217,7 @@
             candidate = self.candidates.get(body.group)
             if candidate is not None:
                 candidate.vote(now, message.sender, body)
+                self.ask_own(now, candidate)
                 self.note_lease(now, body.group)
         else:
             self.elector.release(message.sender, body)
--- a/packages/knapweedhall-entry/tests/test_election_task.py
+++ b/packages/knapweedhall-entry/tests/test_election_task.py
@@ -62,6 +62,19 @@
             ['lease_acquired', 'lease_lost'],
         )
 
+    def test_isolated_candidate_does_not_vote_for_itself(self) -> None:
+        """Guards against an elector that refuses the holder for ever."""
+        self.set_electors(1, fakes.ME, B, C)
+        for now in (0.0, 1.0, 2.0):
+            self.task.tick(now)
+        self.sender.sent.clear()
+        request = messages.VoteRequest(
+            GROUP, 1, ids.Term(1, 1).encode(), 1000, 1, 1
+        )
+        self.task.take(3.0, fakes.received(B, request))
+        vote = self.sender.sent[-1][1]
+        self.assertTrue(vote.granted)
+
     def test_new_elector_waits_for_the_holder(self) -> None:
         """Guards against ending a lease by joining the set of electors."""
         self.set_electors(1, B, C)
