--- a/packages/knapweedhall-entry/tests/gateway/test_answers.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_answers.py
@@ -25,7 +25,7 @@
         answer = await self.call(
             fakes.encode(
                 'POST',
-                '/ofrendas/a/b?c=d',
+                '/fixed/a/b?c=d',
                 b'give',
                 fields=(
                     'Knapweedhall-Token: 99.99',
@@ -70,7 +70,9 @@
             with self.subTest(start=start):
                 # The upstream ends when the part has reached the caller.
                 seen = asyncio.Event()
-                await self.serve(fakes.answering(start, False, seen))
+                await self.serve(
+                    fakes.answering(start, keep=False, until=seen)
+                )
                 reader, writer = await asyncio.open_connection(*self.caller)
                 writer.write(fakes.encode())
                 await reader.readuntil(b'\r\n\r\n')
@@ -109,33 +111,25 @@
         answer = await self.call(
             fakes.encode(
                 'POST',
-                '/ofrendas/late',
+                '/fixed/late',
                 fields=('Knapweedhall-Timeout-Ms: 400',),
             )
         )
         self.assertEqual((504, 'unknown', 'deadline'), answer.outcome())
         late.set()
-        answer = await self.call(fakes.encode('POST', '/ofrendas/next'))
+        answer = await self.call(fakes.encode('POST', '/fixed/next'))
         self.assertEqual(b'POST /next HTTP/1.1', answer.body)
         self.assertEqual(2, len(upstream.writers))
 
     async def test_unsolicited_answer_on_idle_connection(self) -> None:
         """Guards against bytes of an earlier exchange answering the next."""
-        sent = asyncio.Event()
-
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(arrival.line.encode()))
-            if 'first' in arrival.line:
-                writer.write(fakes.whole(b'stray'))
-                await writer.drain()
-                sent.set()
-            return True
-
-        upstream = await self.serve(script)
-        await self.call(fakes.encode(target='/ofrendas/first'))
-        await sent.wait()
-        answer = await self.call(fakes.encode(target='/ofrendas/next'))
-        self.assertEqual(b'GET /next HTTP/1.1', answer.body)
+        stray = fakes.whole(b'first') + fakes.whole(b'stray')
+        upstream = await self.serve(
+            fakes.answering(stray, fakes.whole(b'next'))
+        )
+        await self.call(fakes.encode())
+        answer = await self.call(fakes.encode())
+        self.assertEqual(b'next', answer.body)
         self.assertEqual(2, len(upstream.writers))
 
     async def test_caller_leaves(self) -> None:
@@ -207,16 +201,15 @@
         await self.serve(fakes.answering(fakes.whole(b'')))
         await self.call(fakes.encode())
         emit = self.events.emit
-        end = time.monotonic() + 0.05
 
         def pause(name, **fields):
             emit(name, **fields)
-            # The pause between the check and the write.
-            while name == 'request_sent' and time.monotonic() < end:
-                time.sleep(0.01)
+            # A pause between the check and the write.
+            if name == 'request_sent':
+                time.sleep(0.2)
 
         self.events.emit = pause
-        self.control.found = self.control.found._replace(deadline=end)
+        self.gateway.router.still_valid = lambda *_: time.monotonic() + 0.2
         answer = await self.call(fakes.encode('POST'))
         self.assertEqual((502, 'unknown', 'permit-expired'), answer.outcome())
         self.assertEqual(0, self.gateway.demand()['u1'].connections)
