--- a/packages/knapweedhall-entry/src/knapweedhall_entry/planner.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/planner.py
@@ -141,10 +141,11 @@
         self, name: str, plan: bodies.Plan, previous: bodies.Plan | None
     ) -> bodies.Plan:
         """Return the plan with the groups that give slices up first."""
-        version = max(
-            (each.version for each in self.view.plan_chunks(name).values()),
-            default=0,
-        )
+        chunks = self.view.plan_chunks(name)
+        versions = {
+            first: chunks[first].version + 1 if first in chunks else 1
+            for first in range(0, len(plan.slices), placement.PLAN_CHUNK)
+        }
         known = {
             each.view.name: each.group for each in self.view.of_service(name)
         }
@@ -154,7 +155,7 @@
 
         plan = placement.keep_in_flight(plan, previous, known, released)
         return placement.mark_origins(
-            plan, version + 1, previous, known, released
+            plan, versions, previous, known, released
         )
 
     async def publish(self, name: str, plan: bodies.Plan) -> None:
--- a/packages/knapweedhall-ownership/tests/test_origins.py
+++ b/packages/knapweedhall-ownership/tests/test_origins.py
@@ -23,7 +23,7 @@
         self, wanted: bodies.Plan, previous: bodies.Plan
     ) -> dict[int, bodies.Origin]:
         return placement.mark_origins(
-            wanted, 3, previous, GROUPS, lambda number, origin: False
+            wanted, {0: 3}, previous, GROUPS, lambda number, origin: False
         ).origins
 
     def test_slice_that_goes_back_waits_for_the_group_between(self) -> None:
