Let a setting choose the policy for choice services

The policies of knapweedhall_traffic could be chosen only in code, so their behaviour could not be compared on running processes. Section [traffic], option choice_policy, names the rule; the default stays least_of_two.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/instance_settings.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/instance_settings.py
@@ -22,11 +22,14 @@
         Time between readiness off and the end of accepting, in ms.
     log_level : str
         Least level of log lines.
+    choice_policy : str
+        Rule that chooses upstreams of `choice` services.
     """
 
     key_hex: str
     drain_wait_ms: int = 500
     log_level: str = 'INFO'
+    choice_policy: str = 'least_of_two'
 
 
 def write_settings(
@@ -48,6 +51,7 @@
     parser['platform'] = {'address': platform_address, 'stream': STREAM}
     parser['peering'] = {'key_hex': options.key_hex}
     parser['stop'] = {'drain_wait_ms': str(options.drain_wait_ms)}
+    parser['traffic'] = {'choice_policy': options.choice_policy}
     parser['log'] = {'level': options.log_level}
     parser['trace'] = {'path': str(trace_path)}
     with path.open('w') as file:
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/factory.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/factory.py
@@ -226,7 +226,9 @@
         late.gateway = gateway_factory.build_gateway(
             late.plane.lookups,
             base.events,
-            interfaces.Options(base.me.name),
+            interfaces.Options(
+                base.me.name, selection=options.traffic.choice_policy
+            ),
             base.rng,
             observer.PermitObserver(late.plane.view, late.plane.held),
         )
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/settings.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/settings.py
@@ -19,6 +19,10 @@
     str, msgspec.Meta(pattern=r'^([0-9a-fA-F]{2}){16,64}$')
 ]
 Level = typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR']
+# Names in `knapweedhall_traffic.selection.RULES`.
+ChoicePolicy = typing.Literal[
+    'random', 'least_of_two', 'smoothed_latency', 'decaying_score'
+]
 
 
 class Address(typing.NamedTuple):
@@ -70,6 +74,12 @@
     limit_ms: Milliseconds = 30_000
 
 
+class TrafficSection(typing.NamedTuple):
+    """How requests are sent to upstreams."""
+
+    choice_policy: ChoicePolicy = 'least_of_two'
+
+
 class LogSection(typing.NamedTuple):
     """Log lines on standard error."""
 
@@ -90,6 +100,7 @@
     platform: PlatformSection
     peering: PeeringSection
     stop: StopSection = StopSection()
+    traffic: TrafficSection = TrafficSection()
     log: LogSection = LogSection()
     trace: TraceSection = TraceSection()
 
--- a/packages/knapweedhall-entry/tests/test_settings.py
+++ b/packages/knapweedhall-entry/tests/test_settings.py
@@ -9,6 +9,7 @@
 
 from knapweedhall_entry import errors
 from knapweedhall_entry import settings
+from knapweedhall_traffic import selection
 
 EXAMPLE = pathlib.Path(__file__).parents[3] / 'docs' / 'knapweedhall.ini'
 
@@ -62,6 +63,14 @@
             },
         )
 
+    def test_choice_policies_are_the_rules_of_the_data_path(self) -> None:
+        """Guards against a policy that is accepted and then unknown."""
+        self.assertEqual(
+            set(typing.get_args(settings.ChoicePolicy)), set(selection.RULES)
+        )
+        text = EXAMPLE.read_text().replace('= least_of_two', '= fastest')
+        self.assertEqual(self.faults(text), {('traffic', 'choice_policy')})
+
     def test_bad_addresses_are_faults(self) -> None:
         """Guards against names and ports that cannot be bound."""
         for wrong in ('localhost:80', '127.0.0.1', '127.0.0.1:0', '::1:80'):
