--- a/packages/knapweedhall-entry/src/knapweedhall_entry/planner.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/planner.py
@@ -8,6 +8,7 @@
 
 from knapweedhall_entry import fleet
 from knapweedhall_entry import publisher
+from knapweedhall_ownership import origins
 from knapweedhall_ownership import placement
 from knapweedhall_records import bodies
 
@@ -153,8 +154,8 @@
         def released(number: int, origin: bodies.Origin) -> bool:
             return self.view.has_release(name, number, origin)
 
-        plan = placement.keep_in_flight(plan, previous, known, released)
-        return placement.mark_origins(
+        plan = origins.keep_in_flight(plan, previous, known, released)
+        return origins.mark_origins(
             plan, versions, previous, known, released
         )
 
--- a/packages/knapweedhall-ownership/tests/test_origins.py
+++ b/packages/knapweedhall-ownership/tests/test_origins.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from knapweedhall_ownership import placement
+from knapweedhall_ownership import origins
 from knapweedhall_records import bodies
 
 GROUPS = {'a': 'd0', 'b': 'd1', 'c': 'd2'}
@@ -22,7 +22,7 @@
     def mark(
         self, wanted: bodies.Plan, previous: bodies.Plan
     ) -> dict[int, bodies.Origin]:
-        return placement.mark_origins(
+        return origins.mark_origins(
             wanted, {0: 3}, previous, GROUPS, lambda number, origin: False
         ).origins
 
@@ -40,7 +40,7 @@
     def test_slice_that_waits_is_not_given_to_a_third_group(self) -> None:
         """Guards against an owner that waits for one of two groups only."""
         previous = plan(1, origin=bodies.Origin('d0', 2))
-        kept = placement.keep_in_flight(
+        kept = origins.keep_in_flight(
             plan(2), previous, GROUPS, lambda number, origin: False
         )
         self.assertEqual(kept.slices, ((0,),))
@@ -48,7 +48,7 @@
     def test_released_slice_may_go_to_a_third_group(self) -> None:
         """Guards against slices that never move again."""
         previous = plan(1, origin=bodies.Origin('d0', 2))
-        kept = placement.keep_in_flight(
+        kept = origins.keep_in_flight(
             plan(2), previous, GROUPS, lambda number, origin: True
         )
         self.assertEqual(kept.slices, ((2,),))
--- a/packages/knapweedhall-ownership/tests/test_placement.py
+++ b/packages/knapweedhall-ownership/tests/test_placement.py
@@ -7,6 +7,7 @@
 import unittest
 
 from knapweedhall_ownership import groups
+from knapweedhall_ownership import origins
 from knapweedhall_ownership import placement
 from knapweedhall_ownership import slices
 from knapweedhall_records import bodies
@@ -94,14 +95,14 @@
         plan = placement.make_plan(12, full)
         out = [each for each in full if each.failure_domain != 'd0']
         after = placement.make_plan(12, out, plan)
-        marked = placement.mark_origins(
+        marked = origins.mark_origins(
             after, {0: 8}, plan, group, lambda number, origin: False
         )
         moved = set(placement.moved(plan, after))
         self.assertEqual(moved, set(marked.origins))
         self.assertEqual({bodies.Origin('d0', 8)}, {*marked.origins.values()})
         for released, kept in ((False, moved), (True, set())):
-            later = placement.mark_origins(
+            later = origins.mark_origins(
                 after, {0: 9}, marked, group, lambda number, origin: released
             )
             self.assertEqual(kept, set(later.origins))
--- a/packages/knapweedhall-peering/tests/test_transport.py
+++ b/packages/knapweedhall-peering/tests/test_transport.py
@@ -8,6 +8,7 @@
 import unittest
 
 import loguru
+import pynng
 
 from knapweedhall_events import trace
 from knapweedhall_peering import envelope
@@ -60,16 +61,22 @@
         """Guards against a wrong source address: domains are told by it."""
         sender = self.open('a', '127.0.1.1')
         receiver = self.open('b', '127.0.2.1')
-        sources: list[str] = []
+        loop = asyncio.get_running_loop()
+        source: asyncio.Future[str] = loop.create_future()
+
+        def connected(pipe: pynng.nng.Pipe) -> None:
+            # Runs in a thread of the library, possibly after the message.
+            address = str(pipe.remote_address)
+            loop.call_soon_threadsafe(source.set_result, address)
+
         assert receiver.pull is not None
-        receiver.pull.add_post_pipe_connect_cb(
-            lambda pipe: sources.append(str(pipe.remote_address))
-        )
+        receiver.pull.add_post_pipe_connect_cb(connected)
         await self.start(receiver)
         sender.set_peer('b', receiver.address)
         sender.send('b', Ping(1))
         self.assertEqual(await self.next_number(), 1)
-        self.assertTrue(sources[0].startswith('127.0.1.1:'), sources)
+        address = await asyncio.wait_for(source, 10)
+        self.assertTrue(address.startswith('127.0.1.1:'), address)
 
     async def test_dead_peer_does_not_block(self) -> None:
         """Guards against a sender that waits for a peer that is gone."""
