Keep granting slices until their release is confirmed

Cause: grants without a slice may end its running work, so a drain that stopped naming it with the release interrupted requests; and a grant applied between the release and its answer could bring the slice back. Change: a drained slice is named until the release is confirmed, or for 1 s; the release counts once the old owner has answered a later grant without the slice. The upstream stand-in reports what it held before it applied a grant, which a new coordinator needs, and ignores grants for the clock of another run.

--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/coordinator.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/coordinator.py
@@ -333,7 +333,7 @@
     def _release(self, drain: drains.Drain) -> orders.ReleaseOrder:
         self.number += 1
         self.releasing[self.number] = drain
-        drain.release_sent(self.number, self.contacts[drain.upstream])
+        drain.release_sent(self.number)
         body = messages.ReleaseBody(
             self.group, self.term, drain.service, sorted(drain.slices)
         )
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/drains.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/drains.py
@@ -13,6 +13,9 @@
 CLOCK_MARGIN = election.CLOCK_MARGIN
 # Delay before a release that got no answer is sent again.
 RETRY_S = 0.25
+# How long the old owner may finish its work before its grant is left to
+# expire; grants that do not name a slice may end its running work.
+PATIENCE_S = 1.0
 
 
 class Drain:
@@ -62,6 +65,7 @@
         self.release_number = 0
         self.retry_at = 0.0
         self.released = False
+        self.patient_until = 0.0
 
     def watch_permits(self, permits: holders.Holders) -> None:
         """Note the end of the permits that still name the old owner.
@@ -78,6 +82,7 @@
         self.excluded = True
         self.last_grant = contact.last_number
         self.grant_end = contact.latest_end()
+        self.stale_end = contact.stale_end(self.last_grant)
         contact.disown(self.service, self.slices)
 
     def advance(
@@ -86,46 +91,64 @@
         permits: holders.Holders,
         contact: contacts.Contact,
     ) -> None:
-        """Stop the grants once no permit names the old owner."""
+        """Stop the grants when the old owner has had time to finish."""
         self.watch_permits(permits)
-        if permits.cleared(now, self.version):
+        if not permits.cleared(now, self.version):
+            return
+        if not self.patient_until:
+            self.patient_until = now + PATIENCE_S
+        late = now >= self.patient_until
+        if self.released or late or contact.lost or contact.gone:
             self.exclude(contact)
 
     def release_due(self, now: float, contact: contacts.Contact) -> bool:
         """Return whether the release has to be sent to the old owner."""
-        if not self.excluded or self.released or self.release_number:
-            return False
-        if contact.lost or contact.gone or now < self.retry_at:
+        if not self.patient_until or self.released or self.release_number:
             return False
-        # A grant that arrived after the release would undo it.
-        return not 0 < contact.in_flight <= self.last_grant
+        return not (contact.lost or contact.gone) and now >= self.retry_at
 
-    def release_sent(self, number: int, contact: contacts.Contact) -> None:
-        """Note the release's number, and grants that can overtake it."""
+    def release_sent(self, number: int) -> None:
+        """Note the number of the release under way."""
         self.release_number = number
-        self.stale_end = contact.stale_end(self.last_grant)
 
     def release_failed(self, now: float) -> None:
         """Send the release again later."""
         self.release_number = 0
         self.retry_at = now + RETRY_S
 
-    def done(self, now: float, permits: holders.Holders) -> bool:
+    def done(
+        self,
+        now: float,
+        permits: holders.Holders,
+        contact: contacts.Contact,
+    ) -> bool:
         """Return whether the slices may be activated elsewhere."""
         if not permits.cleared(now, self.version):
             return False
-        if self.released and self._release_counts(now, permits):
+        if self.released and self.release_counts(now, permits, contact):
             return True
         if self.checks_tokens:
             return self.excluded and now >= self.grant_end
         return now >= self.work_end + self.work_s * CLOCK_MARGIN
 
-    def _release_counts(self, now: float, permits: holders.Holders) -> bool:
-        if now < self.stale_end:
-            return False
-        # A request of a sender that did not acknowledge can reach the old
-        # owner after the release; without tokens nothing rejects it.
-        return self.checks_tokens or permits.acknowledged(now, self.version)
+    def release_counts(
+        self,
+        now: float,
+        permits: holders.Holders,
+        contact: contacts.Contact,
+    ) -> bool:
+        """Return whether nothing can undo or overtake the release."""
+        if not self.checks_tokens:
+            # A request of a sender that did not acknowledge can reach the
+            # old owner after the release; without tokens nothing rejects it.
+            return permits.acknowledged(now, self.version)
+        # A grant that arrived after the release has undone it, unless the
+        # old owner has answered a later one without the slices.
+        return (
+            self.excluded
+            and contact.answered_number > self.last_grant
+            and now >= self.stale_end
+        )
 
 
 def group_release(
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/slice_table.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/slice_table.py
@@ -224,7 +224,7 @@
             if self._revive(drain, contact):
                 continue
             drain.advance(now, self.permits, contact)
-            if drain.done(now, self.permits):
+            if drain.done(now, self.permits, contact):
                 self._finish(drain)
             elif drain.release_due(now, contact):
                 due.append(drain)
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/grants.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/grants.py
@@ -22,6 +22,7 @@
     term: int
     deadline_ms: int
     grants: list[GrantFields]
+    incarnation: typing.NotRequired[int]
 
 
 class ReleaseRequest(typing.TypedDict):
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/upstream_server.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/upstream_server.py
@@ -201,9 +201,14 @@
             await request.read(), type=grants.GrantSet
         )
         self._check_service(grant['service'] for grant in wanted['grants'])
-        applied = self.core.apply(wanted)
-        if isinstance(applied, grants.StaleTerm):
-            return self._json(applied._asdict(), 409)
+        # A new coordinator learns from it who owned what; the set of its
+        # first grant is empty.
+        held = self.core.table.describe(self.core.service)
+        # The deadline of another run's clock may be far in the future.
+        if wanted.get('incarnation', self.incarnation) == self.incarnation:
+            applied = self.core.apply(wanted)
+            if isinstance(applied, grants.StaleTerm):
+                return self._json(applied._asdict(), 409)
         limits = self.core.capacity.limits
         return self._json(
             {
@@ -212,7 +217,7 @@
                 'cold': self.core.capacity.shows_cold(self.core.clock()),
                 'slots': limits.slots,
                 'connections': self.server.limit,
-                'held': self.core.table.describe(self.core.service),
+                'held': held,
             }
         )
 
