--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(wildcard packages/*/src)))
 
-.PHONY: setup test lint format demo failures model model-broken catalogue
+.PHONY: setup test lint format demo failures bench model model-broken catalogue
 
 setup: $(STAMP)
 
@@ -47,3 +47,7 @@
 # Removes one safeguard at a time; succeeds if each has a counterexample.
 model-broken: setup
 	$(BIN)/python -m knapweedhall_model.main --broken
+
+# Runs the experiments on both deployments; figures go to var/bench.
+bench: setup
+	$(BIN)/python -m knapweedhall_bench.experiments
--- /dev/null
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: the load policy under faults, on separate processes."""
