Name the lease group in accepted grants

The checker compared the tokens of a slice across lease groups, although the terms of different groups are independent (section 5 of the design). A slice that moves to another group with a lower term was reported as broken.

Event 1402 carries the group, the upstream stand-in writes it, and the checker compares tokens within a group only. The trace good-other-group fails without the change.

--- a/packages/knapweedhall-bench/tests/test_results.py
+++ b/packages/knapweedhall-bench/tests/test_results.py
@@ -91,6 +91,7 @@
             _event(
                 'grant_accepted',
                 at_s,
+                group='domain/d',
                 service='s',
                 upstream=upstream,
                 slices=[1, 2],
--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -168,7 +168,7 @@
         1402,
         'grant_accepted',
         'INFO',
-        'service upstream token slices',
+        'group service upstream token slices',
         'An upstream accepted a grant with new slices or tokens.',
     ),
     _kind(
--- a/packages/knapweedhall-replay/src/knapweedhall_replay/ownership.py
+++ b/packages/knapweedhall-replay/src/knapweedhall_replay/ownership.py
@@ -152,10 +152,19 @@
 
 
 def _token_faults(owners: Tenures) -> list[verdicts.Violation]:
-    """Return grants whose token is not above that of the grant before."""
+    """Return grants whose token is not above that of the grant before.
+
+    Terms of different lease groups are independent, so a slice that moves
+    between groups may get a lower token.
+    """
     found = []
     for rows in owners.values():
-        for old, new in zip(rows, rows[1:]):
+        last: dict[str, Tenure] = {}
+        for new in rows:
+            old = last.get(new.grant.fields['group'])
+            last[new.grant.fields['group']] = new
+            if old is None:
+                continue
             before = ids.Token.parse(old.grant.fields['token'])
             after = ids.Token.parse(new.grant.fields['token'])
             if new.upstream != old.upstream and after <= before:
--- a/packages/knapweedhall-replay/tests/test_checker.py
+++ b/packages/knapweedhall-replay/tests/test_checker.py
@@ -81,6 +81,11 @@
         found = check('good-frozen-upstream')[1]
         self.assertIsInstance(found, verdicts.Holds)
 
+    def test_tokens_of_two_groups_are_not_compared(self) -> None:
+        """Guards against ordering terms of independent groups."""
+        found = check('good-other-group')[1]
+        self.assertIsInstance(found, verdicts.Holds)
+
     def test_silent_overlap_is_not_decidable(self) -> None:
         """Guards against a verdict that the traces do not support."""
         found = check('doubt-silent-upstream')[1]
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/engine.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/engine.py
@@ -267,6 +267,7 @@
         for token, slices in applied.accepted.items():
             self.events.emit(
                 'grant_accepted',
+                group=wanted['group'],
                 service=self.service,
                 upstream=self.name,
                 token=str(token),
