--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/slice_table.py
+++ b/packages/knapweedhall-ownership/src/knapweedhall_ownership/slice_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from knapweedhall_ownership import assignments
@@ -16,6 +17,9 @@
 
 # How long a new coordinator waits for the upstreams to say what they hold.
 DISCOVERY_S = 0.25
+# Bounds the time of a step: a coordinator that examined all slices of a large
+# service at once would miss renewals of its lease.
+EXAMINED_PER_STEP = 4096
 
 SliceKey = tuple[str, int]
 Contacts = dict[str, contacts.Contact]
@@ -70,6 +74,7 @@
         self.activated: set[SliceKey] = set()
         self.sequence = 0
         self.changed = True
+        self.queue: collections.deque[SliceKey] = collections.deque()
         self.events: list[orders.Event] = []
 
     def set_plan(
@@ -219,7 +224,7 @@
             if self._revive(drain, contact):
                 continue
             drain.advance(now, self.permits, contact)
-            if drain.done(now, self.permits):
+            if drain.done(now, self.permits, contact):
                 self._finish(drain)
             elif drain.release_due(now, contact):
                 due.append(drain)
@@ -251,12 +256,13 @@
 
     def activate_idle(self, now: float) -> None:
         """Activate idle slices whose waits are over at usable upstreams."""
-        if not self.changed and now >= self.started + DISCOVERY_S:
-            return
-        self.changed = False
+        if not self.queue and self.changed:
+            self.changed = False
+            self.queue.extend(sorted(self.idle))
         batches: dict[tuple[str, str], set[int]] = {}
-        for key in sorted(self.idle):
-            upstream = self._choose(now, key)
+        for _ in range(min(len(self.queue), EXAMINED_PER_STEP)):
+            key = self.queue.popleft()
+            upstream = self._choose(now, key) if key in self.idle else ''
             if upstream:
                 batch = batches.setdefault((key[0], upstream), set())
                 batch.add(key[1])
@@ -266,16 +272,15 @@
             self._activate(service, numbers, upstream)
 
     def _choose(self, now: float, key: SliceKey) -> str:
-        if not self.may_start(now, key[0]):
-            # Tried again in the next step.
+        early = key not in self.activated and self._awaits_discovery(now, key)
+        if early or not self.may_start(now, key[0]):
+            # These waits end by themselves, so the next step tries again.
             self.changed = True
             return ''
         if self._awaits_release(key):
             return ''
         if key in self.activated:
             return self.target(key)
-        if self._awaits_discovery(now, key):
-            return ''
         return self._holder_of(key) or self.target(key)
 
     def may_start(self, now: float, service: str) -> bool:
