Keep the place of requests whose connection attempt failed

Cause: on a machine with a load of 50 a connection attempt took longer than its time limit of 250 ms; its request lost its slot, queued as the last one and was refused by the full queue, so test_storm_is_bounded answered 16 instead of 20 requests. Change: a request that had a slot and was not sent waits before all others and beyond the queue's length; there are no more of them than slots. The test passes at a load of 51. No figures were measured.

--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/calls.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/calls.py
@@ -52,6 +52,12 @@
         Whether the head of the answer was written to the caller.
     may_have_run : outcomes.Failure or None
         An earlier attempt with an unknown outcome.
+    attempts : int
+        Attempts that have ended.
+    waited : str
+        What it waits for or has waited for; '' if it never waited.
+    returned : bool
+        Whether it had a slot in this attempt and was not sent.
     """
 
     __slots__ = (
@@ -74,6 +80,7 @@
         'may_have_run',
         'attempts',
         'waited',
+        'returned',
     )
 
     def __init__(
@@ -103,6 +110,7 @@
         self.may_have_run: outcomes.Failure | None = None
         self.attempts = 0
         self.waited = ''
+        self.returned = False
 
     def replayable(self) -> bool:
         """Return whether the request can be sent again in full."""
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/dispatch.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/dispatch.py
@@ -64,9 +64,11 @@
                 return outcomes.not_run(verdict.refused)
             return MOVED
         try:
-            return await self._with_slot(call, route, upstream, version)
+            result = await self._with_slot(call, route, upstream, version)
         finally:
             upstream.release()
+        call.returned = result is MOVED
+        return result
 
     async def _with_slot(
         self,
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/upstreams.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/upstreams.py
@@ -117,7 +117,7 @@
             call.customer,
             call.cost,
             call.deadline,
-            min(call.attempts, 1),
+            _rank(call),
         )
         if refused is not None:
             _settle(refused.future, Verdict(False, 'queue-full'))
@@ -264,6 +264,12 @@
             upstream.close()
 
 
+def _rank(call: calls.Call) -> int:
+    if call.returned:
+        return fairness.RETURNED
+    return fairness.RETRY if call.attempts else fairness.FIRST
+
+
 def _settle(future: asyncio.Future[Verdict], verdict: Verdict) -> bool:
     if future.done():
         return False
--- a/packages/knapweedhall-traffic/src/knapweedhall_traffic/fairness.py
+++ b/packages/knapweedhall-traffic/src/knapweedhall_traffic/fairness.py
@@ -15,13 +15,22 @@
 MAX_IDLE_CUSTOMERS = 4096
 
 
+# A request that had a slot and was not sent, as no connection was made.
+# It is served before the others and does not count towards the length:
+# it was accepted already, and there are no more of them than slots.
+RETURNED = -1
+FIRST = 0
+# Retries wait behind first attempts.
+RETRY = 1
+
+
 class Waiting(typing.NamedTuple):
     """One waiting request; compared by rank, start tag and arrival.
 
     Attributes
     ----------
     rank : int
-        0 for first attempts, 1 for retries, which wait behind them.
+        `RETURNED`, `FIRST` or `RETRY`.
     start : float
         Start tag: virtual time at which the customer's turn comes.
     arrival : int
@@ -89,7 +98,7 @@
         customer: str,
         cost: float,
         deadline: float,
-        rank: int = 0,
+        rank: int = FIRST,
     ) -> tuple[Waiting, _Item | None]:
         """Add a request.
 
@@ -106,7 +115,7 @@
         entry = Waiting(rank, start, self.arrivals, deadline)
         bisect.insort(self.order, entry)
         self.items[entry.arrival] = item
-        if len(self.order) <= self.length:
+        if rank == RETURNED or len(self.order) <= self.length:
             return entry, None
         return entry, self.items.pop(self.order.pop().arrival)
 
--- a/packages/knapweedhall-traffic/tests/test_fairness.py
+++ b/packages/knapweedhall-traffic/tests/test_fairness.py
@@ -63,6 +63,15 @@
         _, refused = queue.push('c0', 'c', 1.0, FAR, rank=1)
         self.assertEqual('c0', refused)
 
+    def test_returned_requests_keep_their_place(self) -> None:
+        """Guards against refusing what was accepted, after a lost slot."""
+        queue: fairness.FairQueue[str] = fairness.FairQueue(1)
+        queue.push('next', '', 1.0, FAR)
+        rank = fairness.RETURNED
+        _, refused = queue.push('back', '', 1.0, FAR, rank)
+        self.assertIsNone(refused)
+        self.assertEqual(['back', 'next'], drain(queue))
+
     def test_drops_late_and_removed_entries(self) -> None:
         """Guards against slots for requests that nobody waits for."""
         queue: fairness.FairQueue[str] = fairness.FairQueue(9)
