Do not take pauses of the own process for cold starts

Change: a timer of 20 ms sums up by how much it was late; that part of a latency does not count as a jump.

--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/dispatch.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/dispatch.py
@@ -11,6 +11,7 @@
 from knapweedhall_entry.gateway import calls
 from knapweedhall_entry.gateway import exchange
 from knapweedhall_entry.gateway import interfaces
+from knapweedhall_entry.gateway import pauses
 from knapweedhall_entry.gateway import pool
 from knapweedhall_entry.gateway import routes
 from knapweedhall_entry.gateway import upstreams
@@ -36,11 +37,13 @@
         book: upstreams.Book,
         relay: answers.Relay,
         events: trace.TraceWriter,
+        own: pauses.Pauses,
     ) -> None:
         self.router = router
         self.book = book
         self.relay = relay
         self.events = events
+        self.pauses = own
         self.traced = router.options.request_events
 
     async def send(self, call: calls.Call, route: interfaces.Route) -> Result:
@@ -223,12 +226,13 @@
         sent: float,
     ) -> Result:
         outstanding = upstream.limits.outstanding
+        paused = self.pauses.total
         upload = exchange.start_upload(connection, call)
         try:
             method = call.request.method
             answer = await exchange.read_head(connection, method)
             refusal = self._note(
-                upstream, connection, answer, sent, outstanding
+                upstream, connection, answer, sent, outstanding, paused
             )
             if refusal is not None:
                 await exchange.discard_body(answer.body)
@@ -260,6 +264,7 @@
         answer: exchange.Answer,
         sent: float,
         outstanding: int,
+        paused: float,
     ) -> outcomes.Failure | None:
         now = time.monotonic()
         first = answer.found.first
@@ -274,6 +279,7 @@
             refusal is not None and refusal.reason in outcomes.SHEDDING,
             first.get(headers.INCARNATION, b''),
             sent,
+            self.pauses.total - paused,
         )
         upstream.answered(sample, now)
         return refusal
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/factory.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/factory.py
@@ -16,6 +16,7 @@
 from knapweedhall_entry.gateway import dispatch
 from knapweedhall_entry.gateway import hops
 from knapweedhall_entry.gateway import interfaces
+from knapweedhall_entry.gateway import pauses
 from knapweedhall_entry.gateway import pool
 from knapweedhall_entry.gateway import routes
 from knapweedhall_entry.gateway import server
@@ -120,6 +121,7 @@
         except TimeoutError:
             pass
         unfinished = self.handler.running
+        self.handler.sender.pauses.stop()
         self.book.close()
         self.forwarder.close()
         return unfinished
@@ -191,7 +193,8 @@
     book = upstreams.Book(control, options, watcher, events)
     router = routes.Router(control, book, options, rng)
     relay = answers.Relay(options.instance)
-    sender = dispatch.Sender(router, book, relay, events)
+    own = pauses.Pauses()
+    sender = dispatch.Sender(router, book, relay, events, own)
     forwarder = hops.Forwarder(relay, options, events)
     handler = server.Handler(
         calls.Reader(control, options),
--- a/packages/knapweedhall-traffic/src/knapweedhall_traffic/cold.py
+++ b/packages/knapweedhall-traffic/src/knapweedhall_traffic/cold.py
@@ -36,6 +36,8 @@
         Run of the upstream, b'' if not stated.
     sent : float
         When the request was sent, seconds.
+    pause : float
+        Part of the latency in which this process did not run, seconds.
     """
 
     latency: float
@@ -44,6 +46,7 @@
     sheds: bool = False
     incarnation: bytes = b''
     sent: float = 0.0
+    pause: float = 0.0
 
 
 class ColdState:
@@ -136,7 +139,7 @@
 
     def _jumped(self, sample: Sample, slots: int) -> bool:
         limit = max(JUMP_FACTOR * self.smoothed, JUMP_FLOOR_S)
-        if not self.smoothed or sample.latency <= limit:
+        if not self.smoothed or sample.latency - sample.pause <= limit:
             self.slow_answers = 0
             return False
         if sample.outstanding > max(1, slots // 4):
--- a/packages/knapweedhall-traffic/tests/test_cold.py
+++ b/packages/knapweedhall-traffic/tests/test_cold.py
@@ -40,7 +40,7 @@
         self.assertEqual('', state.connect_accepted(1))
 
     def test_latency_jump(self) -> None:
-        """Guards against taking one outlier or a full queue for a start."""
+        """Guards against taking outliers, queues or own pauses for a start."""
         slow = cold.Sample(0.05, 1)
         state = warmed()
         signs = [
@@ -48,6 +48,13 @@
             for sent in (1.0, 1.04, 1.05, 1.06, 1.1)
         ]
         self.assertEqual(['', '', '', '', 'latency'], signs)
+        paused = slow._replace(pause=0.03)
+        state = warmed()
+        signs = [
+            state.answer(paused._replace(sent=sent), 8, 1)
+            for sent in (1.0, 1.1, 1.2, 1.3)
+        ]
+        self.assertEqual([''] * 4, signs)
         state = warmed()
         busy = [state.answer(slow._replace(outstanding=8), 8, 1)] * 9
         self.assertEqual([''] * 9, busy)
