--- a/packages/knapweedhall-entry/tests/gateway/fakes.py
+++ b/packages/knapweedhall-entry/tests/gateway/fakes.py
@@ -237,7 +237,8 @@
     line, headers = await read_head(reader)
     status = int(line.split()[1])
     try:
-        body = b'' if head else await _read_body(reader, headers)
+        empty = head or status in (204, 304)
+        body = b'' if empty else await _read_body(reader, headers)
     except (asyncio.IncompleteReadError, ConnectionError):
         return Answer(status, headers, None)
     return Answer(status, headers, body)
--- a/packages/knapweedhall-entry/tests/gateway/test_answers.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_answers.py
@@ -214,6 +214,42 @@
         answer = await self.call(fakes.encode('POST', body=BIG))
         self.assertEqual(BIG, answer.body)
 
+    async def test_answers_without_body(self) -> None:
+        """Guards against waiting for a body that never comes."""
+        for method, status in (
+            ('HEAD', '200 OK'),
+            ('GET', '204 No Content'),
+            ('GET', '304 Not Modified'),
+        ):
+            with self.subTest(status):
+                data = f'HTTP/1.1 {status}\r\n\r\n'.encode()
+                if method == 'HEAD':
+                    data = fakes.whole(b'x' * 7)[:-7]
+                upstream = await self.serve(fakes.answering(data))
+                for _ in range(2):
+                    answer = await self.call(fakes.encode(method))
+                    self.assertEqual('answered', answer.outcome()[1])
+                    self.assertEqual(int(status[:3]), answer.status)
+                if method == 'HEAD':
+                    self.assertEqual('7', answer.headers['content-length'])
+                self.assertEqual(1, len(upstream.writers))
+
+    async def test_caller_waits_for_continue(self) -> None:
+        """Guards against a caller that never sends its body."""
+        upstream = await self.serve(fakes.answering(fakes.whole(b'')))
+        reader, writer = await asyncio.open_connection(*self.caller)
+        fields = ('Expect: 100-continue',)
+        request = fakes.encode('POST', body=b'give', fields=fields)
+        writer.write(request[:-4])
+        line, _ = await fakes.read_head(reader)
+        self.assertEqual('HTTP/1.1 100 Continue', line)
+        writer.write(request[-4:])
+        answer = await fakes.read_answer(reader)
+        writer.close()
+        self.assertEqual(200, answer.status)
+        self.assertEqual(b'give', upstream.arrivals[0].body)
+        self.assertNotIn('expect', upstream.arrivals[0].headers)
+
     async def test_slow_caller_holds_back_upstream(self) -> None:
         """Guards against a buffered answer for a caller that reads slowly."""
         pieces = 0
