--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/upstreams.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/upstreams.py
@@ -100,6 +100,7 @@
             self.connections = pool.Pool(address, self.options)
         if self.connections is not None:
             self.connections.trim(self.limits.connections)
+            self.connections.expire(asyncio.get_running_loop().time())
 
     async def admit(
         self, call: calls.Call, route: interfaces.Route
@@ -117,7 +118,7 @@
             call.customer,
             call.cost,
             call.deadline,
-            min(call.attempts, 1),
+            _rank(call),
         )
         if refused is not None:
             _settle(refused.future, Verdict(False, 'queue-full'))
@@ -264,6 +265,12 @@
             upstream.close()
 
 
+def _rank(call: calls.Call) -> int:
+    if call.returned:
+        return fairness.RETURNED
+    return fairness.RETRY if call.attempts else fairness.FIRST
+
+
 def _settle(future: asyncio.Future[Verdict], verdict: Verdict) -> bool:
     if future.done():
         return False
