--- a/packages/knapweedhall-entry/tests/gateway/test_admission.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_admission.py
@@ -10,18 +10,6 @@
 
 
 class AdmissionTest(fakes.GatewayCase):
-    async def serve(
-        self,
-        script: fakes.Script,
-        service: dict[str, object] | None = None,
-        **options: object,
-    ) -> fakes.RawUpstream:
-        upstream = await self.start_upstream(script)
-        self.control = fakes.Control(**(service or {}))
-        self.control.own('u1', upstream.address)
-        self.gateway = await self.start_gateway(self.control, **options)
-        return upstream
-
     async def hold(self) -> fakes.RawUpstream:
         """Start an upstream that answers once `proceed` is set."""
         self.proceed = asyncio.Event()
@@ -102,11 +90,9 @@
         moved = self.start_calls(3)
         await self.until_waiting(3)
 
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(b'new owner'))
-            return True
-
-        successor = await self.start_upstream(script)
+        successor = await self.start_upstream(
+            fakes.answering(fakes.whole(b'new owner'))
+        )
         self.control.own('u2', successor.address)
         self.control.listener()
         for answer in await asyncio.gather(*moved):
@@ -145,21 +131,14 @@
         The requests wait while their owner is down and are served, one at
         a time at first, when it accepts connections again.
         """
-
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(b''))
-            return True
-
-        upstream = await self.serve(script)
+        upstream = await self.serve(fakes.answering(fakes.whole(b'')))
         await upstream.stop()
         refusals = []
         self.gateway.book.observer.upstream_refused = refusals.append
         calls = self.start_calls(8)
         await self.until_waiting(8)
         self.assertLessEqual(len(refusals), 4)
-        upstream.server = await asyncio.start_server(
-            upstream.run, *upstream.address
-        )
+        await upstream.start(upstream.address.port)
         answers = await asyncio.gather(*calls)
         self.assertEqual({200}, {answer.status for answer in answers})
         signs = [
@@ -177,7 +156,7 @@
             writer.write(fakes.whole(b''))
             return True
 
-        first = await self.serve(script, {'mode': 'choice'})
+        first = await self.serve(script, 'choice')
         second = await self.start_upstream(script)
         self.control.addresses['u2'] = second.address
         route = self.control.found
--- a/packages/knapweedhall-entry/tests/gateway/test_answers.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_answers.py
@@ -13,31 +13,19 @@
 
 
 class CompleteAnswerTest(fakes.GatewayCase):
-    async def serve(
-        self, script: fakes.Script, **service: object
-    ) -> fakes.RawUpstream:
-        upstream = await self.start_upstream(script)
-        self.control = fakes.Control(**service)
-        self.control.own('u1', upstream.address)
-        self.gateway = await self.start_gateway(self.control)
-        return upstream
-
     async def test_passes_answer_on(self) -> None:
         """Guards against lost bodies, leaked headers, missing outcomes."""
-
-        async def script(arrival, reader, writer):
-            writer.write(
+        upstream = await self.serve(
+            fakes.answering(
                 fakes.whole(
                     b'whole', 'X-Own: 1', 'Keep-Alive: 9', 'Set-Cookie: a=b'
                 )
             )
-            return True
-
-        upstream = await self.serve(script)
+        )
         answer = await self.call(
             fakes.encode(
                 'POST',
-                '/ofrendas/a/b?c=d',
+                '/fixed/a/b?c=d',
                 b'give',
                 fields=(
                     'Knapweedhall-Token: 99.99',
@@ -80,20 +68,15 @@
             b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf',
         ):
             with self.subTest(start=start):
-
-                async def script(arrival, reader, writer):
-                    writer.write(start)
-                    await writer.drain()
-                    # Lets the part reach the caller before the end.
-                    await self.seen.wait()
-                    return False
-
-                self.seen = asyncio.Event()
-                await self.serve(script)
+                # The upstream ends when the part has reached the caller.
+                seen = asyncio.Event()
+                await self.serve(
+                    fakes.answering(start, keep=False, until=seen)
+                )
                 reader, writer = await asyncio.open_connection(*self.caller)
                 writer.write(fakes.encode())
                 await reader.readuntil(b'\r\n\r\n')
-                self.seen.set()
+                seen.set()
                 with self.assertRaises(ConnectionResetError):
                     await reader.read()
                 writer.close()
@@ -101,12 +84,9 @@
 
     async def test_answer_without_recognizable_end(self) -> None:
         """Guards against trusting bodies that end with the connection."""
-
-        async def script(arrival, reader, writer):
-            writer.write(b'HTTP/1.1 200 OK\r\n\r\nhalf')
-            return False
-
-        await self.serve(script)
+        await self.serve(
+            fakes.answering(b'HTTP/1.1 200 OK\r\n\r\nhalf', keep=False)
+        )
         answer = await self.call(fakes.encode())
         self.assertEqual(
             (502, 'unknown', 'answer-without-length'), answer.outcome()
@@ -131,34 +111,26 @@
         answer = await self.call(
             fakes.encode(
                 'POST',
-                '/ofrendas/late',
+                '/fixed/late',
                 fields=('Knapweedhall-Timeout-Ms: 400',),
             )
         )
         self.assertEqual((504, 'unknown', 'deadline'), answer.outcome())
         late.set()
-        answer = await self.call(fakes.encode('POST', '/ofrendas/next'))
+        answer = await self.call(fakes.encode('POST', '/fixed/next'))
         self.assertEqual(b'POST /next HTTP/1.1', answer.body)
-        self.assertEqual(2, upstream.accepted)
+        self.assertEqual(2, len(upstream.writers))
 
     async def test_unsolicited_answer_on_idle_connection(self) -> None:
         """Guards against bytes of an earlier exchange answering the next."""
-        sent = asyncio.Event()
-
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(arrival.line.encode()))
-            if 'first' in arrival.line:
-                writer.write(fakes.whole(b'stray'))
-                await writer.drain()
-                sent.set()
-            return True
-
-        upstream = await self.serve(script)
-        await self.call(fakes.encode(target='/ofrendas/first'))
-        await sent.wait()
-        answer = await self.call(fakes.encode(target='/ofrendas/next'))
-        self.assertEqual(b'GET /next HTTP/1.1', answer.body)
-        self.assertEqual(2, upstream.accepted)
+        stray = fakes.whole(b'first') + fakes.whole(b'stray')
+        upstream = await self.serve(
+            fakes.answering(stray, fakes.whole(b'next'))
+        )
+        await self.call(fakes.encode())
+        answer = await self.call(fakes.encode())
+        self.assertEqual(b'next', answer.body)
+        self.assertEqual(2, len(upstream.writers))
 
     async def test_caller_leaves(self) -> None:
         """Guards against slots and connections kept for callers that left."""
@@ -226,36 +198,25 @@
 
     async def test_permit_ends_during_write(self) -> None:
         """Guards against answers to work sent under an ended permit."""
-
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(b''))
-            return True
-
-        await self.serve(script)
+        await self.serve(fakes.answering(fakes.whole(b'')))
         await self.call(fakes.encode())
         emit = self.events.emit
-        end = time.monotonic() + 0.05
 
         def pause(name, **fields):
             emit(name, **fields)
-            # The pause between the check and the write.
-            while name == 'request_sent' and time.monotonic() < end:
-                time.sleep(0.01)
+            # A pause between the check and the write.
+            if name == 'request_sent':
+                time.sleep(0.2)
 
         self.events.emit = pause
-        self.control.found = self.control.found._replace(deadline=end)
+        self.gateway.router.still_valid = lambda *_: time.monotonic() + 0.2
         answer = await self.call(fakes.encode('POST'))
         self.assertEqual((502, 'unknown', 'permit-expired'), answer.outcome())
         self.assertEqual(0, self.gateway.demand()['u1'].connections)
 
     async def test_expired_permit_sends_nothing(self) -> None:
         """Guards against sending under a permit that has expired."""
-
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(b''))
-            return True
-
-        upstream = await self.serve(script)
+        upstream = await self.serve(fakes.answering(fakes.whole(b'')))
         self.control.found = self.control.found._replace(deadline=0.0)
         answer = await self.call(
             fakes.encode(fields=('Knapweedhall-Timeout-Ms: 20',))
@@ -265,12 +226,7 @@
 
     async def test_waits_for_owner(self) -> None:
         """Guards against refusing a request whose key is being moved."""
-
-        async def script(arrival, reader, writer):
-            writer.write(fakes.whole(b'there'))
-            return True
-
-        await self.serve(script)
+        await self.serve(fakes.answering(fakes.whole(b'there')))
         owned = self.control.found
         self.control.found = interfaces.NoRoute('no-owner')
         waiting = asyncio.create_task(self.call(fakes.encode()))
