--- a/packages/knapweedhall-bench/src/knapweedhall_bench/experiments/__main__.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/experiments/__main__.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import time
 import typing
@@ -45,6 +46,9 @@
     )
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--folder', type=pathlib.Path, default=FOLDER)
+    parser.add_argument(
+        '--traces', type=pathlib.Path, help='keep traces in this new folder'
+    )
     return parser.parse_args(arguments)
 
 
@@ -60,6 +64,10 @@
     return [each for each in among if names is None or each.name in names]
 
 
+def _place(options: argparse.Namespace, name: str) -> pathlib.Path | None:
+    return options.traces / name if options.traces else None
+
+
 async def run_full(
     profile: profiles.Profile, options: argparse.Namespace
 ) -> list[targets.Target]:
@@ -68,7 +76,12 @@
     if not chosen:
         return []
     found = await session.run(
-        profile, chosen, options.full_policy, options.seed, True
+        profile,
+        chosen,
+        options.full_policy,
+        options.seed,
+        True,
+        _place(options, f'{profile.name}-full'),
     )
     judged = []
     for one in found.played:
@@ -91,7 +104,14 @@
     every: dict[str, list[report.ScenarioFigures]] = {}
     judged = []
     for policy in options.policy or selection.RULES:
-        found = await session.run(profile, chosen, policy, options.seed, False)
+        found = await session.run(
+            profile,
+            chosen,
+            policy,
+            options.seed,
+            False,
+            _place(options, f'{profile.name}-{policy}'),
+        )
         several = [
             report.examine(found, one, options.seed) for one in found.played
         ]
@@ -112,6 +132,10 @@
 
 async def run(options: argparse.Namespace) -> list[targets.Target]:
     """Run all that was asked for."""
+    task = asyncio.current_task()
+    assert task is not None
+    # Without a handler the signal would leave the processes behind.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     judged: list[targets.Target] = []
     for name in options.deployment or profiles.ALL:
         profile = profiles.ALL[name]
@@ -132,6 +156,9 @@
     except (deployment.StartFailed, publishing.PublishFailed) as error:
         print(f'experiment failed: {error}', file=sys.stderr)
         return 1
+    except asyncio.CancelledError:
+        print('experiment failed: stopped by a signal', file=sys.stderr)
+        return 1
     for each in judged:
         verdict = 'met   ' if each.met else 'MISSED'
         print(f'{verdict} {each.name}: {each.measured}')
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/experiments/session.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/experiments/session.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import pathlib
 import random
 import typing
 
@@ -106,6 +107,7 @@
     policy: str,
     seed: int,
     with_divided: bool,
+    folder: pathlib.Path | None = None,
 ) -> Session:
     """Start a deployment, run scenarios on it and read its traces.
 
@@ -121,11 +123,13 @@
         Seed of calls and choices.
     with_divided : bool
         Whether the divided service takes part.
+    folder : pathlib.Path or None
+        Keeps settings, traces and output; None for a temporary folder.
     """
     size = profile.topology(with_divided)
     played: list[Played] = []
     async with deployment.Deployment(
-        size, log_level='WARNING', choice_policy=policy
+        size, folder=folder, log_level='WARNING', choice_policy=policy
     ) as running:
         scene = stage.Stage(running, random.Random(seed))
         events = trace.TraceWriter('callers', running.trace_path('callers'))
