--- a/packages/knapweedhall-bench/src/knapweedhall_bench/experiments/figures.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/experiments/figures.py
@@ -109,6 +109,22 @@
     )
 
 
+def slowed_work(events: Events, service: str, limit_s: float) -> int:
+    """Return how many finished requests an upstream ran longer than that."""
+    starts: dict[tuple[str, str], float] = {}
+    count = 0
+    for event in events:
+        kind, fields = name_of(event), event.fields
+        if kind == 'work_started' and fields['service'] == service:
+            place = fields['request'], fields['upstream']
+            starts[place] = event.monotonic_s
+        elif kind == 'work_finished':
+            place = fields['request'], fields['upstream']
+            start_s = starts.pop(place, event.monotonic_s)
+            count += event.monotonic_s - start_s > limit_s
+    return count
+
+
 def imbalance(work: typing.Mapping[str, int], upstreams: int) -> float:
     """Return max/mean of the work over the upstreams of a service."""
     total = sum(work.values())
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/experiments/report.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/experiments/report.py
@@ -16,6 +16,8 @@
 from knapweedhall_bench import results
 
 CUT = (results.BROKEN, results.LOST)
+# Half of what stragglers are slowed by.
+SLOWED_FACTOR = scenarios.STRAGGLE_FACTOR / 2
 DOMAIN_OUT = 'domain-out'
 FIRST_DOMAIN = 1
 
@@ -27,6 +29,8 @@
     ----------
     imbalance : float
         Max/mean of the work over the upstreams.
+    slowed : int
+        Requests that ran `SLOWED_FACTOR` times as long as they should.
     churn : figures.Churn or None
         Movement; None for a service without owners.
     hottest : list of float
@@ -46,6 +50,7 @@
     """
 
     imbalance: float
+    slowed: int
     churn: figures.Churn | None
     hottest: list[float]
     answered: int
@@ -129,6 +134,9 @@
         imbalance=figures.imbalance(
             figures.work_by_upstream(window, service), upstreams
         ),
+        slowed=figures.slowed_work(
+            window, service, SLOWED_FACTOR * profiles.WORK_MS / 1000
+        ),
         churn=_churn(found, one, window, calls) if divided else None,
         hottest=[
             _hottest(window, calls, service, key, upstreams) for key in hot
@@ -184,6 +192,7 @@
     moved = one.churn
     return {
         'imbalance (max/mean)': f'{one.imbalance:.2f}',
+        'slowed work': str(one.slowed),
         'slices moved / least': (
             f'{moved.moves}/{moved.least}' if moved else '-'
         ),
--- a/packages/knapweedhall-bench/tests/test_experiments.py
+++ b/packages/knapweedhall-bench/tests/test_experiments.py
@@ -45,6 +45,27 @@
         counts = figures.work_by_upstream([work(0, 'a'), work(1, 'a')], 's')
         self.assertEqual(figures.imbalance(counts, 4), 4.0)
 
+    def test_slowed_work_is_counted_where_it_ran(self) -> None:
+        """Guards against a refused attempt that hides the slow one."""
+        events = [
+            event(
+                at_s,
+                upstream,
+                kind,
+                request='r',
+                service='s',
+                upstream=upstream,
+            )
+            for at_s, upstream, kind in (
+                (0.0, 'a', 'work_started'),
+                (0.1, 'b', 'work_started'),
+                (0.2, 'b', 'work_finished'),
+                (0.3, 'a', 'work_finished'),
+            )
+        ]
+        self.assertEqual(figures.slowed_work(events, 's', 0.2), 1)
+        self.assertEqual(figures.slowed_work(events, 'other', 0.2), 0)
+
     def test_hottest_key_is_compared_with_what_must_be_beside_it(self) -> None:
         """Guards against blaming the placement for the key's own load."""
         alone = [work(0, 'a', 'hot')] * 6 + [work(0, 'b')] * 2
@@ -140,6 +161,7 @@
         """Guards against a comparison that is the wrong way round."""
         bad = report.ServiceFigures(
             imbalance=1,
+            slowed=0,
             churn=figures.Churn(14, 10, 0, 0),
             hottest=[1.0, 1.6],
             answered=1,
