--- a/packages/knapweedhall-model/src/knapweedhall_model/main.py
+++ b/packages/knapweedhall-model/src/knapweedhall_model/main.py
@@ -51,6 +51,9 @@
 ) -> bool:
     """Print a result; return whether it is the one wanted."""
     result = found.fault or 'no invariant broken'
+    if found.fault:
+        # States and rules alternate in a path.
+        result += f' after {len(found.steps) // 2} steps'
     print(
         f'{task.module} {task.title}: {found.states} states in '
         f'{found.seconds:.1f} s, {result} [{task.bounds}]'
