Commit traces of real runs and end tenures by the upstream's word

The checker ended a tenure at event 1401 of the coordinator, which says what the coordinator has decided, so an upstream that served on after it was declared lost was not seen as a second owner. Only 1401 of the upstream itself ends a tenure now; the upstream stand-in writes it. bad-01-unconfirmed-release was held to be good before.

real-owner-frozen and real-upstream-leaves are cut from runs of the scripts owner_frozen and upstream_leaves to one slice.

--- a/packages/knapweedhall-replay/src/knapweedhall_replay/ownership.py
+++ b/packages/knapweedhall-replay/src/knapweedhall_replay/ownership.py
@@ -66,8 +66,11 @@
                 close(slice_, event.fields['upstream'], event)
                 open_[slice_, event.fields['upstream']] = event
         elif kind in ('grant_expired', 'slices_released'):
-            for slice_ in _slices(event):
-                close(slice_, event.fields['upstream'], event)
+            # The coordinator writes what it has decided; the upstream holds
+            # its grant until it says so itself.
+            if event.process == event.fields['upstream']:
+                for slice_ in _slices(event):
+                    close(slice_, event.fields['upstream'], event)
         else:
             for slice_, upstream in [
                 slot
--- a/packages/knapweedhall-replay/tests/test_checker.py
+++ b/packages/knapweedhall-replay/tests/test_checker.py
@@ -17,6 +17,7 @@
     'bad-01-two-grants': 'u1 still held a slice that u2 was granted',
     'bad-01-stale-work': 'u1 began work on a slice that u2 owned',
     'bad-01-work-overlaps': 'u1 and u2 worked on the same slice',
+    'bad-01-unconfirmed-release': 'u1 still held a slice that u2 was granted',
     'bad-01-older-token': 'u2 took token 7.9 after u1 took 8.1',
     'bad-02-plan-forgotten': 'was not in force in e3',
     'bad-03-cold-overload': 'u1 bears 2 requests in its cold start and ran 3',
@@ -76,6 +77,20 @@
                 expected = {int(name[4:6])} | also.get(name, set())
                 self.assertEqual(expected, broken)
 
+    def test_traces_of_real_runs_hold(self) -> None:
+        """Guards against a checker that only suits the hand-made traces.
+
+        In real-upstream-leaves a slice moves within a group and then to
+        another group, under the same token.
+        """
+        points = {'real-owner-frozen': (1, 5, 7)}
+        points['real-upstream-leaves'] = (1, 5, 7, 8)
+        for name, numbers in points.items():
+            found = check(name)
+            for number in numbers:
+                with self.subTest(trace=name, point=number):
+                    self.assertIsInstance(found[number], verdicts.Holds)
+
     def test_paused_upstream_is_no_second_owner(self) -> None:
         """Guards against counting a late expiry line as ownership."""
         found = check('good-frozen-upstream')[1]
