Judge forwarded requests in planned stops

Point 9 looked at the stopping instance only.

A request that is lost after it was forwarded to a stopping instance, which has not received it, breaks point 9 now.

--- a/packages/knapweedhall-replay/src/knapweedhall_replay/leaving.py
+++ b/packages/knapweedhall-replay/src/knapweedhall_replay/leaving.py
@@ -137,11 +137,54 @@
             doubts.append(f'{request.process} wrote no process_stopped')
             continue
         violations += _stop_faults(request, end[0], events)
+        violations += _forward_faults(line, request)
     if not stops:
         return verdicts.Undecidable('no planned stop of an instance')
     return verdicts.decide(violations, doubts, f'{stops} planned stops')
 
 
+def _forward_faults(
+    line: timeline.Timeline, request: trace.Event
+) -> list[verdicts.Violation]:
+    """Return requests that other instances lost by forwarding to this one.
+
+    The stopping instance does not see a request whose connection it closes
+    before it has read it; what it has received, its own events settle.
+    """
+    starts = [
+        event.monotonic_s
+        for event in line.named('process_started')
+        if event.process == request.process
+        and event.monotonic_s > request.monotonic_s
+    ]
+    until = min(starts, default=float('inf'))
+    forwarded = {
+        (event.process, event.fields['request']): event
+        for event in line.named('request_forwarded')
+        if event.fields['instance'] == request.process
+        and request.monotonic_s < event.monotonic_s < until
+    }
+    received = {
+        event.fields['request']
+        for event in line.named('request_received')
+        if event.process == request.process
+    }
+    found = []
+    for event in line.named('request_unknown'):
+        if event.fields['request'] in received:
+            continue
+        hop = forwarded.get((event.process, event.fields['request']))
+        if hop is not None and hop.monotonic_s < event.monotonic_s:
+            found.append(
+                verdicts.Violation(
+                    f'{event.process} lost a request that it forwarded to '
+                    f'{request.process} after its stop began',
+                    (request, hop, event),
+                )
+            )
+    return found
+
+
 def _stop_faults(
     request: trace.Event,
     end: trace.Event,
--- a/packages/knapweedhall-replay/tests/test_checker.py
+++ b/packages/knapweedhall-replay/tests/test_checker.py
@@ -29,6 +29,7 @@
     'bad-07-ran-twice': 'non-idempotent request r1 ran 2 times',
     'bad-08-work-after-leaving': 'u1 got new work more than 6.0 s',
     'bad-09-request-cut': 'e1 cut 1 requests',
+    'bad-09-forwarded-to-stopping': 'e2 lost a request that it forwarded',
     'bad-10-diverged': 'was taken from two offsets',
     'bad-10-late': 'was not in force in e2 after 6.0 s',
     'bad-10-reverted': 'e1 went from version 3',
