Decide point 4 for the reason that the coordinator writes

The coordinator writes the reason 'out' when a mark takes a failure domain out, and the checker waited for a reason that begins with 'domain', so point 4 was not decidable in any real run.

'out' counts for point 4 when the last mark that its writer read is one of a failure domain.

--- a/packages/knapweedhall-replay/src/knapweedhall_replay/leaving.py
+++ b/packages/knapweedhall-replay/src/knapweedhall_replay/leaving.py
@@ -12,6 +12,9 @@
 
 # Beginning of the reason of `upstream_draining` for a marked failure domain.
 DOMAIN_REASON = 'domain'
+# The reason for a mark on the upstream or on its failure domain.
+MARK_REASON = 'out'
+DOMAIN_MARK = 'domain/'
 
 
 def _new_marks(line: timeline.Timeline) -> list[float]:
@@ -90,6 +93,25 @@
     )
 
 
+def _takes_domain_out(line: timeline.Timeline, drain: trace.Event) -> bool:
+    """Return whether an upstream leaves because of its failure domain.
+
+    The reason does not tell marks on upstreams from marks on failure domains,
+    so the last mark that its writer read decides.
+    """
+    reason = str(drain.fields['reason'])
+    if reason != MARK_REASON:
+        return reason.startswith(DOMAIN_REASON)
+    marks = [
+        event.fields['record']
+        for event in line.by_life[line.life(drain)]
+        if event.monotonic_s <= drain.monotonic_s
+        and timeline.name(event) == 'record_in_force'
+        and event.fields['kind'] == 'mark'
+    ]
+    return bool(marks) and marks[-1].startswith(DOMAIN_MARK)
+
+
 def check_domain_out(line: timeline.Timeline) -> verdicts.Verdict:
     """Point 4: a failure domain marked out gets no new work."""
     return _check_draining(
@@ -97,7 +119,7 @@
         [
             event
             for event in line.named('upstream_draining')
-            if str(event.fields['reason']).startswith(DOMAIN_REASON)
+            if _takes_domain_out(line, event)
         ],
     )
 
--- a/packages/knapweedhall-replay/tests/test_checker.py
+++ b/packages/knapweedhall-replay/tests/test_checker.py
@@ -23,6 +23,7 @@
     'bad-03-cold-overload': 'u1 bears 2 requests in its cold start and ran 3',
     'bad-03-cold-refusal': 'u1 had to refuse load in its cold start',
     'bad-04-work-after-mark': 'u1 got new work more than 6.0 s',
+    'bad-04-work-after-out': 'u1 got new work more than 6.0 s',
     'bad-05-cut-response': 'the response of r1 was cut',
     'bad-05-other-response': 'r1 belongs to another request',
     'bad-06-ran-after-all': 'request r1 ran but was said not to',
@@ -67,7 +68,11 @@
     def test_bad_traces_break_only_their_point(self) -> None:
         """Guards against a fault that is reported under other points."""
         # A forgotten plan is late configuration, too.
-        also = {'bad-02-plan-forgotten': {10}, 'bad-04-work-after-mark': {8}}
+        also = {
+            'bad-02-plan-forgotten': {10},
+            'bad-04-work-after-mark': {8},
+            'bad-04-work-after-out': {8},
+        }
         for name in REASONS:
             with self.subTest(trace=name):
                 broken = {
