--- a/packages/knapweedhall-entry/src/knapweedhall_entry/application.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/application.py
@@ -22,6 +22,7 @@
 READY_CHECK_S = 0.05
 # Kept from the time limit of a planned stop for giving the leases back.
 RELEASE_S = 2.0
+CANCEL_AGAIN_S = 0.1
 # The data path has waited for its requests before; what is left is cut soon.
 RUNNER: dict[str, typing.Any] = {'access_log': None, 'shutdown_timeout': 1.0}
 Task = asyncio.Task[None]
@@ -183,8 +184,19 @@
     async def close(self) -> None:
         """Cancel all tasks and close the ports."""
         self.plane.supervisor.close()
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_all(self.tasks)
         for runner in self.runners:
             await runner.cleanup()
+
+
+async def cancel_all(tasks: typing.Iterable[asyncio.Task[None]]) -> None:
+    """Cancel tasks until they have ended.
+
+    pynng returns a message that arrives together with a cancellation and
+    drops the cancellation, so one attempt is not enough.
+    """
+    pending = {task for task in tasks if not task.done()}
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/planner.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/planner.py
@@ -155,9 +155,7 @@
             return self.view.has_release(name, number, origin)
 
         plan = origins.keep_in_flight(plan, previous, known, released)
-        return origins.mark_origins(
-            plan, versions, previous, known, released
-        )
+        return origins.mark_origins(plan, versions, previous, known, released)
 
     async def publish(self, name: str, plan: bodies.Plan) -> None:
         """Publish the chunks of a plan that differ from those in force."""
