--- a/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
@@ -113,8 +113,13 @@
                 candidate = election.Candidate(self.me, group, self.rng)
                 self.candidates[group] = candidate
             if self.me in electors and self.me not in candidate.electors:
-                first = version == 1
-                self.joined_at[group] = now - JOIN_WAIT_S * first
+                before = set(candidate.electors)
+                # A set that shares no member with the last one is published
+                # only after the last one's promises have ended.
+                new = version == 1 or (
+                    bool(before) and before.isdisjoint(electors)
+                )
+                self.joined_at[group] = now - JOIN_WAIT_S * new
             candidate.set_electors(version, electors)
             candidate.offset = offset
 
--- a/packages/knapweedhall-entry/tests/test_election_task.py
+++ b/packages/knapweedhall-entry/tests/test_election_task.py
@@ -84,6 +84,13 @@
         self.task.tick(election_task.JOIN_WAIT_S)
         self.assertEqual(set(self.sender.names()), {'b', 'c'})
 
+    def test_replaced_set_starts_at_once(self) -> None:
+        """Guards against a longer outage after a restart of the fleet."""
+        self.set_electors(1, ids.InstanceId('a', 0), B, C)
+        self.set_electors(2, fakes.ME, ids.InstanceId('b', 9))
+        self.task.tick(0.0)
+        self.assertEqual(self.sender.names(), ['b'])
+
     def test_instance_outside_the_set_does_not_vote(self) -> None:
         """Guards against a restarted instance that votes again."""
         self.set_electors(1, ids.InstanceId('a', 0), B, C)
