--- a/packages/knapweedhall-entry/src/knapweedhall_entry/config_exchange.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/config_exchange.py
@@ -134,7 +134,7 @@
     def take(self, message: envelope.Received) -> None:
         """Take one chunk of a peer's answer."""
         answer: messages.ConfigRecords = message.body
-        if answer.number > self.number or answer.chunk >= answer.chunks:
+        if answer.number > self.number:
             return
         record = bodies.Record(
             'checkpoint',
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/factory.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/factory.py
@@ -85,7 +85,7 @@
     me = ids.InstanceId(options.instance.name, time.time_ns() // 1000)
     path = pathlib.Path(options.trace.path) if options.trace.path else None
     events = trace.TraceWriter(me.name, path)
-    boxes = mailboxes.Mailboxes()
+    boxes = mailboxes.Mailboxes(events)
     codec = envelope.Codec(bytes.fromhex(options.peering.key_hex), KINDS)
     peering = transport.Transport(
         me, str(options.listen.peer_address), codec, events
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/mailboxes.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/mailboxes.py
@@ -6,6 +6,8 @@
 import collections
 import typing
 
+from knapweedhall_entry import validity
+from knapweedhall_events import trace
 from knapweedhall_peering import envelope
 
 # A task that falls behind by more is stuck; newer messages replace these.
@@ -15,15 +17,24 @@
 class Mailboxes:
     """One queue per subscription; a kind may have several.
 
+    Parameters
+    ----------
+    events : trace.TraceWriter
+        Receives `message_dropped`.
+
     Attributes
     ----------
+    invalid : collections.Counter
+        Messages whose values are out of range, by kind.
     overflows : collections.Counter
         Messages that were dropped because a queue was full, by kind.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, events: trace.TraceWriter) -> None:
+        self.events = events
         self.queues: dict[str, list[asyncio.Queue[envelope.Received]]] = {}
         self.overflows: collections.Counter[str] = collections.Counter()
+        self.invalid: collections.Counter[str] = collections.Counter()
 
     def subscribe(
         self, *kinds: type[typing.Any]
@@ -36,6 +47,15 @@
 
     def deliver(self, message: envelope.Received) -> None:
         """Put a message into the queues of its kind; never waits."""
+        reason = validity.fault(message.body)
+        if reason:
+            self.invalid[message.kind] += 1
+            self.events.emit(
+                'message_dropped',
+                sender=message.sender.name,
+                reason=f'{message.kind}: {reason}',
+            )
+            return
         for queue in self.queues.get(message.kind, ()):
             try:
                 queue.put_nowait(message)
