Read owners of services without token check from activations

The checker took the late grant for ownership and reported point 1 as broken. Change: for these services the coordinators' activations name the owner; work at another upstream still breaks the point, which a bad trace shows. Conclusion: the case is allowed because the service's record says that grants are not checked.

--- a/packages/knapweedhall-replay/src/knapweedhall_replay/ownership.py
+++ b/packages/knapweedhall-replay/src/knapweedhall_replay/ownership.py
@@ -85,6 +85,19 @@
     return found
 
 
+def activations(line: timeline.Timeline) -> Tenures:
+    """Return the tenures of each slice as the coordinators began them.
+
+    An upstream that checks no tokens accepts late grants and ignores them in
+    its work, so its grants do not show who owns a slice.
+    """
+    found: Tenures = collections.defaultdict(list)
+    for event in line.named('slices_activated'):
+        for slice_ in _slices(event):
+            found[slice_].append(Tenure(event, None))
+    return found
+
+
 class _Overlap(typing.NamedTuple):
     violation: verdicts.Violation | None
     doubt: str
@@ -268,12 +281,16 @@
         Events.
     unchecked : frozenset of str
         Services whose upstreams check no tokens: their grants may overlap,
-        their work may not.
+        their work may not. Their owners are read from the coordinators'
+        activations where the traces have them.
     """
     owners = tenures(line)
     if not owners:
         return verdicts.Undecidable('no upstream traced a grant of slices')
     violations, doubts = _grant_faults(line, owners, unchecked)
+    for slice_, activated in activations(line).items():
+        if slice_ in owners and slice_[0] in unchecked:
+            owners[slice_] = activated
     violations += _token_faults(owners)
     runs = _runs(line, owners)
     for slice_, rows in runs.items():
--- a/packages/knapweedhall-replay/tests/test_checker.py
+++ b/packages/knapweedhall-replay/tests/test_checker.py
@@ -102,6 +102,22 @@
         found = check('good-frozen-upstream')[1]
         self.assertIsInstance(found, verdicts.Holds)
 
+    def test_late_grant_without_token_check_is_no_second_owner(self) -> None:
+        """Guards against owners read from grants that nobody checks."""
+        name = 'unchecked-late-grant'
+        self.assertIsInstance(check(name)[1], verdicts.Broken)
+        found = check(name, frozenset({'view'}))[1]
+        self.assertIsInstance(found, verdicts.Holds)
+
+    def test_stale_work_without_token_check_is_refused(self) -> None:
+        """Guards against work of an owner that was replaced."""
+        found = check('unchecked-stale-work', frozenset({'view'}))[1]
+        assert isinstance(found, verdicts.Broken)
+        self.assertIn(
+            'u1 began work on a slice that u2 owned',
+            found.violations[0].reason,
+        )
+
     def test_tokens_of_two_groups_are_not_compared(self) -> None:
         """Guards against ordering terms of independent groups."""
         found = check('good-other-group')[1]
