--- a/packages/knapweedhall-entry/src/knapweedhall_entry/status.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/status.py
@@ -77,6 +77,13 @@
                 for name, state in plane.members.live().items()
             },
             'messages_dropped': dict(plane.peering.dropped),
+            'peer_traffic': {
+                'sent': plane.peering.sent,
+                'sent_bytes': plane.peering.sent_bytes,
+                'received': plane.peering.received,
+                'received_bytes': plane.peering.received_bytes,
+            },
+            'processor_s': time.process_time(),
         }
 
     def permit(
--- a/packages/knapweedhall-peering/src/knapweedhall_peering/transport.py
+++ b/packages/knapweedhall-peering/src/knapweedhall_peering/transport.py
@@ -95,7 +95,9 @@
         self.sequences: collections.Counter[str] = collections.Counter()
         self.dropped: collections.Counter[str] = collections.Counter()
         self.sent = 0
+        self.sent_bytes = 0
         self.received = 0
+        self.received_bytes = 0
         self.next_drop_log: dict[str, float] = {}
         self.pull: pynng.Pull0 | None = None
 
@@ -154,6 +156,7 @@
             self.count_drop(receiver, errors.QueueFull('sending'))
             return False
         self.sent += 1
+        self.sent_bytes += len(message)
         return True
 
     def count_drop(self, sender: str, reason: errors.Dropped) -> None:
@@ -176,6 +179,7 @@
             self.count_drop(decoded.sender.name, reason)
             return None
         self.received += 1
+        self.received_bytes += len(message)
         return decoded
 
     async def run(
