Don't queue choice requests where nothing may be sent

Cause: an instance that takes an upstream for cold and holds no part of its cold budget may send it nothing, yet requests of a choice service were queued there: least_of_two compares requests per slot as products, so no slots looked like no load, and the scores ignore slots. A request in that queue stayed until its deadline beside upstreams with room.

Change: upstreams without slots come last in the choice, and requests waiting at one are looked up again when the control side changes. Each test fails without its change.

--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/factory.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/factory.py
@@ -138,6 +138,10 @@
 
     def _is_current(self, waiter: upstreams.Waiter) -> bool:
         if waiter.call.service.mode != 'divided':
+            # Other upstreams may have room while this one gets nothing.
+            upstream = self.book.find(waiter.route.upstream)
+            if not upstream.limits.allowed():
+                return False
             return waiter.route.deadline > time.monotonic()
         found = self.router.look_up(waiter.call, time.monotonic())
         return isinstance(found, interfaces.Route) and (
--- a/packages/knapweedhall-entry/tests/gateway/test_admission.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_admission.py
@@ -169,6 +169,34 @@
         ]
         self.assertEqual(['refused-then-accepted'], signs)
 
+    async def test_choice_leaves_an_upstream_without_slots(self) -> None:
+        """Guards against requests stuck at one upstream beside an idle one.
+
+        The instance holds no part of the cold budget of the first.
+        """
+        await self.hold()
+        self.control.record = self.control.record._replace(mode='choice')
+        route = self.control.found
+        self.control.found = (route,)
+        held = self.start_calls(4)
+        moved = self.start_calls(3)
+        await self.until_waiting(3)
+
+        async def script(arrival, reader, writer):
+            writer.write(fakes.whole(b'other'))
+            return True
+
+        other = await self.start_upstream(script)
+        self.control.addresses['u2'] = other.address
+        self.control.found = (route, route._replace(upstream='u2'))
+        self.control.shares = self.control.shares._replace(cold_slots=0)
+        self.gateway.book.find('u1').limits.state.cold = True
+        self.control.listener()
+        for answer in await asyncio.gather(*moved):
+            self.assertEqual(b'other', answer.body)
+        self.proceed.set()
+        await asyncio.gather(*held)
+
     async def test_choice_service_spreads_load(self) -> None:
         """Guards against a `choice` service that uses one upstream only."""
 
--- a/packages/knapweedhall-traffic/src/knapweedhall_traffic/selection.py
+++ b/packages/knapweedhall-traffic/src/knapweedhall_traffic/selection.py
@@ -120,7 +120,8 @@
     """Return the position of the chosen candidate.
 
     Candidates with a free slot come before all others, whatever the rule
-    says.
+    says. Those without any slot come last, as a request sent to one of them
+    waits until the shares are divided anew.
 
     Parameters
     ----------
@@ -138,6 +139,7 @@
         for place, one in enumerate(candidates)
         if one.outstanding < one.slots
     ]
-    places = free or range(len(candidates))
+    usable = [place for place, one in enumerate(candidates) if one.slots]
+    places = free or usable or range(len(candidates))
     chosen = RULES[rule]([candidates[place] for place in places], now, rng)
     return places[chosen]
--- a/packages/knapweedhall-traffic/tests/test_rules.py
+++ b/packages/knapweedhall-traffic/tests/test_rules.py
@@ -130,6 +130,20 @@
                     300, self.share(rule, [full, full], 0).total()
                 )
 
+    def test_upstreams_without_slots_come_last(self) -> None:
+        """Guards against waiting where nothing may be sent.
+
+        An instance may hold no part of a cold upstream's budget.
+        """
+        full = selection.Candidate(4, 2, 0.05, 10.0)
+        none = selection.Candidate(0, 0, 0.001, 10.0)
+        for rule in selection.RULES:
+            with self.subTest(rule):
+                self.assertEqual({1: 300}, self.share(rule, [none, full], 10))
+                self.assertEqual(
+                    300, self.share(rule, [none, none], 10).total()
+                )
+
     def test_slow_upstream_gets_less(self) -> None:
         """Guards against a rule that ignores what it should measure."""
         fast = selection.Candidate(1, 8, 0.001, 10.0)
