Wait for a permit when a forwarded request meets none

Cause: while a coordinator is replaced, requests of choice services were forwarded three times within 10 ms to instances without a permit and then refused: 4 to 13 refusals per coordinator stop or freeze.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/failures/runner.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/failures/runner.py
@@ -156,7 +156,15 @@
         Seed of calls and choices.
     folder : pathlib.Path or None
         Keeps settings, traces and output; None for a temporary folder.
+
+    Raises
+    ------
+    ValueError
+        If the folder has traces of an earlier run, which would be judged
+        together with the new ones.
     """
+    if folder is not None and list(folder.glob('*.trace')):
+        raise ValueError(f'{folder} has traces; name a new folder')
     async with deployment.Deployment(SIZE, folder=folder) as running:
         scene = stage.Stage(running, random.Random(seed))
         events = trace.TraceWriter('callers', running.trace_path('callers'))
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
@@ -106,6 +106,10 @@
         self.state = state
         self.elector.offset = offset
         for group in self.view.names('electors'):
+            # A record that came from a peer ahead of the log may stand behind
+            # a plan that its electors have not read, see `offset`.
+            if self.view.store.entries['electors', group].offset >= offset:
+                continue
             version, electors = self.view.electors(group)
             self.elector.set_electors_version(group, version)
             candidate = self.candidates.get(group)
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/server.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/server.py
@@ -150,6 +150,19 @@
                 call.waited = result.reason
                 if not await self.router.changes.wait(call.name):
                     return result
+            elif result.reason in outcomes.WAITS_FOR_PERMIT:
+                call.waited = result.reason
+                if not await self._wait_for_permit(call):
+                    return result
+
+    async def _wait_for_permit(self, call: calls.Call) -> bool:
+        """Wait for a change or a delay; return False if the queue is full."""
+        delay_s = outcomes.PERMIT_DELAY_S * 2 ** (call.attempts - 1)
+        try:
+            async with asyncio.timeout(delay_s):
+                return await self.router.changes.wait(call.name)
+        except TimeoutError:
+            return True
 
     async def _attempt(self, call: calls.Call) -> dispatch.Result:
         found = await self.router.find(call)
--- a/packages/knapweedhall-entry/tests/gateway/fakes.py
+++ b/packages/knapweedhall-entry/tests/gateway/fakes.py
@@ -48,6 +48,7 @@
             **{'mode': 'divided', 'limits': limits, **service}
         )
         self.found: typing.Any = interfaces.NoRoute('no-owner')
+        self.shares = interfaces.Share(4, 4, 1)
 
     def own(self, name: str, address: interfaces.Address) -> None:
         self.addresses[name] = address
@@ -60,6 +61,9 @@
     def candidates(self, now: float, service: str) -> typing.Any:
         return self.found
 
+    def share(self, upstream: str) -> interfaces.Share:
+        return self.shares
+
 
 class Arrival(typing.NamedTuple):
     """One request as an upstream received it."""
--- a/packages/knapweedhall-entry/tests/gateway/test_repeats.py
+++ b/packages/knapweedhall-entry/tests/gateway/test_repeats.py
@@ -89,6 +89,21 @@
         forwarded = self.events.names().count('request_forwarded')
         self.assertEqual(3, forwarded)
 
+    async def test_forward_without_permit_waits_for_a_change(self) -> None:
+        """Guards against refusals while a coordinator is replaced."""
+        control = fakes.Control()
+        self.gateway = await self.start_gateway(control)
+        peer = interfaces.Peer('e1', self.forward)
+        control.found = interfaces.Forward((peer,))
+        waiting = asyncio.create_task(self.call(fakes.encode('POST')))
+        while not self.gateway.router.changes.waiting:
+            await asyncio.sleep(0)
+        upstream = await self.start_upstream(fakes.answering(fakes.whole(b'')))
+        control.own('u1', upstream.address)
+        control.listener()
+        self.assertEqual(200, (await waiting).status)
+        self.assertEqual(1, len(upstream.arrivals))
+
     async def test_unreachable_instance_is_not_run(self) -> None:
         """Guards against `unknown` for a request that was never sent."""
         control = fakes.Control()
--- a/packages/knapweedhall-traffic/src/knapweedhall_traffic/outcomes.py
+++ b/packages/knapweedhall-traffic/src/knapweedhall_traffic/outcomes.py
@@ -19,6 +19,12 @@
 
 # Refusals that another attempt can only change after the slice table has.
 WAITS_FOR_TABLE = frozenset(('stale-token', 'no-grant', 'draining'))
+# Refusals by another instance that a new coordinator's permits end. This
+# instance may not notice, so it asks again after a delay.
+WAITS_FOR_PERMIT = frozenset(('no-permit',))
+# Delay before the first repeat, in seconds; doubled for each further one. With
+# three attempts this covers the loss of a coordinator.
+PERMIT_DELAY_S = 0.4
 # Refusals that say the upstream bears less than it was sent.
 SHEDDING = frozenset(('shed', 'cold'))
 
