Slow the same upstreams under each policy

Cause: the stragglers were drawn from the random numbers that the load balancer uses too, whose number of draws differs between runs, so each policy met other stragglers and the comparison was not fair. Change: a generator of their own. Not measured again with equal stragglers.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/experiments/scenarios.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/experiments/scenarios.py
@@ -25,6 +25,7 @@
 # Shares of the calls by customer: the first asks for more than its part.
 CUSTOMERS = {'greedy': 0.6, 'second': 0.2, 'third': 0.2}
 STRAGGLERS = 3
+STRAGGLER_SEED = 1
 STRAGGLE_FACTOR = 10
 STRAGGLE_MS = 2500
 STRAGGLE_PERIOD_S = 5.0
@@ -148,9 +149,12 @@
 async def _slow_three(scene: Scene, services: typing.Iterable[str]) -> None:
     """Slow three upstreams, others each time, until cancelled."""
     names = [name for each in services for name in scene.upstreams(each)]
+    # The stage's numbers are used up by the load balancer, so with them each
+    # policy would meet other stragglers.
+    numbers = random.Random(STRAGGLER_SEED)
     while True:
         await asyncio.sleep((STRAGGLE_PERIOD_S - STRAGGLE_MS / 1000) / 2)
-        for name in scene.random_numbers.sample(names, STRAGGLERS):
+        for name in numbers.sample(names, STRAGGLERS):
             await scene.running.set_upstream_faults(
                 name,
                 straggle_factor=STRAGGLE_FACTOR,
