Repeat requests that lack a permit or grant for the time of a takeover

Cause: each change of the permits woke the waiting requests, so three attempts were over within 35 ms while permits or grants were missing. Change: refusals for a missing permit or grant are repeated after delays of 2.35 s together and do not count as attempts.

--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/calls.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/calls.py
@@ -54,6 +54,8 @@
         An earlier attempt with an unknown outcome.
     attempts : int
         Attempts that have ended.
+    permit_waits : int
+        Waits for another instance's permit.
     waited : str
         What it waits for or has waited for; '' if it never waited.
     returned : bool
@@ -79,6 +81,7 @@
         'started',
         'may_have_run',
         'attempts',
+        'permit_waits',
         'waited',
         'returned',
     )
@@ -109,6 +112,7 @@
         self.started = False
         self.may_have_run: outcomes.Failure | None = None
         self.attempts = 0
+        self.permit_waits = 0
         self.waited = ''
         self.returned = False
 
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/hops.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/hops.py
@@ -40,7 +40,7 @@
         if not peers:
             return outcomes.not_run('no-instance')
         # Each attempt goes to another instance.
-        peer = peers[call.attempts % len(peers)]
+        peer = peers[(call.attempts + call.permit_waits) % len(peers)]
         connections = self.pools.get(peer.address)
         if connections is None:
             connections = pool.Pool(peer.address, self.options)
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/server.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/server.py
@@ -141,6 +141,8 @@
                 return result
             if result is dispatch.MOVED:
                 continue
+            if await self._wait_for_permit(call, result):
+                continue
             call.attempts += 1
             if result.outcome == outcomes.UNKNOWN:
                 call.may_have_run = result
@@ -150,19 +152,26 @@
                 call.waited = result.reason
                 if not await self.router.changes.wait(call.name):
                     return result
-            elif result.reason in outcomes.WAITS_FOR_PERMIT:
-                call.waited = result.reason
-                if not await self._wait_for_permit(call):
-                    return result
 
-    async def _wait_for_permit(self, call: calls.Call) -> bool:
-        """Wait for a change or a delay; return False if the queue is full."""
-        delay_s = outcomes.PERMIT_DELAY_S * 2 ** (call.attempts - 1)
-        try:
-            async with asyncio.timeout(delay_s):
-                return await self.router.changes.wait(call.name)
-        except TimeoutError:
-            return True
+    async def _wait_for_permit(
+        self, call: calls.Call, last: outcomes.Failure
+    ) -> bool:
+        """Wait until the refusal may have ended; return False if it has not.
+
+        Such a refusal costs an upstream nothing, so it does not count as an
+        attempt.
+        """
+        if last.reason not in outcomes.WAITS_FOR_PERMIT:
+            return False
+        if call.started or call.hop or not call.replayable():
+            return False
+        if call.permit_waits >= len(outcomes.PERMIT_DELAYS_S):
+            return False
+        call.waited = last.reason
+        call.handed_over = False
+        await asyncio.sleep(outcomes.PERMIT_DELAYS_S[call.permit_waits])
+        call.permit_waits += 1
+        return True
 
     async def _attempt(self, call: calls.Call) -> dispatch.Result:
         found = await self.router.find(call)
--- a/packages/knapweedhall-traffic/src/knapweedhall_traffic/outcomes.py
+++ b/packages/knapweedhall-traffic/src/knapweedhall_traffic/outcomes.py
@@ -18,13 +18,13 @@
 MAX_ATTEMPTS = 3
 
 # Refusals that another attempt can only change after the slice table has.
-WAITS_FOR_TABLE = frozenset(('stale-token', 'no-grant', 'draining'))
-# Refusals by another instance that a new coordinator's permits end. This
-# instance may not notice, so it asks again after a delay.
-WAITS_FOR_PERMIT = frozenset(('no-permit',))
-# Delay before the first repeat, in seconds; doubled for each further one. With
-# three attempts this covers the loss of a coordinator.
-PERMIT_DELAY_S = 0.4
+WAITS_FOR_TABLE = frozenset(('stale-token', 'draining'))
+# Refusals by another instance or an upstream that the next permit or grant
+# ends. This instance may not notice, so it asks again after a delay.
+WAITS_FOR_PERMIT = frozenset(('no-permit', 'no-grant'))
+# Delays between the repeats in seconds; together longer than the 2 s within
+# which a lost coordinator is replaced.
+PERMIT_DELAYS_S = (0.05, 0.1, 0.2, 0.4, 0.4, 0.4, 0.4, 0.4)
 # Refusals that say the upstream bears less than it was sent.
 SHEDDING = frozenset(('shed', 'cold'))
 
