--- a/packages/knapweedhall-entry/tests/test_election_task.py
+++ b/packages/knapweedhall-entry/tests/test_election_task.py
@@ -112,6 +112,22 @@
         self.task.tick(0.0)
         self.assertEqual(self.sender.sent, [])
 
+    def test_electors_ahead_of_the_log_are_not_used(self) -> None:
+        """Guards against electors that know a newer set but not the plans.
+
+        The record came from a peer; the log below it was not read.
+        """
+        record = bodies.Record(
+            'electors', 2, GROUP, 1, 0, 'w', 1, 1, bodies.Electors((B, C))
+        )
+        entry = configuration.Entry(5, record, 5)
+        self.store.load(configuration.Snapshot(0, (entry,)))
+        self.task.refresh(0.0)
+        self.assertNotIn(GROUP, self.task.candidates)
+        self.store.load(configuration.Snapshot(6, ()))
+        self.task.refresh(0.1)
+        self.assertIn(GROUP, self.task.candidates)
+
     def test_resigned_holder_stops_renewing(self) -> None:
         """Guards against a lease whose coordinator has failed."""
         self.set_electors(1, fakes.ME, B, C)
