Keep periodic work going under a flood of messages

Cause: three loops waited for a message or a deadline in the same words, and took a waiting message even after the deadline, so a queue that is never empty kept heartbeats and votes from being sent. Change: mailboxes.receive returns nothing once the deadline has passed; events of single requests are made only if a trace or the log keeps them. Figures: the new test fails with the earlier loop; rates not measured. Conclusion: one place decides between messages and periodic work.

--- a/packages/knapweedhall-entry/src/knapweedhall_entry/config_exchange.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/config_exchange.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 import typing
 
@@ -165,14 +164,11 @@
         queue = boxes.subscribe(messages.ConfigRequest, messages.ConfigRecords)
         next_tick = time.monotonic()
         while True:
-            try:
-                async with asyncio.timeout_at(next_tick):
-                    message = await queue.get()
-            except TimeoutError:
+            message = await mailboxes.receive(queue, next_tick)
+            if message is None:
                 self.tick(time.monotonic())
                 next_tick = time.monotonic() + CHECK_INTERVAL_S
-                continue
-            if isinstance(message.body, messages.ConfigRequest):
+            elif isinstance(message.body, messages.ConfigRequest):
                 self.answer(message, time.monotonic())
             else:
                 self.take(message)
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/election_task.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import time
 import typing
@@ -298,15 +297,13 @@
         queue = boxes.subscribe(*kinds)
         next_tick = time.monotonic()
         while True:
-            message = None
-            try:
-                async with asyncio.timeout_at(next_tick):
-                    message = await queue.get()
-            except TimeoutError:
-                self.refresh(time.monotonic())
+            message = await mailboxes.receive(queue, next_tick)
             now = time.monotonic()
-            if message is not None:
-                self.take(now, message)
-            if now >= next_tick or message is None:
+            if message is None:
+                self.refresh(now)
                 self.tick(now)
-            next_tick = self.next_tick(now)
+                next_tick = self.next_tick(now)
+            else:
+                self.take(now, message)
+                # A message must not put off what is already due earlier.
+                next_tick = min(next_tick, self.next_tick(now))
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/factory.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/factory.py
@@ -42,6 +42,9 @@
 from knapweedhall_platform import client
 from knapweedhall_records import ids
 
+# Levels at which the log keeps the events of single requests.
+DETAILED_LEVELS = ('TRACE', 'DEBUG')
+
 KINDS: dict[str, type] = {
     kind.__name__: kind
     for kind in (
@@ -207,6 +210,11 @@
     )
 
 
+def traces_requests(options: settings.Settings) -> bool:
+    """Return whether anything keeps the events of single requests."""
+    return bool(options.trace.path) or options.log.level in DETAILED_LEVELS
+
+
 async def run(options: settings.Settings) -> int:
     """Run one instance until a signal ends it.
 
@@ -227,7 +235,9 @@
             late.plane.lookups,
             base.events,
             interfaces.Options(
-                base.me.name, selection=options.traffic.choice_policy
+                base.me.name,
+                selection=options.traffic.choice_policy,
+                request_events=traces_requests(options),
             ),
             base.rng,
             observer.PermitObserver(late.plane.view, late.plane.held),
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/mailboxes.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/mailboxes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import time
 import typing
 
 from knapweedhall_entry import validity
@@ -14,6 +15,24 @@
 QUEUE_MESSAGES = 1024
 
 
+Queue = asyncio.Queue[envelope.Received]
+
+
+async def receive(queue: Queue, deadline: float) -> envelope.Received | None:
+    """Return the next message, None from the deadline on.
+
+    A queue that is never empty must not keep its task from its periodic work,
+    so nothing is taken once the deadline has passed.
+    """
+    if time.monotonic() >= deadline:
+        return None
+    try:
+        async with asyncio.timeout_at(deadline):
+            return await queue.get()
+    except TimeoutError:
+        return None
+
+
 class Mailboxes:
     """One queue per subscription; a kind may have several.
 
@@ -32,15 +51,13 @@
 
     def __init__(self, events: trace.TraceWriter) -> None:
         self.events = events
-        self.queues: dict[str, list[asyncio.Queue[envelope.Received]]] = {}
+        self.queues: dict[str, list[Queue]] = {}
         self.overflows: collections.Counter[str] = collections.Counter()
         self.invalid: collections.Counter[str] = collections.Counter()
 
-    def subscribe(
-        self, *kinds: type[typing.Any]
-    ) -> asyncio.Queue[envelope.Received]:
+    def subscribe(self, *kinds: type[typing.Any]) -> Queue:
         """Return a queue that gets all messages of these kinds."""
-        queue: asyncio.Queue[envelope.Received] = asyncio.Queue(QUEUE_MESSAGES)
+        queue: Queue = asyncio.Queue(QUEUE_MESSAGES)
         for kind in kinds:
             self.queues.setdefault(kind.__name__, []).append(queue)
         return queue
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/membership.py
+++ b/packages/knapweedhall-entry/src/knapweedhall_entry/membership.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 import typing
 
@@ -190,11 +189,9 @@
         queue = boxes.subscribe(messages.Heartbeat)
         next_tick = time.monotonic()
         while True:
-            try:
-                async with asyncio.timeout_at(next_tick):
-                    message = await queue.get()
-            except TimeoutError:
+            message = await mailboxes.receive(queue, next_tick)
+            if message is None:
                 self.tick(time.monotonic())
                 next_tick = time.monotonic() + HEARTBEAT_PERIOD_S
-                continue
-            self.note_heartbeat(message, time.monotonic())
+            else:
+                self.note_heartbeat(message, time.monotonic())
--- a/packages/knapweedhall-entry/tests/test_mailboxes.py
+++ b/packages/knapweedhall-entry/tests/test_mailboxes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from knapweedhall_entry import mailboxes
@@ -57,3 +58,18 @@
         for _ in range(mailboxes.QUEUE_MESSAGES + 1):
             self.boxes.deliver(fakes.received(B, OFFER))
         self.assertEqual(self.boxes.overflows['PermitOffer'], 1)
+
+
+class ReceiveTest(unittest.IsolatedAsyncioTestCase):
+    """Periodic work beside messages."""
+
+    async def test_full_queue_does_not_delay_periodic_work(self) -> None:
+        """Guards against heartbeats that stop under a flood of messages."""
+        queue: mailboxes.Queue = asyncio.Queue()
+        message = fakes.received(B, None)
+        queue.put_nowait(message)
+        past = asyncio.get_running_loop().time() - 1.0
+        self.assertIsNone(await mailboxes.receive(queue, past))
+        self.assertEqual(1, queue.qsize())
+        future = past + 100.0
+        self.assertEqual(message, await mailboxes.receive(queue, future))
