--- a/Makefile
+++ b/Makefile
@@ -1,34 +1,34 @@
 VENV ?= .venv
 PYTHON ?= python3.11
 BIN := $(VENV)/bin
-PACKAGES := $(wildcard packages/knapweedhall-*)
+PACKAGES := platform $(wildcard packages/knapweedhall-*)
 STAMP := $(VENV)/.installed
 # Lets a second work tree use its own sources with a shared environment.
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(wildcard packages/*/src)))
+export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(wildcard platform/src packages/*/src)))
 
 .PHONY: setup test lint format demo failures bench model model-broken catalogue
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): constraints.txt requirements-dev.txt $(wildcard platform/pyproject.toml packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -c constraints.txt setuptools
 	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt \
-		--no-build-isolation $(addprefix -e ,$(PACKAGES))
+		--no-build-isolation $(addprefix -e ./,$(PACKAGES))
 	touch $(STAMP)
 
 test: setup
 	$(BIN)/python tools/run_tests.py
 
 lint: setup
-	$(BIN)/black --check --quiet packages tools
-	$(BIN)/flake8 packages tools
-	$(BIN)/mypy $(wildcard packages/*/src)
+	$(BIN)/black --check --quiet platform packages deploy tools
+	$(BIN)/flake8 platform packages deploy tools
+	$(BIN)/mypy $(wildcard platform/src packages/*/src)
 
 format: setup
-	$(BIN)/black --quiet packages tools
+	$(BIN)/black --quiet platform packages deploy tools
 
 catalogue: setup
 	$(BIN)/python tools/write_catalogue.py
--- /dev/null
+++ b/deploy/knapweedhall.py
@@ -0,0 +1,17 @@
+"""Starts the router from the checkout with its source folders."""
+
+import pathlib
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path[0:1] = [
+    str(ROOT / 'platform' / 'src'),
+    str(ROOT / 'packages' / 'knapweedhall-routing' / 'src'),
+    str(ROOT / 'packages' / 'knapweedhall-router' / 'src'),
+    str(ROOT / 'target' / 'deps'),
+]
+
+from knapweedhall_router import main  # noqa: E402
+
+if __name__ == '__main__':
+    sys.exit(main.main())
--- a/packages/knapweedhall-records/tests/test_imports.py
+++ b/packages/knapweedhall-records/tests/test_imports.py
@@ -23,7 +23,10 @@
     'threading',
     'time',
 }
-PURE_PACKAGES = ('ownership', 'traffic', 'records')
+PURE_PACKAGES = ('ownership', 'traffic', 'records', 'routing')
+# The users' name of the folder differs from the package in it, as a package
+# named platform would hide the module of the standard library.
+FOLDERS = {'adapter': ROOT / 'platform'}
 
 
 def allowed_imports() -> dict[str, set[str]]:
@@ -47,7 +50,8 @@
 def imported_modules(package: str) -> set[str]:
     """Return the top-level modules that a package's sources import."""
     found = set()
-    folder = ROOT / 'packages' / f'knapweedhall-{package}' / 'src'
+    folder = ROOT / 'packages' / f'knapweedhall-{package}'
+    folder = FOLDERS.get(package, folder) / 'src'
     for path in folder.rglob('*.py'):
         for node in ast.walk(ast.parse(path.read_text())):
             if isinstance(node, ast.Import):
@@ -68,7 +72,7 @@
             for folder in (ROOT / 'packages').iterdir()
             if (folder / 'src').exists()
         }
-        self.assertEqual(folders, set(table))
+        self.assertEqual(folders | set(FOLDERS), set(table))
         for package, allowed in table.items():
             with self.subTest(package=package):
                 own = {
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/__init__.py
@@ -0,0 +1,1 @@
+"""The router process: tasks that own sockets and state."""
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -0,0 +1,141 @@
+"""Wires the tasks of a router process and runs them."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import pathlib
+import signal
+
+import aiohttp
+from aiohttp import web
+
+from knapweedhall_adapter import store
+from knapweedhall_router import clock
+from knapweedhall_router import dispatch
+from knapweedhall_router import follower_link
+from knapweedhall_router import followers
+from knapweedhall_router import front
+from knapweedhall_router import logs
+from knapweedhall_router import membership
+from knapweedhall_router import metrics
+from knapweedhall_router import settings as settings_module
+from knapweedhall_router import state as state_module
+
+# Time after a request to stop for which new connections are still taken: the
+# load balancer asks once a second and needs two misses.
+LEAVE_S = 2.6
+# Part of the grace time after which the process ends in any case.
+GRACE_SHARE = 0.85
+POLL_S = 0.05
+# After the listener is closed requests may still arrive on connections that
+# were accepted before; without any for this time the process ends.
+QUIET_S = 0.6
+HOUSEKEEPING_S = 1.0
+LISTEN_BACKLOG = 1024
+
+
+class Application:
+    """The router process."""
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        self.settings = settings
+        self.state = state_module.State(settings)
+        self.dispatcher = dispatch.Dispatcher(self.state)
+        self.front = front.Front(self.state, self.dispatcher)
+        self.stop = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until asked to stop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stop.set)
+        loop.add_signal_handler(signal.SIGINT, self.stop.set)
+        timeout = aiohttp.ClientTimeout(total=None)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            await self._serve(session)
+
+    async def _serve(self, session: aiohttp.ClientSession) -> None:
+        client = store.StoreClient(session, self.settings.store)
+        link = follower_link.FollowerLink(client, self.state)
+        member = membership.Membership(client, session, self.state, link)
+        tasks = [
+            asyncio.create_task(work)
+            for work in (
+                followers.OperatorFollower(client, self.state).run(),
+                followers.UpstreamFollower(client, self.state).run(),
+                link.run(),
+                self._housekeeping(),
+            )
+        ]
+        joining = asyncio.create_task(member.run())
+        for task in [*tasks, joining]:
+            task.add_done_callback(self._task_ended)
+        servers = await self._listen()
+        logs.info('started', instance=self.settings.name)
+        await self.stop.wait()
+        self.state.stopping = True
+        logs.info('stopping', running=self.front.running)
+        stop_at = clock.now() + self.settings.grace_s * GRACE_SHARE
+        joining.cancel()
+        await asyncio.gather(joining, return_exceptions=True)
+        await member.leave()
+        await self._drain(servers[0], stop_at)
+        for task in tasks:
+            task.cancel()
+        logs.info('stopped', running=self.front.running)
+
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or self.state.stopping:
+            return
+        # Without one of its tasks the process would serve from memory for
+        # ever; a restart begins anew.
+        logs.warning('task_fault', reason=repr(task.exception()))
+        self.stop.set()
+
+    async def _listen(self) -> list[asyncio.Server]:
+        loop = asyncio.get_running_loop()
+        ready = web.Server(
+            functools.partial(front.answer_ready, self.state),
+            access_log=None,
+        )
+        figures = web.Server(
+            metrics.Metrics(self.state, self.front).handle,
+            access_log=None,
+        )
+        ports = (
+            (self.front.server(), *self.settings.front),
+            (ready, *self.settings.ready),
+            (figures, self.settings.address, self.settings.metrics_port),
+        )
+        return [
+            await loop.create_server(
+                server, host, port, backlog=LISTEN_BACKLOG
+            )
+            for server, host, port in ports
+        ]
+
+    async def _drain(self, server: asyncio.Server, stop_at: float) -> None:
+        """Let the load balancer notice, then end what runs."""
+        leave_at = min(stop_at, clock.now() + LEAVE_S)
+        await asyncio.sleep(leave_at - clock.now())
+        server.close()
+        quiet_at = clock.now() + QUIET_S
+        while clock.now() < min(quiet_at, stop_at):
+            await asyncio.sleep(POLL_S)
+            if self.front.running:
+                quiet_at = clock.now() + QUIET_S
+
+    async def _housekeeping(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            self.dispatcher.pools.expire()
+
+
+def check(path: pathlib.Path) -> settings_module.Settings | None:
+    """Return the settings, or print what is wrong with them."""
+    found = settings_module.read(path)
+    if isinstance(found, settings_module.Faults):
+        for message in found.messages:
+            logs.warning('settings_fault', reason=message)
+        return None
+    return found
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/calls.py
@@ -0,0 +1,104 @@
+"""A caller's request on its way through the instance."""
+
+from __future__ import annotations
+
+import itertools
+
+from aiohttp import web
+
+from knapweedhall_adapter import decoding
+from knapweedhall_adapter import names
+from knapweedhall_router import exchange
+from knapweedhall_routing import model
+
+_numbers = itertools.count(1)
+
+
+class Call:
+    """A request that was read whole.
+
+    Attributes
+    ----------
+    number : int
+        Number within the process.
+    request_id : str
+        The caller's id of this attempt.
+    route, service : model.Route, str
+        Route, and the service that its split chose.
+    key : int or None
+        Key of a divided service.
+    begun, end, objective_at : float
+        Arrival, end of the caller's patience or the route's timeout, and end
+        of the latency objective, on `clock.now`.
+    sends : int
+        Times that it was handed to an upstream.
+    ran_on : set of str
+        Upstreams that may have run it.
+    tried : set of str
+        Upstreams that refused it or were not reached.
+    """
+
+    __slots__ = (
+        'number',
+        'request_id',
+        'method',
+        'target',
+        'headers',
+        'body',
+        'route',
+        'service',
+        'key',
+        'begun',
+        'end',
+        'objective_at',
+        'sends',
+        'ran_on',
+        'tried',
+    )
+
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        route: model.Route,
+        service: str,
+        body: bytes,
+        now: float,
+    ) -> None:
+        self.number = next(_numbers)
+        found = request.headers
+        self.request_id = found.get(names.REQUEST_ID, '')
+        self.method = request.method
+        self.target = request.raw_path
+        self.headers = [
+            (name, value)
+            for name, value in exchange.end_to_end(found)
+            if name not in (names.TIME_LEFT_MS, names.EXPECTED_UPSTREAM)
+        ]
+        self.body = body
+        self.route = route
+        self.service = service
+        self.key = decoding.key(found.get(names.KEY))
+        left = decoding.time_left(found.get(names.TIME_LEFT_MS))
+        self.begun = now
+        self.end = now + min(
+            route.timeout_s, route.timeout_s if left is None else left
+        )
+        self.objective_at = now + route.objective_s
+        self.sends = 0
+        self.ran_on: set[str] = set()
+        self.tried: set[str] = set()
+
+    def encode(self, upstream: str, now: float) -> bytes:
+        """Return the request for an upstream."""
+        left_ms = max(1, int((self.end - now) * 1000))
+        headers = [
+            *self.headers,
+            (names.TIME_LEFT_MS, str(left_ms)),
+            (names.EXPECTED_UPSTREAM, upstream),
+        ]
+        has_length = bool(self.body) or self.method not in ('GET', 'HEAD')
+        length = len(self.body) if has_length else None
+        return (
+            exchange.encode_head(self.method, self.target, headers, length)
+            + self.body
+        )
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -0,0 +1,467 @@
+"""One tenure as the coordinator of all divided services."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import msgspec
+
+from knapweedhall_adapter import orders as order_client
+from knapweedhall_adapter import outcomes
+from knapweedhall_adapter import store
+from knapweedhall_router import clock
+from knapweedhall_router import hub as hub_module
+from knapweedhall_router import logs
+from knapweedhall_router import messages
+from knapweedhall_router import orders
+from knapweedhall_router import state as state_module
+from knapweedhall_routing import holdings
+from knapweedhall_routing import model
+from knapweedhall_routing import planning
+from knapweedhall_routing import rates
+
+TABLE_TOPIC = 'keyed.knapweedhall'
+TENURE_KEY = 'tenure'
+TABLE_PREFIX = 'table/'
+CALL_TIMEOUT_S = 1.0
+STORE_RETRY_S = 0.1
+# Period of renewals, and of plans; a plan sums the rates of all keys.
+TICK_S = 0.1
+PLAN_S = 0.25
+# The first assignment of a service waits until no upstream was listed for
+# this time, or it would give all keys to the first few.
+FIRST_PLAN_CALM_S = 1.2
+# Moves that level the load and begin in one plan.
+LEVEL_MOVES = 4
+# Share of its cold budget that an upstream's keys may bring.
+COLD_USE = 0.8
+# Pause before a release without an answer is tried again.
+RELEASE_RETRY_S = 0.5
+
+
+class DeposedError(Exception):
+    """Another coordinator has taken over."""
+
+
+class Service:
+    """What a coordinator keeps of one divided service."""
+
+    def __init__(self, name: str) -> None:
+        self.ranges = holdings.Holdings(name)
+        self.rates = rates.KeyRates()
+        self.number = 0
+        self.wanted = 0
+        self.written = 0
+        self.listed = 0
+        self.calm_at = 0.0
+
+    def is_settled(self, listed: int, now: float) -> bool:
+        """Return whether keys can be assigned for the first time."""
+        if any(one.upstream for one in self.ranges.items):
+            return True
+        if listed != self.listed:
+            self.listed = listed
+            self.calm_at = now + FIRST_PLAN_CALM_S
+        return listed > 0 and now >= self.calm_at
+
+
+class Coordinator:
+    """Grants keys to upstreams and tells instances who owns them.
+
+    Attributes
+    ----------
+    end : int
+        Offset at which the table's partition ends, if no other coordinator
+        wrote to it.
+    leased_until : float
+        End of the membership that the tenure rests on, on `clock.now`;
+        moved by the membership task.
+    """
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        order_client: order_client.OrderClient,
+        state: state_module.State,
+        leased_until: float,
+    ) -> None:
+        self.client = client
+        self.order_client = order_client
+        self.state = state
+        self.leased_until = leased_until
+        self.end = 0
+        self.epoch = -1
+        self.orders = orders.Orders(order_client, holdings.Fences(0))
+        self.services: dict[str, Service] = {}
+        self.times = rates.ServiceTimes()
+        self.hub = hub_module.Hub(self.tables, self.report, self.is_blind)
+        self.write_lock = asyncio.Lock()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.release_after: dict[str, float] = {}
+
+    def is_blind(self) -> bool:
+        """Return whether another coordinator may have taken over."""
+        return clock.now() >= self.leased_until
+
+    def may_renew(self) -> bool:
+        """Return whether grants that exist may still be renewed."""
+        blind_until = self.leased_until + holdings.BLIND_RENEWAL_S
+        return clock.now() < blind_until and not self.orders.fenced
+
+    async def run(self) -> None:
+        """Take over and coordinate until cancelled or deposed."""
+        try:
+            await self._take_over()
+            settings = self.state.settings
+            async with asyncio.TaskGroup() as group:
+                group.create_task(
+                    self.hub.serve(settings.address, settings.peer_port)
+                )
+                group.create_task(self._renew())
+                group.create_task(self._plan())
+        finally:
+            for task in list(self.tasks):
+                task.cancel()
+            logs.info('tenure_ended', epoch=self.epoch)
+
+    async def _take_over(self) -> None:
+        while True:
+            page = await self.client.newest(TABLE_TOPIC, self._deadline())
+            if not isinstance(page, outcomes.Page):
+                await asyncio.sleep(STORE_RETRY_S)
+                continue
+            record = store.keyed_record(
+                TENURE_KEY, self.state.settings.name.encode()
+            )
+            outcome = await self.client.append(
+                TABLE_TOPIC, record, page.end, self._deadline()
+            )
+            if isinstance(outcome, outcomes.Appended):
+                break
+            await asyncio.sleep(STORE_RETRY_S)
+        self.epoch = outcome.offset
+        self.end = outcome.offset + 1
+        self.orders = orders.Orders(
+            self.order_client, holdings.Fences(self.epoch)
+        )
+        now = clock.now()
+        for found in page.records:
+            if found.key.startswith(TABLE_PREFIX) and found.value:
+                self._restore(found, now)
+        logs.info('tenure_begun', epoch=self.epoch)
+
+    def _restore(self, record: outcomes.Record, now: float) -> None:
+        service = Service(record.key.removeprefix(TABLE_PREFIX))
+        try:
+            rows = msgspec.json.decode(
+                record.value, type=list[holdings.StoredRange]
+            )
+        except msgspec.MsgspecError as error:
+            logs.warning('table_unreadable', key=record.key, reason=str(error))
+            return
+        service.ranges.restore(rows, now)
+        self.services[service.ranges.service] = service
+
+    def _deadline(self) -> float:
+        return asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+
+    # Instances
+
+    def tables(self) -> list[messages.Table]:
+        """Return all tables for an instance that connects."""
+        return [
+            messages.Table(
+                name,
+                self.epoch,
+                service.number,
+                [messages.to_row(row) for row in service.ranges.rows()],
+            )
+            for name, service in self.services.items()
+        ]
+
+    def report(self, report: messages.Report) -> None:
+        """Take over what an instance measured."""
+        for name, counts in report.keys.items():
+            if name in self.services:
+                self.services[name].rates.add(counts)
+        for upstream, (count, service_s) in report.times.items():
+            self.times.add(upstream, count, service_s)
+
+    def _announce(
+        self, service: Service, changed: typing.Iterable[holdings.Holding]
+    ) -> None:
+        service.number += 1
+        self.hub.send(
+            messages.Change(
+                service.ranges.service,
+                self.epoch,
+                service.number,
+                [messages.to_row(one.row()) for one in changed],
+            )
+        )
+
+    # Renewals
+
+    async def _renew(self) -> None:
+        while True:
+            now = clock.now()
+            if self.orders.fenced:
+                raise DeposedError
+            for service in self.services.values():
+                self._renew_service(service, now)
+            await asyncio.sleep(TICK_S)
+
+    def _renew_service(self, service: Service, now: float) -> None:
+        service.ranges.merge(now)
+        due: dict[str, list[holdings.Holding]] = {}
+        for one in service.ranges.items:
+            if one.upstream and not one.moving and not one.in_flight:
+                if one.renew_at <= now and self._may_hold(one):
+                    due.setdefault(one.upstream, []).append(one)
+        for found in due.values():
+            self._start(self._renew_all(service, found))
+
+    def _may_hold(self, one: holdings.Holding) -> bool:
+        """Return whether a grant may be sent to the range's holder."""
+        if not one.confirmed and self.is_blind():
+            # A new token would be a new grant.
+            return False
+        entry = self.state.directory.entries.get(one.upstream)
+        return entry is not None and (
+            not one.born_ms or entry.born_ms == one.born_ms
+        )
+
+    async def _renew_all(
+        self, service: Service, found: list[holdings.Holding]
+    ) -> None:
+        for one in found:
+            # The check and the write that follows it belong together, as the
+            # process may have been paused before.
+            if not self.may_renew() or one.moving:
+                return
+            if one not in service.ranges.items or one.in_flight:
+                continue
+            fresh = not one.confirmed
+            accepted = await self.orders.grant(service.ranges, one)
+            if accepted and fresh:
+                self._announce(service, [one])
+            if not accepted:
+                # The others would wait for the same upstream.
+                for other in found:
+                    other.renew_at = max(other.renew_at, one.renew_at)
+                return
+
+    def _start(
+        self, work: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            error = task.exception()
+            if isinstance(error, DeposedError):
+                self.orders.fenced = True
+                return
+            logs.warning('coordinator_fault', reason=repr(error))
+
+    # Plans
+
+    async def _plan(self) -> None:
+        while True:
+            await asyncio.sleep(PLAN_S)
+            if self.is_blind() or not self.state.listed:
+                continue
+            now = clock.now()
+            self.times.keep_only(self.state.directory.entries)
+            for name in self.state.divided_services():
+                if name not in self.services:
+                    self._add(name)
+                self._plan_service(self.services[name], now)
+
+    def _add(self, name: str) -> None:
+        self.services[name] = Service(name)
+        for table in self.tables():
+            if table.service == name:
+                self.hub.send(table)
+
+    def _plan_service(self, service: Service, now: float) -> None:
+        service.rates.decay(now)
+        items = service.ranges.items
+        view = self._view(service, now)
+        if not service.is_settled(len(view.capacity), now):
+            return
+        orphans = [
+            one
+            for one in items
+            if not one.moving
+            and not one.in_flight
+            and self._is_orphan(one, now)
+            and self.release_after.get(one.upstream, 0.0) <= now
+        ]
+        moves = planning.place_orphans(items, view, orphans)
+        if not moves:
+            moves = planning.level(items, view, now, LEVEL_MOVES)
+        for move in moves:
+            self._begin(service, move, now)
+
+    def _is_orphan(self, one: holdings.Holding, now: float) -> bool:
+        """Return whether a range has to go to another upstream."""
+        entry = self.state.directory.entries.get(one.upstream)
+        if entry is None:
+            return True
+        if one.born_ms and entry.born_ms != one.born_ms:
+            # Another incarnation holds nothing.
+            one.held_until = one.unanswered_until = 0.0
+            return True
+        if not self.state.directory.is_usable(entry):
+            return True
+        return one.is_free(now)
+
+    def _view(self, service: Service, now: float) -> planning.View:
+        name = service.ranges.service
+        usable = [
+            one
+            for one in self.state.directory.usable(name)
+            if one.name not in self.state.directory.departures
+            and not self.orders.is_silent(one.name, now)
+        ]
+        warm = [one for one in usable if one.cold_until <= now]
+        cold_per_s = self.state.service(name).cold_per_s
+        capacity = {one.name: self.times.capacity(one) for one in warm}
+        if not warm:
+            capacity = {
+                one.name: max(1.0, cold_per_s * COLD_USE) for one in usable
+            }
+        busy = frozenset(
+            one.upstream for one in service.ranges.items if one.moving
+        )
+        return planning.View(capacity, service.rates, busy)
+
+    # Moves
+
+    def _begin(
+        self, service: Service, move: planning.Move, now: float
+    ) -> None:
+        try:
+            one = service.ranges.cut(move.first, move.last)
+        except ValueError:
+            return
+        target = self.state.directory.entries.get(move.target)
+        if target is None or one.upstream == move.target or one.in_flight:
+            return
+        one.moving = True
+        self._announce(service, [one])
+        self._start(self._move(service, one, target))
+
+    async def _move(
+        self,
+        service: Service,
+        one: holdings.Holding,
+        target: model.Upstream,
+    ) -> None:
+        source = one.upstream
+        handover = ''
+        if not one.is_free(clock.now()):
+            released = await self.orders.release(one)
+            if isinstance(released, outcomes.NoAnswer):
+                self._keep(one)
+                self.release_after[source] = clock.now() + RELEASE_RETRY_S
+                return
+            handover = released.handover
+            # Grants that were never answered may still be carried out.
+            pause = one.unanswered_until - clock.now()
+            if pause > 0:
+                await asyncio.sleep(pause)
+        if self.is_blind():
+            self._keep(one)
+            return
+        one.upstream, one.address = target.name, target.address
+        one.born_ms = target.born_ms
+        one.confirmed = False
+        one.handover = handover
+        one.fence = self.orders.fences.next()
+        one.held_until = one.unanswered_until = 0.0
+        one.settled_at = clock.now() + holdings.SETTLE_S
+        await self._write(service)
+        if self.is_blind():
+            self._keep(one)
+            return
+        accepted = await self.orders.grant(service.ranges, one)
+        one.moving = False
+        if accepted:
+            self._announce(service, [one])
+        logs.info(
+            'keys_moved',
+            service=service.ranges.service,
+            first=one.first,
+            last=one.last,
+            source=source,
+            target=target.name,
+            fence=one.fence,
+            accepted=accepted,
+        )
+
+    def _keep(self, one: holdings.Holding) -> None:
+        """Leave a range to its holder, which may or may not hold it."""
+        one.moving = False
+        one.confirmed = False
+        one.fence = 0
+        one.renew_at = 0.0
+
+    async def _write(self, service: Service) -> None:
+        """Write the assignment before any grant that it leads to.
+
+        Raises
+        ------
+        DeposedError
+            If another coordinator wrote first.
+        """
+        service.wanted += 1
+        wanted = service.wanted
+        async with self.write_lock:
+            if service.written >= wanted:
+                return
+            covered = service.wanted
+            record = store.keyed_record(
+                TABLE_PREFIX + service.ranges.service,
+                msgspec.json.encode(service.ranges.stored()),
+            )
+            while not await self._append(record):
+                await asyncio.sleep(STORE_RETRY_S)
+            service.written = covered
+
+    async def _append(self, record: bytes) -> bool:
+        outcome = await self.client.append(
+            TABLE_TOPIC, record, self.end, self._deadline()
+        )
+        if isinstance(outcome, outcomes.Appended):
+            self.end = outcome.offset + 1
+            return True
+        if isinstance(outcome, outcomes.Conflict):
+            # Either an append of ours whose answer was lost, or another
+            # coordinator's tenure.
+            if await self._is_own(record):
+                self.end += 1
+                return True
+            raise DeposedError
+        logs.info('table_not_written', reason=outcome.reason)
+        return False
+
+    async def _is_own(self, record: bytes) -> bool:
+        while True:
+            page = await self.client.read(
+                TABLE_TOPIC, self.end, 0, self._deadline()
+            )
+            if isinstance(page, outcomes.Page):
+                break
+            if isinstance(page, outcomes.Expired):
+                return False
+            await asyncio.sleep(STORE_RETRY_S)
+        if not page.records:
+            return False
+        first = page.records[0]
+        return store.keyed_record(first.key, first.value) == record
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/follower_link.py
@@ -0,0 +1,179 @@
+"""An instance's connection to the coordinator."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from knapweedhall_adapter import outcomes
+from knapweedhall_adapter import store
+from knapweedhall_router import clock
+from knapweedhall_router import logs
+from knapweedhall_router import messages
+from knapweedhall_router import state as state_module
+
+GROUP = 'knapweedhall'
+TENURE_TOPIC = 'knapweedhall.tenure'
+REPORT_S = 0.5
+# The coordinator's heartbeat comes twice a second.
+SILENCE_S = 1.5
+CONNECT_TIMEOUT_S = 0.5
+# Pause between two questions for the coordinator's address; a call of the
+# store each.
+SEARCH_S = 0.3
+CALL_TIMEOUT_S = 1.0
+# While the coordinator can't reach the store another one may take over.
+BLIND_SEARCH_S = 1.0
+
+
+def member_name(name: str, address: str, port: int) -> str:
+    """Return the name in the group; it says where the instance listens."""
+    return f'{name}@{address}:{port}'
+
+
+def member_address(member: str) -> tuple[str, int] | None:
+    """Return where a member listens, or None if the name is foreign."""
+    host, _, port = member.rpartition('@')[2].rpartition(':')
+    if not host or not port.isdigit():
+        return None
+    return host, int(port)
+
+
+class FollowerLink:
+    """Keeps a connection to the coordinator.
+
+    Attributes
+    ----------
+    connected : bool
+        Whether a coordinator is heard.
+    """
+
+    def __init__(
+        self, client: store.StoreClient, state: state_module.State
+    ) -> None:
+        self.client = client
+        self.state = state
+        self.connected = False
+        self.lost = state_module.Signal()
+        self.heard_at = 0.0
+        self.blind = False
+        self.hint = ''
+
+    async def run(self) -> None:
+        """Find the coordinator and follow it, until cancelled."""
+        while True:
+            member = await self._find()
+            address = member_address(member)
+            if address is None:
+                await asyncio.sleep(SEARCH_S)
+                continue
+            try:
+                await self._follow(member, address)
+            except (
+                OSError,
+                EOFError,
+                TimeoutError,
+                msgspec.MsgspecError,
+            ) as error:
+                logs.info(
+                    'coordinator_lost',
+                    coordinator=member,
+                    reason=type(error).__name__,
+                )
+            self.connected = False
+            self.lost.notify()
+            await asyncio.sleep(SEARCH_S / 3)
+
+    async def _find(self) -> str:
+        deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+        found = await self.client.holder(GROUP, TENURE_TOPIC, deadline)
+        if isinstance(found, outcomes.Unavailable):
+            logs.info('coordinator_unknown', reason=found.reason)
+            # While the store is away the last coordinator goes on.
+            return self.hint
+        return found
+
+    async def _follow(self, member: str, address: tuple[str, int]) -> None:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(*address)
+        try:
+            writer.write(
+                messages.encode(messages.Hello(self.state.settings.name))
+            )
+            self.heard_at = clock.now()
+            self.blind = False
+            logs.info('coordinator_found', coordinator=member)
+            self.hint = member
+            async with asyncio.TaskGroup() as group:
+                reporting = group.create_task(self._report(writer))
+                watching = group.create_task(self._watch(member, reader))
+                try:
+                    await self._read(reader)
+                finally:
+                    reporting.cancel()
+                    watching.cancel()
+        except* (OSError, EOFError, TimeoutError, msgspec.MsgspecError) as e:
+            raise ConnectionError(repr(e.exceptions[0])) from e
+        finally:
+            writer.transport.abort()
+
+    async def _read(self, reader: asyncio.StreamReader) -> None:
+        while True:
+            message = await messages.read(reader)
+            self.heard_at = clock.now()
+            self.apply(message)
+
+    async def _watch(self, member: str, reader: asyncio.StreamReader) -> None:
+        """End the connection when the coordinator is silent or replaced."""
+        asked_at = clock.now()
+        while True:
+            await asyncio.sleep(SILENCE_S / 5)
+            now = clock.now()
+            if now - self.heard_at > SILENCE_S:
+                raise ConnectionError('silent')
+            if not self.blind or now - asked_at < BLIND_SEARCH_S:
+                continue
+            asked_at = now
+            found = await self._find()
+            if found and found != member:
+                raise ConnectionError('replaced')
+
+    async def _report(self, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await asyncio.sleep(REPORT_S)
+            keys, self.state.key_counts = self.state.key_counts, {}
+            times, self.state.times = self.state.times, {}
+            means = {
+                name: (int(count), total / count)
+                for name, (count, total) in times.items()
+            }
+            writer.write(messages.encode(messages.Report(keys, means)))
+
+    def apply(self, message: messages.Message) -> None:
+        """Take over what the coordinator says.
+
+        Raises
+        ------
+        ConnectionError
+            If a change is missing; a new connection gets the whole table.
+        """
+        if isinstance(message, messages.Fleet):
+            self.connected = True
+            self.blind = message.blind
+            if message.instances:
+                self.state.instances = tuple(message.instances)
+            return
+        if not isinstance(message, messages.Table | messages.Change):
+            return
+        table = self.state.owner_table(message.service)
+        version = messages.version(message)
+        rows = [messages.from_row(row) for row in message.rows]
+        if isinstance(message, messages.Table):
+            taken = table.replace(version, rows)
+        else:
+            taken = table.patch(version, rows)
+            if not taken and version > table.version:
+                raise ConnectionError('missing-change')
+        if taken:
+            self.state.owners_changed.notify()
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/followers.py
@@ -0,0 +1,188 @@
+"""Tasks that follow the store's records."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from knapweedhall_adapter import decoding
+from knapweedhall_adapter import names
+from knapweedhall_adapter import outcomes
+from knapweedhall_adapter import store
+from knapweedhall_router import clock
+from knapweedhall_router import logs
+from knapweedhall_router import state as state_module
+
+# How long the store may hold a read for the next change, ms. A connection
+# that went silent is noticed after this and the margin.
+WAIT_MS = 4000
+# After a failure, reads wait only this long, ms, and for so many seconds:
+# the store then answered a waiting read only when its time had passed.
+SHORT_WAIT_MS = 400
+SHORT_WAITS_S = 6.0
+CALL_TIMEOUT_S = 1.0
+# Time between two reads of the upstreams' records. They change dozens of
+# times a second, so a waiting read would return at once; upstreams that
+# leave must be known within `drain_s`, 2 s at the least.
+UPSTREAM_PERIOD_S = 0.8
+# Pause after a failed call; calls are priced also while the store is down.
+RETRY_S = 0.25
+
+
+class Follower:
+    """Follows one keyed topic.
+
+    Attributes
+    ----------
+    next_offset : int
+        Where to read from; -1 to list the topic.
+    failing : bool
+        Whether the last call failed.
+    """
+
+    topic = ''
+
+    def __init__(
+        self, client: store.StoreClient, state: state_module.State
+    ) -> None:
+        self.client = client
+        self.state = state
+        self.next_offset = -1
+        self.failing = False
+
+    async def step(self, wait_ms: int) -> bool:
+        """Read once; return whether the store answered."""
+        outcome = await self._read(wait_ms)
+        if isinstance(outcome, outcomes.Unavailable):
+            if not self.failing:
+                logs.warning(
+                    'store_lost', topic=self.topic, reason=outcome.reason
+                )
+            self.failing = True
+            self.state.directory.store_failed(clock.now())
+            return False
+        if self.failing:
+            logs.info('store_regained', topic=self.topic)
+        self.failing = False
+        if isinstance(outcome, outcomes.Expired):
+            logs.info('store_history_gone', topic=self.topic)
+            self.next_offset = -1
+            return True
+        listing = self.next_offset < 0
+        self.next_offset = outcome.end
+        self.apply(outcome.records, listing)
+        return True
+
+    async def _read(self, wait_ms: int) -> outcomes.ReadOutcome:
+        deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+        if self.next_offset < 0:
+            return await self.client.newest(self.topic, deadline)
+        return await self.client.read(
+            self.topic, self.next_offset, wait_ms, deadline + wait_ms / 1000
+        )
+
+    def apply(
+        self, records: typing.Sequence[outcomes.Record], listing: bool
+    ) -> None:
+        """Take over records; a listing names each key there is."""
+        raise NotImplementedError
+
+
+class OperatorFollower(Follower):
+    """Follows the configuration and evacuations."""
+
+    topic = names.OPERATOR_TOPIC
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            calm = clock.now() - self.state.directory.outage_end
+            wait_ms = WAIT_MS if calm > SHORT_WAITS_S else SHORT_WAIT_MS
+            if not await self.step(wait_ms):
+                await asyncio.sleep(RETRY_S)
+
+    def apply(
+        self, records: typing.Sequence[outcomes.Record], listing: bool
+    ) -> None:
+        """Take over the operator's records."""
+        directory = self.state.directory
+        evacuated = set() if listing else set(directory.evacuated)
+        for record in records:
+            if record.key == names.CONFIGURATION_KEY and record.value:
+                self._configure(record)
+            elif record.key.startswith(names.EVACUATION_PREFIX):
+                domain = record.key.removeprefix(names.EVACUATION_PREFIX)
+                if record.value:
+                    evacuated.add(domain)
+                else:
+                    evacuated.discard(domain)
+        if directory.evacuate(evacuated, clock.now()):
+            logs.info('failure_domains_evacuated', domains=sorted(evacuated))
+
+    def _configure(self, record: outcomes.Record) -> None:
+        try:
+            self.state.configure(decoding.configuration(record.value))
+        except decoding.DecodeError as error:
+            logs.warning(
+                'configuration_unreadable',
+                offset=record.offset,
+                reason=str(error),
+            )
+
+
+class UpstreamFollower(Follower):
+    """Follows the entries of upstreams."""
+
+    topic = names.UPSTREAM_TOPIC
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            begun = clock.now()
+            answered = await self.step(0)
+            self._expire()
+            pause = UPSTREAM_PERIOD_S - (clock.now() - begun)
+            await asyncio.sleep(pause if answered else RETRY_S)
+
+    def _expire(self) -> None:
+        for name in self.state.directory.expire(clock.now()):
+            logs.info('upstream_gone', upstream=name)
+            self.state.forget(name)
+
+    def apply(
+        self, records: typing.Sequence[outcomes.Record], listing: bool
+    ) -> None:
+        """Take over the entries of upstreams."""
+        now = clock.now()
+        directory = self.state.directory
+        # Only the last record of each key counts.
+        newest = {record.key: record for record in records}
+        for name, record in newest.items():
+            if record.value:
+                self._put(name, record, now)
+            else:
+                directory.remove(name, now)
+        if listing:
+            directory.keep_only(newest, now)
+        self.state.listed = True
+
+    def _put(self, name: str, record: outcomes.Record, now: float) -> None:
+        directory = self.state.directory
+        try:
+            entry = decoding.upstream(name, record.value, now)
+        except decoding.DecodeError as error:
+            logs.info('upstream_unreadable', upstream=name, reason=str(error))
+            directory.remove(name, now)
+            return
+        known = directory.entries.get(name)
+        if directory.put(entry, now):
+            self.state.forget(name)
+            logs.info(
+                'upstream_listed',
+                upstream=name,
+                service=entry.service,
+                address=str(entry.address),
+                cold_s=round(entry.cold_until - now, 2),
+            )
+        if entry.draining and not (known and known.draining):
+            logs.info('upstream_draining', upstream=name)
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/front.py
@@ -0,0 +1,177 @@
+"""Takes requests from callers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+
+from knapweedhall_adapter import names
+from knapweedhall_router import calls
+from knapweedhall_router import clock
+from knapweedhall_router import dispatch
+from knapweedhall_router import exchange
+from knapweedhall_router import logs
+from knapweedhall_router import state as state_module
+
+# Bodies in memory, as a part of the process's memory limit.
+BODY_MEMORY_SHARE = 0.3
+# Longest line and field that the parser takes before limits are known.
+MAX_FIELD_BYTES = 65536
+
+
+class Front:
+    """Handles the requests of callers.
+
+    Attributes
+    ----------
+    running : int
+        Requests under way.
+    """
+
+    def __init__(
+        self, state: state_module.State, dispatcher: dispatch.Dispatcher
+    ) -> None:
+        self.state = state
+        self.dispatcher = dispatcher
+        self.running = 0
+        self.body_bytes = 0
+        self.outcomes: dict[str, int] = {}
+
+    def server(self) -> web.Server:
+        """Return the HTTP server for the listener of callers."""
+        return web.Server(
+            self.handle,
+            access_log=None,
+            handler_cancellation=True,
+            auto_decompress=False,
+            max_line_size=MAX_FIELD_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
+            lingering_time=1.0,
+        )
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self.running += 1
+        taken = [0]
+        try:
+            return await self._handle(request, taken)
+        finally:
+            self.running -= 1
+            self.body_bytes -= taken[0]
+
+    async def _handle(
+        self, request: web.BaseRequest, taken: list[int]
+    ) -> web.StreamResponse:
+        now = clock.now()
+        if self.state.routes is None:
+            return self._refuse(request, 503, 'no-configuration', 0.2)
+        route = self.state.routes.find(request.host, request.path)
+        if route is None:
+            return self._refuse(request, 404, 'no-route', None)
+        body = await self._body(request, taken)
+        if not isinstance(body, bytes):
+            return body
+        service = self.state.splitter.choose(route)
+        call = calls.Call(request, route, service, body, now)
+        try:
+            result = await self.dispatcher.run(call)
+        except asyncio.CancelledError:
+            logs.info('caller_left', request=call.request_id)
+            raise
+        except Exception as error:
+            logs.warning(
+                'request_fault',
+                request=call.request_id,
+                reason=f'{type(error).__name__}: {error}',
+            )
+            status = 502 if call.ran_on else 503
+            result = dispatch.Failure(status, 'internal-error')
+        if isinstance(result, dispatch.Failure):
+            self._log_failure(call, result)
+            return self._refuse(
+                request, result.status, result.reason, result.retry_after_s
+            )
+        return self._pass_on(result)
+
+    async def _body(
+        self, request: web.BaseRequest, taken: list[int]
+    ) -> bytes | web.Response:
+        if not request.can_read_body:
+            return b''
+        assert self.state.configuration is not None
+        limit = self.state.configuration.limits.body_bytes
+        length = request.content_length
+        if length is not None and length > limit:
+            return self._refuse(request, 413, 'body-too-large', None)
+        memory = self.state.settings.memory_mb * 1e6 * BODY_MEMORY_SHARE
+        if self.body_bytes + (length or 0) > memory:
+            return self._refuse(request, 503, 'memory', 0.2)
+        chunks = []
+        while chunk := await request.content.readany():
+            chunks.append(chunk)
+            taken[0] += len(chunk)
+            self.body_bytes += len(chunk)
+            if taken[0] > limit:
+                return self._refuse(request, 413, 'body-too-large', None)
+        return b''.join(chunks)
+
+    def _refuse(
+        self,
+        request: web.BaseRequest,
+        status: int,
+        reason: str,
+        retry_after_s: float | None,
+    ) -> web.Response:
+        self._count(f'{status}-{reason}')
+        response = web.Response(status=status, text=f'{reason}\n')
+        request_id = request.headers.get(names.REQUEST_ID)
+        if request_id is not None:
+            response.headers[names.REQUEST_ID] = request_id
+        if retry_after_s is not None and status == 503:
+            response.headers[names.RETRY_AFTER] = f'{retry_after_s:.3f}'
+        self._close_if_stopping(response)
+        return response
+
+    def _pass_on(self, answer: exchange.Answered) -> web.Response:
+        self._count('answered')
+        response = web.Response(status=answer.status, body=answer.body)
+        for name in ('Content-Type', 'Server', 'Date'):
+            response.headers.popall(name, None)
+        for name, value in exchange.end_to_end(answer.headers):
+            response.headers.add(name, value)
+        self._close_if_stopping(response)
+        return response
+
+    def _close_if_stopping(self, response: web.Response) -> None:
+        if self.state.stopping:
+            response.force_close()
+
+    def _count(self, outcome: str) -> None:
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+
+    def _log_failure(
+        self, call: calls.Call, failure: dispatch.Failure
+    ) -> None:
+        version = 0
+        if self.state.configuration is not None:
+            version = self.state.configuration.version
+        logs.info(
+            'request_failed',
+            request=call.request_id,
+            route=call.route.name,
+            service=call.service,
+            key=call.key,
+            status=failure.status,
+            reason=failure.reason,
+            sends=call.sends,
+            waited_ms=round((clock.now() - call.begun) * 1000, 1),
+            configuration=version,
+        )
+
+
+async def answer_ready(
+    state: state_module.State, request: web.BaseRequest
+) -> web.Response:
+    """Answer the load balancer's check."""
+    return web.Response(status=200 if state.is_ready() else 503)
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/hub.py
@@ -0,0 +1,118 @@
+"""The coordinator's connections to all instances."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import msgspec
+
+from knapweedhall_router import clock
+from knapweedhall_router import logs
+from knapweedhall_router import messages
+
+HEARTBEAT_S = 0.5
+# An instance reports twice a second; four reports missing mean it is gone.
+SILENCE_S = 2.0
+# Unsent bytes at which an instance is taken as not reading.
+MAX_BACKLOG_BYTES = 1024 * 1024
+
+
+class Link:
+    """One instance's connection."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self.writer = writer
+        self.instance = ''
+
+    def send(self, frame: bytes) -> None:
+        """Send a frame, or close a connection that does not take it."""
+        transport = self.writer.transport
+        if transport.get_write_buffer_size() > MAX_BACKLOG_BYTES:
+            transport.abort()
+            return
+        self.writer.write(frame)
+
+
+class Hub:
+    """Sends owners to instances and takes their reports.
+
+    Attributes
+    ----------
+    tables : callable
+        Returns the tables that a new instance gets.
+    report : callable
+        Takes each report.
+    blind : callable
+        Tells whether the coordinator can't reach the store.
+    """
+
+    def __init__(
+        self,
+        tables: typing.Callable[[], list[messages.Table]],
+        report: typing.Callable[[messages.Report], None],
+        blind: typing.Callable[[], bool],
+    ) -> None:
+        self.tables = tables
+        self.report = report
+        self.blind = blind
+        self.links: set[Link] = set()
+
+    async def serve(self, host: str, port: int) -> None:
+        """Serve instances until cancelled."""
+        server = await asyncio.start_server(self._accept, host, port)
+        try:
+            while True:
+                self._beat()
+                await asyncio.sleep(HEARTBEAT_S)
+        finally:
+            server.close()
+            for link in list(self.links):
+                link.writer.transport.abort()
+
+    def instances(self) -> list[str]:
+        """Return the names of the connected instances."""
+        return sorted({link.instance for link in self.links})
+
+    def send(self, message: messages.Message) -> None:
+        """Send a message to all instances."""
+        frame = messages.encode(message)
+        for link in list(self.links):
+            link.send(frame)
+
+    def _beat(self) -> None:
+        self.send(messages.Fleet(self.instances(), self.blind()))
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        link = Link(writer)
+        try:
+            async with asyncio.timeout(SILENCE_S):
+                hello = await messages.read(reader)
+            if not isinstance(hello, messages.Hello):
+                return
+            link.instance = hello.instance
+            for table in self.tables():
+                link.send(messages.encode(table))
+            self.links.add(link)
+            self._beat()
+            logs.info('instance_joined', instance=link.instance)
+            await self._follow(reader)
+        except (OSError, EOFError, TimeoutError, msgspec.MsgspecError) as e:
+            logs.info(
+                'instance_left',
+                instance=link.instance,
+                reason=type(e).__name__,
+            )
+        finally:
+            self.links.discard(link)
+            writer.transport.abort()
+
+    async def _follow(self, reader: asyncio.StreamReader) -> None:
+        while True:
+            silent_at = clock.now() + SILENCE_S
+            async with asyncio.timeout(silent_at - clock.now()):
+                message = await messages.read(reader)
+            if isinstance(message, messages.Report):
+                self.report(message)
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/main.py
@@ -0,0 +1,44 @@
+"""Entry point of the router process."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import os
+import pathlib
+
+from knapweedhall_adapter import names
+from knapweedhall_router import application
+from knapweedhall_router import logs
+
+DEFAULT_SETTINGS = '/etc/knapweedhall/node.ini'
+EXIT_SETTINGS = 2
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the router; return the exit status."""
+    parser = argparse.ArgumentParser(prog='knapweedhall')
+    parser.add_argument(
+        '--settings',
+        type=pathlib.Path,
+        default=os.environ.get(names.SETTINGS_VARIABLE, DEFAULT_SETTINGS),
+        help=f'INI file; the default is ${names.SETTINGS_VARIABLE}',
+    )
+    parser.add_argument(
+        '--check-config',
+        action='store_true',
+        help='name all faults of the settings and end',
+    )
+    options = parser.parse_args(arguments)
+    logs.configure('knapweedhall')
+    settings = application.check(pathlib.Path(options.settings))
+    if settings is None:
+        return EXIT_SETTINGS
+    if options.check_config:
+        return 0
+    logs.configure(settings.name)
+    # What is imported by now lives as long as the process.
+    gc.freeze()
+    asyncio.run(application.Application(settings).run())
+    return 0
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -0,0 +1,141 @@
+"""Joins the store's group; its member with partition 0 coordinates."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+
+from knapweedhall_adapter import orders
+from knapweedhall_adapter import outcomes
+from knapweedhall_adapter import store
+from knapweedhall_router import clock
+from knapweedhall_router import coordinator as coordinator_module
+from knapweedhall_router import follower_link
+from knapweedhall_router import logs
+from knapweedhall_router import state as state_module
+
+# The store lets another member take over this long after the last join of
+# the coordinator. Short, as keys of a lost upstream wait for it; the store's
+# slow answers of the sites (0.3 s) still fit in twice.
+COORDINATOR_TIMEOUT_S = 1.2
+COORDINATOR_JOIN_S = 0.3
+# Others hold nothing; they join to be candidates.
+CANDIDATE_TIMEOUT_S = 3.0
+CANDIDATE_JOIN_S = 1.0
+# A candidate that does not hear a coordinator may be the next one.
+ORPHAN_JOIN_S = 0.25
+CALL_TIMEOUT_S = 0.6
+# Kept free of a lease for the delay until an order arrives.
+LEASE_MARGIN_S = 0.1
+
+
+class Membership:
+    """Keeps this instance in the group and starts its tenures.
+
+    Attributes
+    ----------
+    generation : int
+        Last number that the store gave.
+    coordinator : coordinator.Coordinator or None
+        The present tenure.
+    """
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        session: aiohttp.ClientSession,
+        state: state_module.State,
+        link: follower_link.FollowerLink,
+    ) -> None:
+        self.client = client
+        self.orders = orders.OrderClient(session)
+        self.state = state
+        self.link = link
+        self.generation = 0
+        self.coordinator: coordinator_module.Coordinator | None = None
+        self.task: asyncio.Task[None] | None = None
+        settings = state.settings
+        self.member = follower_link.member_name(
+            settings.name, settings.address, settings.peer_port
+        )
+        least = settings.least_membership_s
+        self.coordinator_timeout_s = max(COORDINATOR_TIMEOUT_S, least)
+        self.candidate_timeout_s = max(CANDIDATE_TIMEOUT_S, least)
+
+    async def run(self) -> None:
+        """Stay in the group until cancelled."""
+        try:
+            while True:
+                sent = clock.now()
+                await self._join(sent)
+                # A lost coordinator may have handed over its place.
+                await self.link.lost.wait(sent + self._period() - clock.now())
+        finally:
+            await self._stop()
+
+    def _period(self) -> float:
+        if self.coordinator is not None:
+            return COORDINATOR_JOIN_S
+        return CANDIDATE_JOIN_S if self.link.connected else ORPHAN_JOIN_S
+
+    async def _join(self, sent: float) -> None:
+        timeout_s = self.candidate_timeout_s
+        if self.coordinator is not None:
+            timeout_s = self.coordinator_timeout_s
+        deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+        outcome = await self.client.join(
+            follower_link.GROUP,
+            self.member,
+            follower_link.TENURE_TOPIC,
+            timeout_s,
+            self.generation,
+            deadline,
+        )
+        if isinstance(outcome, outcomes.Unavailable):
+            logs.info('join_failed', reason=outcome.reason)
+            if self.coordinator and not self.coordinator.may_renew():
+                await self._stop()
+            return
+        self.generation = outcome.generation
+        if not outcome.held:
+            await self._stop()
+            return
+        leased_until = sent + self.coordinator_timeout_s - LEASE_MARGIN_S
+        if self.task is not None and self.task.done():
+            await self._stop()
+        if self.coordinator is None:
+            self._start(leased_until)
+        else:
+            self.coordinator.leased_until = leased_until
+
+    def _start(self, leased_until: float) -> None:
+        self.coordinator = coordinator_module.Coordinator(
+            self.client, self.orders, self.state, leased_until
+        )
+        self.task = asyncio.create_task(self.coordinator.run())
+
+    async def _stop(self) -> None:
+        task, self.task = self.task, None
+        self.coordinator = None
+        if task is None:
+            return
+        task.cancel()
+        try:
+            await task
+        except asyncio.CancelledError:
+            if not task.cancelled():
+                raise
+        except BaseExceptionGroup as group:
+            logs.warning(
+                'tenure_failed',
+                reason=', '.join(repr(one) for one in group.exceptions),
+            )
+        except coordinator_module.DeposedError:
+            logs.info('tenure_deposed')
+
+    async def leave(self) -> None:
+        """End the tenure and tell the store at once."""
+        await self._stop()
+        deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+        await self.client.leave(follower_link.GROUP, self.member, deadline)
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/messages.py
@@ -0,0 +1,120 @@
+"""Messages between the coordinator and the instances.
+
+They travel over plain TCP, as frames of a length (4 bytes, big-endian) and
+MessagePack. Each connection carries heartbeats, so that one which went
+silent without a reset is noticed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+
+import msgspec
+
+from knapweedhall_routing import model
+from knapweedhall_routing import ranges
+
+_LENGTH = struct.Struct('>I')
+# A table of 65,536 keys in ranges of 8 keys is below this, bytes.
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+
+Row = tuple[int, int, str, str, int]
+
+
+class Hello(msgspec.Struct, tag='hello', array_like=True):
+    """First message of an instance."""
+
+    instance: str
+
+
+class Report(msgspec.Struct, tag='report', array_like=True):
+    """What an instance measured since its last report.
+
+    Attributes
+    ----------
+    keys : dict of str to dict of int to int
+        Requests by service and bucket of keys.
+    times : dict of str to tuple of int and float
+        Answers and mean service time in seconds, by upstream.
+    """
+
+    keys: dict[str, dict[int, int]]
+    times: dict[str, tuple[int, float]]
+
+
+class Table(msgspec.Struct, tag='table', array_like=True):
+    """All owners of a service."""
+
+    service: str
+    epoch: int
+    number: int
+    rows: list[Row]
+
+
+class Change(msgspec.Struct, tag='change', array_like=True):
+    """Owners of some keys; follows the change before it."""
+
+    service: str
+    epoch: int
+    number: int
+    rows: list[Row]
+
+
+class Fleet(msgspec.Struct, tag='fleet', array_like=True):
+    """Heartbeat of the coordinator.
+
+    Attributes
+    ----------
+    instances : list of str
+        Names of the connected instances.
+    blind : bool
+        Whether the coordinator can't reach the store, so that another one
+        may have taken its place.
+    """
+
+    instances: list[str]
+    blind: bool
+
+
+Message = Hello | Report | Table | Change | Fleet
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Return the frame of a message."""
+    raw = _encoder.encode(message)
+    return _LENGTH.pack(len(raw)) + raw
+
+
+async def read(reader: asyncio.StreamReader) -> Message:
+    """Return the next message.
+
+    Raises
+    ------
+    ConnectionError, asyncio.IncompleteReadError
+        If the connection ended.
+    msgspec.MsgspecError
+        If the frame can't be read.
+    """
+    (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+    if length > MAX_FRAME_BYTES:
+        raise msgspec.DecodeError(f'frame of {length} bytes')
+    return _decoder.decode(await reader.readexactly(length))
+
+
+def to_row(owned: model.OwnedRange) -> Row:
+    """Return an owned range as it is sent."""
+    return (owned.first, owned.last, owned.upstream, *owned.address)
+
+
+def from_row(row: Row) -> model.OwnedRange:
+    """Return an owned range as it was sent."""
+    first, last, upstream, host, port = row
+    return model.OwnedRange(first, last, upstream, model.Address(host, port))
+
+
+def version(message: Table | Change) -> ranges.Version:
+    """Return the version that a message leads to."""
+    return ranges.Version(message.epoch, message.number)
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/orders.py
@@ -0,0 +1,122 @@
+"""Sends grants and releases for a coordinator and books their outcomes."""
+
+from __future__ import annotations
+
+import asyncio
+
+from knapweedhall_adapter import orders
+from knapweedhall_adapter import outcomes
+from knapweedhall_router import clock
+from knapweedhall_router import logs
+from knapweedhall_routing import holdings
+from knapweedhall_routing import model
+
+# A grant is answered at once; a renewal that takes longer is repeated before
+# the hold ends.
+GRANT_TIMEOUT_S = 0.6
+# A release is answered when running work has ended, which takes up to the
+# longest work (1.2 s on the sites).
+RELEASE_TIMEOUT_S = 1.5
+RETRY_S = 0.3
+# Time for which an upstream that left a grant unanswered is given no keys.
+SILENCE_S = 2.0
+
+
+class Orders:
+    """Orders of one tenure.
+
+    Attributes
+    ----------
+    fenced : bool
+        Whether an upstream has seen a token of a later tenure.
+    """
+
+    def __init__(
+        self, client: orders.OrderClient, fences: holdings.Fences
+    ) -> None:
+        self.client = client
+        self.fences = fences
+        self.fenced = False
+        self.silent_until: dict[str, float] = {}
+
+    def is_silent(self, upstream: str, now: float) -> bool:
+        """Return whether an upstream leaves grants unanswered."""
+        return self.silent_until.get(upstream, 0.0) > now
+
+    async def grant(
+        self, ranges: holdings.Holdings, one: holdings.Holding
+    ) -> bool:
+        """Send a grant or its renewal; return whether it was accepted."""
+        if not one.fence:
+            one.fence = self.fences.next()
+        keys = model.KeyRange(one.first, one.last)
+        fence = one.fence
+        sent = clock.now()
+        one.in_flight += 1
+        one.held_until = max(one.held_until, holdings.hold_end(sent))
+        one.renew_at = sent + holdings.RENEW_S
+        deadline = asyncio.get_running_loop().time() + GRANT_TIMEOUT_S
+        outcome = await self.client.grant(
+            one.address,
+            one.upstream,
+            keys,
+            fence,
+            holdings.HOLD_S,
+            one.handover,
+            deadline,
+        )
+        accepted = isinstance(outcome, outcomes.Granted)
+        for part in ranges.within(keys.first, keys.last, fence):
+            part.in_flight = max(0, part.in_flight - 1)
+            if accepted:
+                part.confirmed = True
+                part.handover = ''
+                part.unanswered_until = 0.0
+            else:
+                part.unanswered_until = max(
+                    part.unanswered_until, holdings.hold_end(sent)
+                )
+                # The next grant has a higher token, so that this one is
+                # refused if it is carried out after it.
+                part.fence = 0
+                part.renew_at = clock.now() + RETRY_S
+        if accepted:
+            self.silent_until.pop(one.upstream, None)
+        if isinstance(outcome, outcomes.Fenced):
+            self.fenced = True
+            logs.warning(
+                'grant_fenced', upstream=one.upstream, first=keys.first
+            )
+        elif isinstance(outcome, outcomes.NoAnswer):
+            self.silent_until[one.upstream] = clock.now() + SILENCE_S
+            logs.info(
+                'grant_unanswered',
+                upstream=one.upstream,
+                first=keys.first,
+                last=keys.last,
+                reason=outcome.reason,
+            )
+        return accepted
+
+    async def release(self, one: holdings.Holding) -> outcomes.ReleaseOutcome:
+        """Take a range back from its holder."""
+        # A token above that of the grant: a repeat of the grant which is
+        # still on its way is refused by an upstream that saw the release.
+        fence = self.fences.next()
+        deadline = asyncio.get_running_loop().time() + RELEASE_TIMEOUT_S
+        outcome = await self.client.release(
+            one.address,
+            one.upstream,
+            model.KeyRange(one.first, one.last),
+            fence,
+            deadline,
+        )
+        if isinstance(outcome, outcomes.NoAnswer):
+            logs.info(
+                'release_unanswered',
+                upstream=one.upstream,
+                first=one.first,
+                last=one.last,
+                reason=outcome.reason,
+            )
+        return outcome
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -0,0 +1,171 @@
+"""What one instance knows; shared by its tasks, changed on one thread."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from knapweedhall_router import logs
+from knapweedhall_router import settings as settings_module
+from knapweedhall_routing import budgets
+from knapweedhall_routing import directory
+from knapweedhall_routing import health
+from knapweedhall_routing import model
+from knapweedhall_routing import ranges
+from knapweedhall_routing import rates
+from knapweedhall_routing import routes
+
+
+class Signal:
+    """Wakes all tasks that wait for a change."""
+
+    def __init__(self) -> None:
+        self.waiters: set[asyncio.Future[None]] = set()
+
+    def notify(self) -> None:
+        """Wake the waiting tasks."""
+        for waiter in self.waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def wait(self, seconds: float) -> bool:
+        """Wait for a change; return False if there was none in time."""
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.add(waiter)
+        try:
+            async with asyncio.timeout(max(0.0, seconds)):
+                await waiter
+        except TimeoutError:
+            return False
+        finally:
+            self.waiters.discard(waiter)
+        return True
+
+
+class State:
+    """Configuration, upstreams, owners and own measurements.
+
+    Attributes
+    ----------
+    configuration : model.Configuration or None
+        The highest version seen; None before the first.
+    listed : bool
+        Whether the list of upstreams was read once.
+    owners : dict of str to ranges.OwnerTable
+        By service.
+    instances : tuple of str
+        Names of the live instances, as the coordinator knows them.
+    key_counts : dict of str to dict of int to int
+        Requests by service and bucket since the last report.
+    times : dict of str to list of float
+        Number and sum of service times by upstream since the last report.
+    """
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        self.settings = settings
+        self.configuration: model.Configuration | None = None
+        self.routes: routes.RouteTable | None = None
+        self.splitter = routes.Splitter()
+        self.directory = directory.Directory()
+        self.listed = False
+        self.owners: dict[str, ranges.OwnerTable] = {}
+        self.healths: dict[str, health.Health] = {}
+        self.instances: tuple[str, ...] = (settings.name,)
+        self.retry_budgets: dict[str, budgets.RetryBudget] = {}
+        self.cold_budgets: dict[str, budgets.ColdBudget] = {}
+        self.key_counts: dict[str, dict[int, int]] = {}
+        self.times: dict[str, list[float]] = {}
+        self.owners_changed = Signal()
+        self.stopping = False
+        self.rng = random.Random(settings.name)
+
+    def configure(self, new: model.Configuration) -> bool:
+        """Put a configuration in force unless it is older."""
+        known = self.configuration
+        if known is not None and new.version <= known.version:
+            return False
+        self.configuration = new
+        self.routes = routes.RouteTable(new)
+        self.splitter.forget([route.name for route in new.routes])
+        logs.info(
+            'configuration_in_force',
+            version=new.version,
+            routes=len(new.routes),
+            services=len(new.services),
+        )
+        return True
+
+    def service(self, name: str) -> model.Service:
+        """Return a service; one that is not configured has no limits."""
+        found = None
+        if self.configuration is not None:
+            found = self.configuration.services.get(name)
+        return found or model.Service(name, False, 100, 0.0)
+
+    def divided_services(self) -> list[str]:
+        """Return the services whose keys have owners."""
+        if self.configuration is None:
+            return []
+        services = self.configuration.services.values()
+        return [one.name for one in services if one.divided]
+
+    def owner_table(self, service: str) -> ranges.OwnerTable:
+        """Return the table of a service's owners."""
+        return self.owners.setdefault(service, ranges.OwnerTable())
+
+    def health(self, upstream: str, slots: int = 4) -> health.Health:
+        """Return the measurements of an upstream."""
+        found = self.healths.get(upstream)
+        if found is None:
+            found = self.healths[upstream] = health.Health(slots)
+        return found
+
+    def retry_budget(self, service: str) -> budgets.RetryBudget:
+        """Return this instance's part of a service's retry budget."""
+        found = self.retry_budgets.get(service)
+        if found is None:
+            limits = self.settings
+            found = self.retry_budgets[service] = budgets.RetryBudget(
+                limits.retry_ratio, limits.retry_extra, limits.retry_window_s
+            )
+        found.instances = len(self.instances)
+        return found
+
+    def admit_cold(self, upstream: str, service: str, now: float) -> bool:
+        """Take a request from the budget of a cold upstream."""
+        per_s = budgets.cold_share(
+            upstream,
+            self.settings.name,
+            self.instances,
+            self.service(service).cold_per_s,
+        )
+        found = self.cold_budgets.setdefault(upstream, budgets.ColdBudget())
+        return found.admit(now, per_s)
+
+    def count_key(self, service: str, key: int) -> None:
+        """Count a request for the coordinator's rates."""
+        counts = self.key_counts.setdefault(service, {})
+        bucket = rates.bucket_of(key)
+        counts[bucket] = counts.get(bucket, 0) + 1
+
+    def count_time(self, upstream: str, service_s: float) -> None:
+        """Count an answer for the coordinator's service times."""
+        sums = self.times.setdefault(upstream, [0, 0.0])
+        sums[0] += 1
+        sums[1] += service_s
+
+    def forget(self, upstream: str) -> None:
+        """Drop what was measured of an upstream that has gone."""
+        found = self.healths.get(upstream)
+        if found is not None and not found.outstanding:
+            del self.healths[upstream]
+        self.cold_budgets.pop(upstream, None)
+
+    def is_ready(self) -> bool:
+        """Return whether callers can be served."""
+        if self.stopping or self.configuration is None or not self.listed:
+            return False
+        return all(
+            self.owner_table(service).rows
+            for service in self.divided_services()
+        )
--- /dev/null
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic of the router; no input, output or clock."""
--- /dev/null
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/choice.py
@@ -0,0 +1,58 @@
+"""Choice of an upstream for services whose upstreams are all alike."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from knapweedhall_routing import health as health_module
+from knapweedhall_routing import model
+
+# Upstreams compared for one request. All instances that pick the best of all
+# by the same stale reports would send their bursts to the same one.
+COMPARED = 4
+# Expected time of an upstream in another failure domain counts this much
+# more, as bytes between failure domains are priced.
+REMOTE_FACTOR = 1.1
+# A failing answer costs the caller a repeat; its weight in expected times.
+FAILURE_WEIGHT = 6.0
+# Expected time of an upstream that seems silent counts this much more.
+SILENT_WEIGHT = 20.0
+
+
+class Candidate(typing.NamedTuple):
+    """An upstream and what was measured of it."""
+
+    upstream: model.Upstream
+    health: health_module.Health
+
+
+def score(candidate: Candidate, now: float, own_domain: str) -> float:
+    """Return the expected cost of sending a request there, in seconds."""
+    found = candidate.health
+    cost = found.wait_s(now)
+    cost *= 1 + FAILURE_WEIGHT * found.failure_share(now)
+    if candidate.upstream.failure_domain != own_domain:
+        cost *= REMOTE_FACTOR
+    if found.is_silent(now):
+        cost *= SILENT_WEIGHT
+    return cost
+
+
+def choose(
+    candidates: typing.Sequence[Candidate],
+    now: float,
+    own_domain: str,
+    rng: random.Random,
+) -> Candidate | None:
+    """Return the best of a few random candidates, or None without any.
+
+    Candidates that refuse connections come last.
+    """
+    reachable = [one for one in candidates if one.health.blocked_until <= now]
+    pool = reachable or list(candidates)
+    if not pool:
+        return None
+    if len(pool) > COMPARED:
+        pool = rng.sample(pool, COMPARED)
+    return min(pool, key=lambda one: score(one, now, own_domain))
--- /dev/null
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
@@ -0,0 +1,279 @@
+"""Grants of key ranges of one service, as its coordinator knows them.
+
+A range is given to another upstream only when its last holder confirmed the
+release, or when every grant that any coordinator may have sent has ended.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from knapweedhall_routing import model
+from knapweedhall_routing import rates
+
+# Length of a grant, seconds. Longer than the takeover by another coordinator
+# (membership timeout 1.2 s, one join, reading the table) plus one renewal.
+HOLD_S = 3.0
+RENEW_S = 0.75
+# A holder's clock may run 2% slow (platform protocol); the rest covers the
+# delay between sending and arrival.
+CLOCK_RATE = 1.02
+ARRIVAL_MARGIN_S = 0.4
+# Longest time for which a coordinator without the store renews grants that
+# exist already. The outages of the sites last 4 to 9 s.
+BLIND_RENEWAL_S = 9.0
+# After a move a range stays where it is for this time, as the rates that led
+# to the move need it to settle.
+SETTLE_S = 3.0
+FENCE_BITS = 24
+
+
+def hold_end(sent: float) -> float:
+    """Return when a grant sent at a time has ended at its holder."""
+    return sent + HOLD_S * CLOCK_RATE + ARRIVAL_MARGIN_S
+
+
+@dataclasses.dataclass
+class Holding:
+    """A range of keys and its only possible holder.
+
+    Attributes
+    ----------
+    first, last : int
+        Keys, both included.
+    upstream : str
+        The possible holder; '' if nobody holds the range.
+    address : model.Address
+        Where the holder takes orders.
+    born_ms : int
+        Incarnation of the holder that the grant is for; 0 if unknown.
+    fence : int
+        Fencing token of the grant in this tenure; 0 before one was sent.
+    held_until : float
+        When the holder has surely lost the range unless it is renewed.
+    unanswered_until : float
+        When the last grant without an answer has surely ended; 0 once a
+        grant with a higher token was accepted, as the holder then refuses
+        the earlier ones.
+    confirmed : bool
+        Whether the holder accepted this tenure's token.
+    moving : bool
+        Whether a move is under way.
+    in_flight : int
+        Grants that were sent and are neither answered nor given up.
+    settled_at : float
+        Until when the range is not moved to level the load.
+    renew_at : float
+        When the grant is sent again.
+    handover : str
+        Proof of the previous holder's release, for the next grant.
+    """
+
+    first: int
+    last: int
+    upstream: str = ''
+    address: model.Address = model.Address('', 0)
+    born_ms: int = 0
+    fence: int = 0
+    held_until: float = 0.0
+    unanswered_until: float = 0.0
+    confirmed: bool = False
+    moving: bool = False
+    in_flight: int = 0
+    settled_at: float = 0.0
+    renew_at: float = 0.0
+    handover: str = ''
+
+    def row(self) -> model.OwnedRange:
+        """Return what instances are told."""
+        usable = self.confirmed and not self.moving
+        return model.OwnedRange(
+            self.first,
+            self.last,
+            self.upstream if usable else '',
+            self.address,
+        )
+
+    def is_free(self, now: float) -> bool:
+        """Return whether the range may be given to anybody."""
+        return not self.upstream or (
+            self.held_until <= now and self.unanswered_until <= now
+        )
+
+
+class StoredRange(typing.NamedTuple):
+    """One row of the assignment that stands in the store."""
+
+    first: int
+    last: int
+    upstream: str
+    host: str
+    port: int
+    born_ms: int
+
+
+class Holdings:
+    """All ranges of one service; they cover each key exactly once."""
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.items = [Holding(0, model.KEY_COUNT - 1)]
+
+    def restore(
+        self, stored: typing.Iterable[StoredRange], now: float
+    ) -> None:
+        """Take over what an earlier coordinator may have granted.
+
+        That coordinator may renew its grants without the store for
+        `BLIND_RENEWAL_S`, so an upstream that does not answer may hold its
+        ranges until then.
+        """
+        until = hold_end(now + BLIND_RENEWAL_S)
+        rows = sorted(stored)
+        items: list[Holding] = []
+        following = 0
+        for row in rows:
+            if not following <= row.first <= row.last < model.KEY_COUNT:
+                continue
+            if following < row.first:
+                items.append(Holding(following, row.first - 1))
+            items.append(
+                Holding(
+                    row.first,
+                    row.last,
+                    row.upstream,
+                    model.Address(row.host, row.port),
+                    row.born_ms,
+                    held_until=until if row.upstream else 0.0,
+                    unanswered_until=until if row.upstream else 0.0,
+                )
+            )
+            following = row.last + 1
+        if following < model.KEY_COUNT:
+            items.append(Holding(following, model.KEY_COUNT - 1))
+        self.items = items
+
+    def stored(self) -> list[StoredRange]:
+        """Return the rows for the store."""
+        return [
+            StoredRange(
+                one.first,
+                one.last,
+                one.upstream,
+                one.address.host,
+                one.address.port,
+                one.born_ms,
+            )
+            for one in self.items
+        ]
+
+    def rows(self) -> list[model.OwnedRange]:
+        """Return the rows for the instances."""
+        return [one.row() for one in self.items]
+
+    def cut(self, first: int, last: int) -> Holding:
+        """Return a holding of exactly these keys, split from its neighbours.
+
+        Raises
+        ------
+        ValueError
+            If the keys belong to several holdings.
+        """
+        for place, one in enumerate(self.items):
+            if one.first <= first and last <= one.last:
+                break
+        else:
+            raise ValueError(f'{first}-{last} is in several holdings')
+        parts = []
+        if one.first < first:
+            parts.append(dataclasses.replace(one, last=first - 1))
+        middle = dataclasses.replace(one, first=first, last=last)
+        parts.append(middle)
+        if last < one.last:
+            parts.append(dataclasses.replace(one, first=last + 1))
+        self.items[place : place + 1] = parts
+        return middle
+
+    def merge(self, now: float) -> None:
+        """Join neighbours that one upstream holds under confirmed tokens.
+
+        The joint grant is renewed under the higher token, which is above
+        all that other upstreams had for any of its keys.
+        """
+        merged: list[Holding] = []
+        for one in self.items:
+            last = merged[-1] if merged else None
+            if last is not None and _can_merge(last, one, now):
+                if last.fence != one.fence:
+                    last.renew_at = now
+                last.fence = max(last.fence, one.fence)
+                last.last = one.last
+                last.held_until = max(last.held_until, one.held_until)
+                last.unanswered_until = max(
+                    last.unanswered_until, one.unanswered_until
+                )
+                last.renew_at = min(last.renew_at, one.renew_at)
+                last.settled_at = max(last.settled_at, one.settled_at)
+            else:
+                merged.append(one)
+        self.items = merged
+
+    def within(self, first: int, last: int, fence: int) -> list[Holding]:
+        """Return the parts of a range that was granted under a token.
+
+        A range may have been divided while its grant was under way.
+        """
+        return [
+            one
+            for one in self.items
+            if first <= one.first and one.last <= last and one.fence == fence
+        ]
+
+    def of(self, upstream: str) -> list[Holding]:
+        """Return what one upstream may hold."""
+        return [one for one in self.items if one.upstream == upstream]
+
+
+def _can_merge(one: Holding, other: Holding, now: float) -> bool:
+    if not one.upstream or one.upstream != other.upstream:
+        return False
+    if one.born_ms != other.born_ms:
+        return False
+    if not one.confirmed or not other.confirmed:
+        return False
+    if one.moving or other.moving or one.in_flight or other.in_flight:
+        return False
+    return one.settled_at <= now and other.settled_at <= now
+
+
+def split_points(first: int, last: int, parts: int) -> list[tuple[int, int]]:
+    """Return equal ranges of keys that begin at bucket borders."""
+    buckets = (last - first + 1) // rates.BUCKET_KEYS
+    parts = max(1, min(parts, buckets))
+    found = []
+    begin = first
+    for number in range(1, parts + 1):
+        end = first + buckets * number // parts * rates.BUCKET_KEYS - 1
+        if number == parts:
+            end = last
+        found.append((begin, end))
+        begin = end + 1
+    return found
+
+
+class Fences:
+    """Fencing tokens of one tenure.
+
+    The epoch is the offset of the tenure's record in the store. Offsets never
+    restart, so each token is above those of all earlier tenures.
+    """
+
+    def __init__(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.number = 0
+
+    def next(self) -> int:
+        """Return a token above all earlier ones."""
+        self.number += 1
+        return ((self.epoch + 1) << FENCE_BITS) + self.number
--- /dev/null
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/planning.py
@@ -0,0 +1,237 @@
+"""Which ranges of keys move, and to which upstream."""
+
+from __future__ import annotations
+
+import typing
+
+from knapweedhall_routing import holdings
+from knapweedhall_routing import model
+from knapweedhall_routing import rates
+
+# An upstream is relieved when its load exceeds the mean by this factor ...
+OVERLOAD_FACTOR = 1.3
+# ... and this share of its capacity; below it requests hardly wait.
+OVERLOAD_SHARE = 0.45
+# A move must lower the higher of the two loads by this share of capacity.
+LEAST_GAIN = 0.06
+# Requests per second of a service below which its keys are spread evenly
+# instead of by load.
+IDLE_RATE = 2.0
+# Load that a key is assumed to bring before it was ever asked for, requests
+# per second; spreads keys evenly while there is no traffic.
+BASE_RATE = 0.0002
+# Ranges per upstream at most; each has to be renewed on its own.
+RANGES_PER_UPSTREAM = 12
+# Parts of an upstream's load in which the ranges of one that leaves are
+# spread over the others.
+SPREAD_PART = 0.15
+
+
+class Move(typing.NamedTuple):
+    """Keys that go to an upstream."""
+
+    first: int
+    last: int
+    target: str
+
+
+class View(typing.NamedTuple):
+    """What a plan is made from.
+
+    Attributes
+    ----------
+    capacity : dict of str to float
+        Requests per second of each upstream that may be given keys.
+    rates : rates.KeyRates
+        Measured load.
+    busy : frozenset of str
+        Upstreams that take part in a move.
+    """
+
+    capacity: dict[str, float]
+    rates: rates.KeyRates
+    busy: frozenset[str]
+
+
+def _load(view: View, first: int, last: int) -> float:
+    return view.rates.rate(first, last) + BASE_RATE * (last - first + 1)
+
+
+def _loads(
+    items: typing.Iterable[holdings.Holding], view: View
+) -> dict[str, float]:
+    """Return the load of each upstream as a share of its capacity."""
+    found = dict.fromkeys(view.capacity, 0.0)
+    for one in items:
+        if one.upstream in found:
+            found[one.upstream] += (
+                _load(view, one.first, one.last) / view.capacity[one.upstream]
+            )
+    return found
+
+
+def place_orphans(
+    items: typing.Sequence[holdings.Holding],
+    view: View,
+    orphans: typing.Sequence[holdings.Holding],
+) -> list[Move]:
+    """Return where ranges go that can't stay with their holder.
+
+    Large ones are divided, so that no single upstream takes all the load of
+    one that left.
+    """
+    if not view.capacity:
+        return []
+    loads = _loads(items, view)
+    chunks = []
+    least = min(view.capacity.values())
+    for one in orphans:
+        load = _load(view, one.first, one.last)
+        parts = int(load / (least * SPREAD_PART)) + 1
+        if one.last - one.first + 1 == model.KEY_COUNT:
+            parts = max(parts, len(view.capacity))
+        chunks += _divide(one, min(parts, 4 * len(view.capacity)), view)
+    moves = []
+    for load, first, last in sorted(chunks, reverse=True):
+        target = min(
+            loads, key=lambda name: loads[name] + load / view.capacity[name]
+        )
+        loads[target] += load / view.capacity[target]
+        moves.append(Move(first, last, target))
+    return sorted(moves)
+
+
+def _divide(
+    one: holdings.Holding, parts: int, view: View
+) -> list[tuple[float, int, int]]:
+    """Divide a range into parts of about equal load."""
+    total = _load(view, one.first, one.last)
+    found = []
+    begin = one.first
+    load = 0.0
+    base = BASE_RATE * rates.BUCKET_KEYS
+    buckets = view.rates.buckets(one.first, one.last)
+    for number, rate in enumerate(buckets, 1):
+        load += rate + base
+        end = one.first + number * rates.BUCKET_KEYS - 1
+        if end >= one.last:
+            break
+        if load >= total / parts:
+            found.append((load, begin, end))
+            begin, load = end + 1, 0.0
+    found.append((load, begin, one.last))
+    return found
+
+
+def level(
+    items: typing.Sequence[holdings.Holding],
+    view: View,
+    now: float,
+    most: int,
+) -> list[Move]:
+    """Return moves of single hot ranges from the busiest upstreams.
+
+    Borders of all ranges are never shifted: each key that moves leaves a
+    cold cache behind, and each table that is behind sends requests astray.
+    """
+    if len(view.capacity) < 2:
+        return []
+    loads = _loads(items, view)
+    held = len(items)
+    moves: list[Move] = []
+    taken = set(view.busy)
+    total = sum(view.capacity.values())
+    mean = sum(loads[name] * view.capacity[name] for name in loads) / total
+    least = OVERLOAD_FACTOR * mean
+    if view.rates.total() > IDLE_RATE:
+        least = max(least, OVERLOAD_SHARE)
+    unused = set(loads) - {one.upstream for one in items}
+    for source in sorted(loads, key=lambda name: -loads[name]):
+        if len(moves) >= most or held > RANGES_PER_UPSTREAM * len(loads):
+            break
+        if loads[source] < least and not unused - taken:
+            break
+        if source in taken:
+            continue
+        targets = [name for name in loads if name not in taken]
+        targets = [name for name in targets if name != source]
+        if not targets:
+            break
+        target = min(targets, key=lambda name: loads[name])
+        move = _hottest_part(items, view, now, source, target, loads)
+        if move is None:
+            continue
+        load = _load(view, move.first, move.last)
+        loads[source] -= load / view.capacity[source]
+        loads[target] += load / view.capacity[target]
+        taken |= {source, target}
+        moves.append(move)
+        held += 2
+    return moves
+
+
+def _hottest_part(
+    items: typing.Sequence[holdings.Holding],
+    view: View,
+    now: float,
+    source: str,
+    target: str,
+    loads: typing.Mapping[str, float],
+) -> Move | None:
+    gap = loads[source] - loads[target]
+    # The amount after which both have the same share of their capacity.
+    wanted = gap / (1 / view.capacity[source] + 1 / view.capacity[target])
+    best: tuple[float, int, int, int] | None = None
+    for one in items:
+        if one.upstream != source or one.moving or one.settled_at > now:
+            continue
+        if not one.confirmed or one.in_flight:
+            continue
+        found = _window(view, one, wanted)
+        if found is None:
+            continue
+        load, first, last = found
+        # Rounded, so that among parts of about the same load the narrowest
+        # moves: keys that change hands are priced.
+        rank = (round(8 * load / wanted), first - last, first, last)
+        if best is None or rank > best:
+            best = rank
+    if best is None:
+        return None
+    first, last = best[2:]
+    load = _load(view, first, last)
+    after = max(
+        loads[source] - load / view.capacity[source],
+        loads[target] + load / view.capacity[target],
+    )
+    idle = not any(one.upstream == target for one in items)
+    gain = loads[source] - after
+    if idle or view.rates.total() <= IDLE_RATE:
+        return Move(first, last, target) if gain > 0 else None
+    if gain < LEAST_GAIN:
+        return None
+    return Move(first, last, target)
+
+
+def _window(
+    view: View, one: holdings.Holding, wanted: float
+) -> tuple[float, int, int] | None:
+    """Return the neighbouring buckets with the most load up to `wanted`."""
+    base = BASE_RATE * rates.BUCKET_KEYS
+    loads = [base + rate for rate in view.rates.buckets(one.first, one.last)]
+    best = (0.0, 0, 0)
+    begin = 0
+    total = 0.0
+    for place, load in enumerate(loads):
+        total += load
+        while total > wanted and begin <= place:
+            total -= loads[begin]
+            begin += 1
+        # At least 2% more, or a wider window would gain nothing.
+        if begin <= place and total > best[0] * 1.02:
+            best = (total, begin, place)
+    if not best[0]:
+        return None
+    first = one.first + best[1] * rates.BUCKET_KEYS
+    last = one.first + (best[2] + 1) * rates.BUCKET_KEYS - 1
+    return best[0], first, min(last, one.last)
--- /dev/null
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/routes.py
@@ -0,0 +1,61 @@
+"""Selection of a route and of the service that gets a request."""
+
+from __future__ import annotations
+
+import typing
+
+from knapweedhall_routing import model
+
+
+class RouteTable:
+    """Routes of one configuration by host, longest prefix first."""
+
+    def __init__(self, configuration: model.Configuration) -> None:
+        self.version = configuration.version
+        self.by_host: dict[str, list[model.Route]] = {}
+        for route in configuration.routes:
+            self.by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in self.by_host.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+
+    def find(self, host: str, path: str) -> model.Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        routes = self.by_host.get(host.lower())
+        if routes is None:
+            routes = self.by_host.get(host.lower().rpartition(':')[0], [])
+        for route in routes:
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+class Splitter:
+    """Smooth weighted round robin over the clusters of each route.
+
+    Counts are kept by route name, so that a new version of the configuration
+    with the same weights does not start the sequence anew.
+    """
+
+    def __init__(self) -> None:
+        self.credit: dict[str, dict[str, float]] = {}
+
+    def choose(self, route: model.Route) -> str:
+        """Return the service that gets the next request of a route."""
+        if len(route.clusters) == 1:
+            return route.clusters[0].service
+        credit = self.credit.setdefault(route.name, {})
+        total = sum(cluster.weight for cluster in route.clusters)
+        best = ''
+        for service, weight in route.clusters:
+            credit[service] = credit.get(service, 0.0) + weight
+            if weight and (not best or credit[service] > credit[best]):
+                best = service
+        if not best:
+            return route.clusters[0].service
+        credit[best] -= total
+        return best
+
+    def forget(self, routes: typing.Collection[str]) -> None:
+        """Drop the counts of routes that are not named."""
+        for name in set(self.credit) - set(routes):
+            del self.credit[name]
--- /dev/null
+++ b/packages/knapweedhall-routing/tests/test_budgets.py
@@ -0,0 +1,75 @@
+"""Tests of budgets that all instances share."""
+
+from __future__ import annotations
+
+import unittest
+
+from knapweedhall_routing import budgets
+
+WINDOW_S = 10.0
+RATIO = 0.2
+EXTRA = 62.0
+
+
+def most_in_window(times: list[float]) -> int:
+    """Return the largest number of events in any window."""
+    return max(
+        (
+            sum(begin <= at < begin + WINDOW_S for at in times)
+            for begin in times
+        ),
+        default=0,
+    )
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Repeats."""
+
+    def repeats(
+        self, instances: int, per_s: float, seconds: int
+    ) -> list[float]:
+        """Return when repeats were sent if each request wants three."""
+        times = []
+        for _ in range(instances):
+            budget = budgets.RetryBudget(RATIO, EXTRA, WINDOW_S)
+            budget.instances = instances
+            for number in range(int(per_s / instances * seconds)):
+                now = number * instances / per_s
+                budget.earn(now)
+                times += [now for _ in range(3) if budget.spend(now)]
+        return times
+
+    def test_sum_of_all_instances_stays_within_the_budget(self) -> None:
+        """Guards against a storm of repeats in an overload."""
+        for instances, per_s in ((1, 20.0), (11, 244.0), (11, 22.0)):
+            with self.subTest(instances=instances, per_s=per_s):
+                found = most_in_window(self.repeats(instances, per_s, 40))
+                self.assertLessEqual(found, RATIO * per_s * WINDOW_S + EXTRA)
+
+    def test_budget_covers_a_move_of_keys(self) -> None:
+        """Guards against a budget that refuses what the rules allow."""
+        found = most_in_window(self.repeats(11, 244.0, 40))
+        self.assertGreater(found, RATIO * 244.0 * WINDOW_S / 4)
+
+
+class ColdShareTest(unittest.TestCase):
+    """Requests to an upstream in its cold start."""
+
+    def test_shares_add_up(self) -> None:
+        """Guards against instances that each send the whole budget."""
+        for count in (1, 8, 11, 89):
+            names = [f'instance-{number}' for number in range(count)]
+            total = sum(
+                budgets.cold_share('u', name, names, 9.1) for name in names
+            )
+            self.assertAlmostEqual(9.1, total, msg=str(count))
+
+    def test_no_burst_in_one_second(self) -> None:
+        """Guards against all instances that send in the same second."""
+        names = [f'instance-{number}' for number in range(89)]
+        sent = 0
+        for name in names:
+            budget = budgets.ColdBudget()
+            per_s = budgets.cold_share('u', name, names, 9.1)
+            sent += sum(budget.admit(step / 50, per_s) for step in range(50))
+        self.assertLessEqual(sent, 9.1 * 1.5 + 5)
--- /dev/null
+++ b/packages/knapweedhall-routing/tests/test_planning.py
@@ -0,0 +1,164 @@
+"""Tests of plans, each with the load that it answers."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from knapweedhall_routing import holdings
+from knapweedhall_routing import model
+from knapweedhall_routing import planning
+from knapweedhall_routing import rates
+
+CAPACITY = 40.0
+
+
+def view(
+    count: int, found: rates.KeyRates, busy: frozenset[str] = frozenset()
+) -> planning.View:
+    """Return a view of equal upstreams."""
+    capacity = {f'u{number}': CAPACITY for number in range(count)}
+    return planning.View(capacity, found, busy)
+
+
+def assign(book: holdings.Holdings, move: planning.Move) -> None:
+    """Carry out a move."""
+    one = book.cut(move.first, move.last)
+    one.upstream = move.target
+    one.confirmed = True
+
+
+def loads(book: holdings.Holdings, found: planning.View) -> dict[str, float]:
+    """Return measured requests per second by upstream."""
+    result = dict.fromkeys(found.capacity, 0.0)
+    for one in book.items:
+        result[one.upstream] += found.rates.rate(one.first, one.last)
+    return result
+
+
+def traffic(
+    keys: random.Random, seconds: float, per_s: float, hot: float
+) -> rates.KeyRates:
+    """Return rates in which a share of requests goes to 60 neighbours."""
+    found = rates.KeyRates()
+    step_s = 0.25
+    now = 0.0
+    for _ in range(int(seconds / step_s)):
+        counts: dict[int, int] = {}
+        for _ in range(int(per_s * step_s)):
+            if keys.random() < hot:
+                key = 30000 + keys.randrange(60)
+            else:
+                key = keys.randrange(model.KEY_COUNT)
+            bucket = rates.bucket_of(key)
+            counts[bucket] = counts.get(bucket, 0) + 1
+        now += step_s
+        found.add(counts)
+        found.decay(now)
+    return found
+
+
+class PlanningTest(unittest.TestCase):
+    """First assignment, levelling, loss of an upstream."""
+
+    def setUp(self) -> None:
+        """Assign all keys evenly to eight upstreams."""
+        self.book = holdings.Holdings('s')
+        self.idle = view(8, rates.KeyRates())
+        for move in planning.place_orphans(
+            self.book.items, self.idle, self.book.items
+        ):
+            assign(self.book, move)
+
+    def test_first_assignment_is_even(self) -> None:
+        """Guards against a start at which a few upstreams hold all keys."""
+        sizes = dict.fromkeys(self.idle.capacity, 0)
+        for one in self.book.items:
+            sizes[one.upstream] += one.last - one.first + 1
+        self.assertLess(max(sizes.values()), 1.3 * model.KEY_COUNT / 8)
+        self.assertGreater(min(sizes.values()), 0.7 * model.KEY_COUNT / 8)
+
+    def level(self, found: planning.View, rounds: int) -> int:
+        """Plan and carry out; return how many moves there were."""
+        moved = 0
+        for number in range(rounds):
+            now = 100.0 + number * 10
+            moves = planning.level(self.book.items, found, now, 4)
+            for move in moves:
+                assign(self.book, move)
+            moved += len(moves)
+        return moved
+
+    def test_hot_neighbours_are_spread(self) -> None:
+        """Guards against one upstream with the hot keys.
+
+        Load: 160 requests/s, 40% of them for 60 neighbouring keys, which
+        alone exceed what one upstream serves.
+        """
+        found = view(8, traffic(random.Random(1), 6.0, 160.0, 0.4))
+        before = max(loads(self.book, found).values())
+        self.assertGreater(before, 1.5 * CAPACITY)
+        moved = self.level(found, 12)
+        after = max(loads(self.book, found).values())
+        self.assertLess(after, 0.8 * CAPACITY)
+        self.assertLessEqual(moved, 24)
+
+    def test_even_load_moves_nothing(self) -> None:
+        """Guards against moves that only follow noise."""
+        found = view(8, traffic(random.Random(2), 6.0, 160.0, 0.0))
+        self.assertEqual(0, self.level(found, 4))
+
+    def test_settled_plan_does_not_swing(self) -> None:
+        """Guards against keys that go back and forth under steady load."""
+        rng = random.Random(3)
+        self.level(view(8, traffic(rng, 6.0, 160.0, 0.4)), 12)
+        again = self.level(view(8, traffic(rng, 6.0, 160.0, 0.4)), 4)
+        self.assertLessEqual(again, 4)
+
+    def test_single_hot_key_is_left_alone(self) -> None:
+        """Guards against a key that moves without gain.
+
+        One key exceeds an upstream; its neighbours move away, it stays.
+        """
+        found = rates.KeyRates()
+        found.add({rates.bucket_of(30000): 200})
+        found.decay(0.0)
+        self.level(view(8, found), 6)
+        owners = {
+            one.upstream
+            for one in self.book.items
+            if one.first <= 30000 <= one.last
+        }
+        again = self.level(view(8, found), 3)
+        self.assertEqual(0, again)
+        self.assertEqual(1, len(owners))
+
+    def test_joined_upstream_gets_keys(self) -> None:
+        """Guards against an upstream that joins and gets no request."""
+        found = view(9, traffic(random.Random(4), 6.0, 80.0, 0.0))
+        self.level(found, 3)
+        self.assertGreater(loads(self.book, found)['u8'], 0.0)
+
+    def test_keys_of_a_lost_upstream_are_spread(self) -> None:
+        """Guards against one neighbour that inherits a hot range."""
+        found = view(8, traffic(random.Random(5), 6.0, 160.0, 0.3))
+        self.level(found, 12)
+        victim = max(loads(self.book, found), key=loads(self.book, found).get)
+        orphans = self.book.of(victim)
+        del found.capacity[victim]
+        for move in planning.place_orphans(self.book.items, found, orphans):
+            assign(self.book, move)
+        result = loads(self.book, found)
+        self.assertLess(max(result.values()), 1.2 * CAPACITY)
+
+    def test_joined_upstreams_share_keys_without_traffic(self) -> None:
+        """Guards against a first assignment that later ones never join.
+
+        Upstreams are listed one after the other before traffic starts.
+        """
+        found = view(16, rates.KeyRates())
+        self.level(found, 20)
+        sizes = dict.fromkeys(found.capacity, 0)
+        for one in self.book.items:
+            sizes[one.upstream] += one.last - one.first + 1
+        self.assertLess(max(sizes.values()), 2 * model.KEY_COUNT / 16)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -88,7 +88,7 @@
     """Return the folders of the packages that have tests, sorted."""
     return sorted(
         folder
-        for folder in (ROOT / 'packages').iterdir()
+        for folder in [ROOT / 'platform', *(ROOT / 'packages').iterdir()]
         if list(folder.glob('tests/**/test_*.py'))
         and (not wanted or folder.name in wanted)
     )
