--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -10,6 +10,7 @@
 import aiohttp
 from aiohttp import web
 
+from knapweedhall_adapter import orders
 from knapweedhall_adapter import store
 from knapweedhall_router import clock
 from knapweedhall_router import dispatch
@@ -19,6 +20,7 @@
 from knapweedhall_router import logs
 from knapweedhall_router import membership
 from knapweedhall_router import metrics
+from knapweedhall_router import peers
 from knapweedhall_router import settings as settings_module
 from knapweedhall_router import state as state_module
 
@@ -28,6 +30,8 @@
 # Part of the grace time after which the process ends in any case.
 GRACE_SHARE = 0.85
 POLL_S = 0.05
+# Turns of the event loop from the last byte of a request to its handler.
+SETTLE_S = 0.03
 # After the listener is closed requests may still arrive on connections that
 # were accepted before; without any for this time the process ends.
 QUIET_S = 0.6
@@ -52,25 +56,54 @@
         loop.add_signal_handler(signal.SIGINT, self.stop.set)
         timeout = aiohttp.ClientTimeout(total=None)
         async with aiohttp.ClientSession(timeout=timeout) as session:
-            await self._serve(session)
+            await self.serve(session)
 
-    async def _serve(self, session: aiohttp.ClientSession) -> None:
+    async def serve(self, session: aiohttp.ClientSession) -> None:
+        """Serve until `stop` is set.
+
+        Parameters
+        ----------
+        session : aiohttp.ClientSession
+            Session for calls of the store and orders to upstreams.
+        """
         client = store.StoreClient(session, self.settings.store)
         link = follower_link.FollowerLink(client, self.state)
-        member = membership.Membership(client, session, self.state, link)
-        tasks = [
-            asyncio.create_task(work)
-            for work in (
-                followers.OperatorFollower(client, self.state).run(),
-                followers.UpstreamFollower(client, self.state).run(),
-                link.run(),
-                self._housekeeping(),
+        async with orders.open_session() as order_session:
+            member = membership.Membership(
+                client, order_session, self.state, link
             )
-        ]
-        joining = asyncio.create_task(member.run())
-        for task in [*tasks, joining]:
-            task.add_done_callback(self._task_ended)
-        servers = await self._listen()
+            tasks = [
+                asyncio.create_task(work)
+                for work in (
+                    member.run(),
+                    followers.OperatorFollower(client, self.state).run(),
+                    followers.UpstreamFollower(client, self.state).run(),
+                    link.run(),
+                    self._housekeeping(),
+                )
+            ]
+            for task in tasks:
+                task.add_done_callback(self._task_ended)
+            servers: list[asyncio.Server] = []
+            try:
+                await self._run(member, tasks[0], servers)
+            finally:
+                self.state.stopping = True
+                for server in servers:
+                    server.close()
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+        logs.info('stopped', running=self.front.running)
+
+    async def _run(
+        self,
+        member: membership.Membership,
+        joining: asyncio.Task[None],
+        servers: list[asyncio.Server],
+    ) -> None:
+        callers = self.front.server()
+        await self._listen(callers, member, servers)
         logs.info('started', instance=self.settings.name)
         await self.stop.wait()
         self.state.stopping = True
@@ -79,10 +112,7 @@
         joining.cancel()
         await asyncio.gather(joining, return_exceptions=True)
         await member.leave()
-        await self._drain(servers[0], stop_at)
-        for task in tasks:
-            task.cancel()
-        logs.info('stopped', running=self.front.running)
+        await self._drain(servers[0], callers, stop_at)
 
     def _task_ended(self, task: asyncio.Task[None]) -> None:
         if task.cancelled() or self.state.stopping:
@@ -92,7 +122,12 @@
         logs.warning('task_fault', reason=repr(task.exception()))
         self.stop.set()
 
-    async def _listen(self) -> list[asyncio.Server]:
+    async def _listen(
+        self,
+        callers: web.Server,
+        member: membership.Membership,
+        servers: list[asyncio.Server],
+    ) -> None:
         loop = asyncio.get_running_loop()
         ready = web.Server(
             functools.partial(front.answer_ready, self.state),
@@ -102,29 +137,58 @@
             metrics.Metrics(self.state, self.front).handle,
             access_log=None,
         )
-        ports = (
-            (self.front.server(), *self.settings.front),
+        address = self.settings.address
+        for server, host, port in (
+            (callers, *self.settings.front),
             (ready, *self.settings.ready),
-            (figures, self.settings.address, self.settings.metrics_port),
-        )
-        return [
-            await loop.create_server(
-                server, host, port, backlog=LISTEN_BACKLOG
+            (figures, address, self.settings.metrics_port),
+        ):
+            servers.append(
+                await loop.create_server(
+                    server, host, port, backlog=LISTEN_BACKLOG
+                )
             )
-            for server, host, port in ports
-        ]
+        listener = peers.Listener(member)
+        servers.append(await listener.listen(address, self.settings.peer_port))
 
-    async def _drain(self, server: asyncio.Server, stop_at: float) -> None:
+    async def _drain(
+        self, server: asyncio.Server, callers: web.Server, stop_at: float
+    ) -> None:
         """Let the load balancer notice, then end what runs."""
         leave_at = min(stop_at, clock.now() + LEAVE_S)
         await asyncio.sleep(leave_at - clock.now())
         server.close()
+        await self._end_idle(callers)
         quiet_at = clock.now() + QUIET_S
         while clock.now() < min(quiet_at, stop_at):
             await asyncio.sleep(POLL_S)
             if self.front.running:
                 quiet_at = clock.now() + QUIET_S
 
+    async def _end_idle(self, callers: web.Server) -> None:
+        """End idle connections, and the others after their answer.
+
+        A request may have been read and not have reached its handler yet, so
+        reading stops a moment before a connection is taken as idle.
+        """
+        idle = []
+        for connection in callers.connections:
+            if connection in self.front.busy:
+                connection.close()
+            elif connection.transport is not None:
+                connection.transport.pause_reading()
+                idle.append(connection)
+        await asyncio.sleep(SETTLE_S)
+        for connection in idle:
+            if connection.transport is None:
+                continue
+            if connection in self.front.busy:
+                connection.transport.resume_reading()
+                connection.close()
+            else:
+                # `close` would leave an idle connection open and unread.
+                connection.force_close()
+
     async def _housekeeping(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -16,6 +16,7 @@
 from knapweedhall_router import messages
 from knapweedhall_router import orders
 from knapweedhall_router import state as state_module
+from knapweedhall_router import takeover
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
 from knapweedhall_routing import planning
@@ -92,6 +93,7 @@
         self.leased_until = leased_until
         self.end = 0
         self.epoch = -1
+        self.predecessors: list[str] = []
         self.orders = orders.Orders(order_client, holdings.Fences(0))
         self.services: dict[str, Service] = {}
         self.times = rates.ServiceTimes()
@@ -113,11 +115,9 @@
         """Take over and coordinate until cancelled or deposed."""
         try:
             await self._take_over()
-            settings = self.state.settings
             async with asyncio.TaskGroup() as group:
-                group.create_task(
-                    self.hub.serve(settings.address, settings.peer_port)
-                )
+                group.create_task(self.hub.run())
+                group.create_task(self._end_predecessors())
                 group.create_task(self._renew())
                 group.create_task(self._plan())
         finally:
@@ -131,9 +131,8 @@
             if not isinstance(page, outcomes.Page):
                 await asyncio.sleep(STORE_RETRY_S)
                 continue
-            record = store.keyed_record(
-                TENURE_KEY, self.state.settings.name.encode()
-            )
+            self.predecessors = self._find_predecessors(page)
+            record = self._tenure_record()
             outcome = await self.client.append(
                 TABLE_TOPIC, record, page.end, self._deadline()
             )
@@ -151,6 +150,39 @@
                 self._restore(found, now)
         logs.info('tenure_begun', epoch=self.epoch)
 
+    def _address(self) -> str:
+        settings = self.state.settings
+        return f'{settings.address}:{settings.peer_port}'
+
+    def _find_predecessors(self, page: outcomes.Page) -> list[str]:
+        for found in page.records:
+            if found.key != TENURE_KEY:
+                continue
+            try:
+                last = msgspec.json.decode(found.value, type=takeover.Tenure)
+            except msgspec.MsgspecError as error:
+                logs.warning('tenure_unreadable', reason=str(error))
+                continue
+            return takeover.predecessors(last, self._address())
+        return []
+
+    def _tenure_record(self) -> bytes:
+        tenure = takeover.Tenure(
+            self.state.settings.name, self._address(), self.predecessors
+        )
+        return store.keyed_record(TENURE_KEY, msgspec.json.encode(tenure))
+
+    async def _end_predecessors(self) -> None:
+        await takeover.end_all(self.predecessors, self.epoch)
+        now = clock.now()
+        for service in self.services.values():
+            service.ranges.predecessors_ended(now)
+        if self.predecessors:
+            # The next coordinator need not ask them again.
+            self.predecessors = []
+            async with self.write_lock:
+                await self._write_record(self._tenure_record())
+
     def _restore(self, record: outcomes.Record, now: float) -> None:
         service = Service(record.key.removeprefix(TABLE_PREFIX))
         try:
@@ -227,6 +259,8 @@
         if not one.confirmed and self.is_blind():
             # A new token would be a new grant.
             return False
+        if self.orders.is_given_up(one.upstream, clock.now()):
+            return False
         entry = self.state.directory.entries.get(one.upstream)
         return entry is not None and (
             not one.born_ms or entry.born_ms == one.born_ms
@@ -365,6 +399,11 @@
     ) -> None:
         source = one.upstream
         handover = ''
+        keys = model.KeyRange(one.first, one.last)
+        if not await self.orders.prove(target, keys):
+            one.moving = False
+            self._announce(service, [one])
+            return
         if not one.is_free(clock.now()):
             released = await self.orders.release(one)
             if isinstance(released, outcomes.NoAnswer):
@@ -430,10 +469,13 @@
                 TABLE_PREFIX + service.ranges.service,
                 msgspec.json.encode(service.ranges.stored()),
             )
-            while not await self._append(record):
-                await asyncio.sleep(STORE_RETRY_S)
+            await self._write_record(record)
             service.written = covered
 
+    async def _write_record(self, record: bytes) -> None:
+        while not await self._append(record):
+            pass
+
     async def _append(self, record: bytes) -> bool:
         outcome = await self.client.append(
             TABLE_TOPIC, record, self.end, self._deadline()
@@ -449,6 +491,10 @@
                 return True
             raise DeposedError
         logs.info('table_not_written', reason=outcome.reason)
+        if outcome.in_doubt and await self._is_own(record):
+            self.end += 1
+            return True
+        await asyncio.sleep(STORE_RETRY_S)
         return False
 
     async def _is_own(self, record: bytes) -> bool:
--- a/packages/knapweedhall-router/src/knapweedhall_router/front.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/front.py
@@ -27,6 +27,8 @@
     ----------
     running : int
         Requests under way.
+    busy : set
+        Connections with a request under way.
     """
 
     def __init__(
@@ -35,6 +37,7 @@
         self.state = state
         self.dispatcher = dispatcher
         self.running = 0
+        self.busy: set[web.RequestHandler] = set()
         self.body_bytes = 0
         self.outcomes: dict[str, int] = {}
 
@@ -53,11 +56,14 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self.running += 1
+        connection = request.protocol
+        self.busy.add(connection)
         taken = [0]
         try:
             return await self._handle(request, taken)
         finally:
             self.running -= 1
+            self.busy.discard(connection)
             self.body_bytes -= taken[0]
 
     async def _handle(
--- a/packages/knapweedhall-router/src/knapweedhall_router/hub.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/hub.py
@@ -21,9 +21,9 @@
 class Link:
     """One instance's connection."""
 
-    def __init__(self, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, instance: str, writer: asyncio.StreamWriter) -> None:
+        self.instance = instance
         self.writer = writer
-        self.instance = ''
 
     def send(self, frame: bytes) -> None:
         """Send a frame, or close a connection that does not take it."""
@@ -58,15 +58,13 @@
         self.blind = blind
         self.links: set[Link] = set()
 
-    async def serve(self, host: str, port: int) -> None:
-        """Serve instances until cancelled."""
-        server = await asyncio.start_server(self._accept, host, port)
+    async def run(self) -> None:
+        """Send heartbeats until cancelled; then end all connections."""
         try:
             while True:
                 self._beat()
                 await asyncio.sleep(HEARTBEAT_S)
         finally:
-            server.close()
             for link in list(self.links):
                 link.writer.transport.abort()
 
@@ -83,16 +81,15 @@
     def _beat(self) -> None:
         self.send(messages.Fleet(self.instances(), self.blind()))
 
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def attach(
+        self,
+        instance: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
-        link = Link(writer)
+        """Serve the connection of an instance until it ends."""
+        link = Link(instance, writer)
         try:
-            async with asyncio.timeout(SILENCE_S):
-                hello = await messages.read(reader)
-            if not isinstance(hello, messages.Hello):
-                return
-            link.instance = hello.instance
             for table in self.tables():
                 link.send(messages.encode(table))
             self.links.add(link)
@@ -107,7 +104,6 @@
             )
         finally:
             self.links.discard(link)
-            writer.transport.abort()
 
     async def _follow(self, reader: asyncio.StreamReader) -> None:
         while True:
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -134,6 +134,13 @@
         except coordinator_module.DeposedError:
             logs.info('tenure_deposed')
 
+    async def yield_to(self, epoch: int) -> None:
+        """End a tenure that began before an epoch."""
+        found = self.coordinator
+        if found is not None and found.epoch < epoch:
+            logs.info('tenure_yielded', epoch=found.epoch, to=epoch)
+            await self._stop()
+
     async def leave(self) -> None:
         """End the tenure and tell the store at once."""
         await self._stop()
--- a/packages/knapweedhall-router/src/knapweedhall_router/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/messages.py
@@ -28,6 +28,18 @@
     instance: str
 
 
+class Takeover(msgspec.Struct, tag='takeover', array_like=True):
+    """Asks for the end of all tenures before an epoch."""
+
+    epoch: int
+
+
+class Yielded(msgspec.Struct, tag='yielded', array_like=True):
+    """Says that no tenure of this instance before that epoch goes on."""
+
+    epoch: int
+
+
 class Report(msgspec.Struct, tag='report', array_like=True):
     """What an instance measured since its last report.
 
@@ -77,7 +89,7 @@
     blind: bool
 
 
-Message = Hello | Report | Table | Change | Fleet
+Message = Hello | Takeover | Yielded | Report | Table | Change | Fleet
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/orders.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import typing
 
 from knapweedhall_adapter import orders
 from knapweedhall_adapter import outcomes
@@ -18,8 +19,29 @@
 # longest work (1.2 s on the sites).
 RELEASE_TIMEOUT_S = 1.5
 RETRY_S = 0.3
-# Time for which an upstream that left a grant unanswered is given no keys.
+# Grants are not repeated beyond this time without an answer: each may still
+# arrive, and puts off the moment at which the keys can be given on.
+GIVE_UP_S = 1.0
+# Time for which an upstream that left a grant unanswered is given no keys;
+# doubled each time, up to the maximum.
 SILENCE_S = 2.0
+MAX_SILENCE_S = 30.0
+
+
+class Silence(typing.NamedTuple):
+    """An upstream that leaves grants unanswered.
+
+    Attributes
+    ----------
+    since, until : float
+        First unanswered grant; until when it is given no keys, seconds.
+    length_s : float
+        Time from the first to the second, for the next silence.
+    """
+
+    since: float
+    until: float
+    length_s: float
 
 
 class Orders:
@@ -37,11 +59,47 @@
         self.client = client
         self.fences = fences
         self.fenced = False
-        self.silent_until: dict[str, float] = {}
+        self.silences: dict[str, Silence] = {}
 
     def is_silent(self, upstream: str, now: float) -> bool:
         """Return whether an upstream leaves grants unanswered."""
-        return self.silent_until.get(upstream, 0.0) > now
+        found = self.silences.get(upstream)
+        return found is not None and found.until > now
+
+    def is_given_up(self, upstream: str, now: float) -> bool:
+        """Return whether its grants are no longer renewed."""
+        found = self.silences.get(upstream)
+        return found is not None and now > found.since + GIVE_UP_S
+
+    async def prove(
+        self, target: model.Upstream, keys: model.KeyRange
+    ) -> bool:
+        """Return whether an upstream takes orders again after a silence.
+
+        Keys that it does not hold are released there, which has no effect.
+        Given keys at once, a dead upstream would keep them until the end of
+        the grant.
+        """
+        if target.name not in self.silences:
+            return True
+        deadline = asyncio.get_running_loop().time() + GRANT_TIMEOUT_S
+        outcome = await self.client.release(
+            target.address, target.name, keys, self.fences.next(), deadline
+        )
+        if isinstance(outcome, outcomes.Released):
+            self.silences.pop(target.name, None)
+            return True
+        self._unanswered(target.name, clock.now())
+        return False
+
+    def _unanswered(self, upstream: str, now: float) -> None:
+        found = self.silences.get(upstream)
+        if found is None:
+            found = Silence(now, now + SILENCE_S, SILENCE_S)
+        elif found.until <= now:
+            length = min(2 * found.length_s, MAX_SILENCE_S)
+            found = Silence(now, now + length, length)
+        self.silences[upstream] = found
 
     async def grant(
         self, ranges: holdings.Holdings, one: holdings.Holding
@@ -81,14 +139,14 @@
                 part.fence = 0
                 part.renew_at = clock.now() + RETRY_S
         if accepted:
-            self.silent_until.pop(one.upstream, None)
+            self.silences.pop(one.upstream, None)
         if isinstance(outcome, outcomes.Fenced):
             self.fenced = True
             logs.warning(
                 'grant_fenced', upstream=one.upstream, first=keys.first
             )
         elif isinstance(outcome, outcomes.NoAnswer):
-            self.silent_until[one.upstream] = clock.now() + SILENCE_S
+            self._unanswered(one.upstream, clock.now())
             logs.info(
                 'grant_unanswered',
                 upstream=one.upstream,
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/peers.py
@@ -0,0 +1,50 @@
+"""The listener for other instances."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from knapweedhall_router import logs
+from knapweedhall_router import membership
+from knapweedhall_router import messages
+
+FIRST_MESSAGE_TIMEOUT_S = 1.0
+
+
+class Listener:
+    """Takes the connections of other instances."""
+
+    def __init__(self, member: membership.Membership) -> None:
+        self.member = member
+
+    async def listen(self, host: str, port: int) -> asyncio.Server:
+        """Listen; the caller closes the server."""
+        return await asyncio.start_server(self._accept, host, port)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            async with asyncio.timeout(FIRST_MESSAGE_TIMEOUT_S):
+                first = await messages.read(reader)
+            if isinstance(first, messages.Takeover):
+                await self._yield(first.epoch, writer)
+                return
+            coordinator = self.member.coordinator
+            if isinstance(first, messages.Hello) and coordinator is not None:
+                await coordinator.hub.attach(first.instance, reader, writer)
+        except (OSError, EOFError, TimeoutError, msgspec.MsgspecError) as e:
+            logs.info('peer_rejected', reason=type(e).__name__)
+        finally:
+            writer.transport.abort()
+
+    async def _yield(self, epoch: int, writer: asyncio.StreamWriter) -> None:
+        await self.member.yield_to(epoch)
+        writer.write(messages.encode(messages.Yielded(epoch)))
+        async with asyncio.timeout(FIRST_MESSAGE_TIMEOUT_S):
+            await writer.drain()
+        # Aborted at once, the transport might drop the answer.
+        writer.close()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/packages/knapweedhall-router/tests/fleet.py
@@ -0,0 +1,247 @@
+"""A small fleet of routers, upstreams and a store in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import socket
+import typing
+
+import aiohttp
+
+from knapweedhall_router import application
+from knapweedhall_router import settings
+from knapweedhall_routing import model
+from knapweedhall_standins import backend
+from knapweedhall_standins import store
+
+HOST = 'shop.example'
+OPERATOR_TOPIC = 'keyed.op'
+ROUTE_COLUMNS = [
+    'name',
+    'host',
+    'prefix',
+    'kind',
+    'timeoutS',
+    'targetLatencyS',
+    'priority',
+    'weightedClusters',
+    'maxAttempts',
+    'service',
+]
+START_TIMEOUT_S = 8.0
+_ids = itertools.count(1)
+
+
+class Reply(typing.NamedTuple):
+    """What a caller got."""
+
+    status: int
+    body: bytes
+    signature: str
+    retry_after: str
+
+
+def free_port(host: str) -> int:
+    """Return a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
+class Fleet:
+    """Starts and stops the parts of a deployment."""
+
+    def __init__(self) -> None:
+        self.store = store.Store()
+        self.backends: list[backend.Backend] = []
+        self.routers: list[application.Application] = []
+        self.tasks: dict[application.Application, asyncio.Task[None]] = {}
+        self.version = 1
+        self.rng = random.Random(1)
+
+    async def start(
+        self, routers: int, views: int = 3, plain: int = 2
+    ) -> None:
+        """Start the store, upstreams of two services, and routers."""
+        await self.store.start()
+        self.session = aiohttp.ClientSession()
+        for _ in range(views):
+            await self.add_backend('views', True)
+        for _ in range(plain):
+            await self.add_backend('orders', False)
+        self.configure()
+        for _ in range(routers):
+            self.add_router()
+        await self.until(self.is_serving)
+
+    async def stop(self) -> None:
+        """End all parts."""
+        for router in list(self.tasks):
+            await self.kill(router)
+        for one in self.backends:
+            await one.crash()
+        await self.session.close()
+        await self.store.stop()
+
+    async def add_backend(
+        self, service: str, divided: bool, work_s: float = 0.01
+    ) -> backend.Backend:
+        """Start an upstream."""
+        one = backend.Backend(self.store, service, divided, work_s)
+        self.backends.append(one)
+        await one.start()
+        return one
+
+    def configure(
+        self, routes: typing.Sequence[list[typing.Any]] | None = None
+    ) -> None:
+        """Write a new version of the configuration."""
+        self.version += 2
+        if routes is None:
+            routes = [
+                self.route('view', '/view/', 'safe', 'views'),
+                self.route('order', '/order/', 'unsafe', 'orders'),
+            ]
+        self.store.put(
+            OPERATOR_TOPIC,
+            'config',
+            {
+                'version': f'r{self.version}',
+                'routes': {'columns': ROUTE_COLUMNS, 'rows': list(routes)},
+                'services': {
+                    'columns': [
+                        'name',
+                        'maxConnections',
+                        'coldPerS',
+                        'sharded',
+                    ],
+                    'rows': [
+                        ['views', 130, 9.1, True],
+                        ['orders', 130, 9.1, None],
+                    ],
+                },
+                'limits': {},
+            },
+        )
+
+    def route(
+        self, name: str, prefix: str, kind: str, service: str
+    ) -> list[typing.Any]:
+        """Return a route of the configuration."""
+        return [name, HOST, prefix, kind, 1.0, 0.4, 1, None, 2, service]
+
+    def add_router(self) -> application.Application:
+        """Start a router on an address of its own."""
+        return self.start_router(self.new_settings())
+
+    def start_router(
+        self, chosen: settings.Settings
+    ) -> application.Application:
+        """Start a router."""
+        router = application.Application(chosen)
+        self.routers.append(router)
+        self.tasks[router] = asyncio.create_task(self._serve(router))
+        return router
+
+    def new_settings(self) -> settings.Settings:
+        """Return settings with an address of their own."""
+        number = next(_ids)
+        address = f'127.0.{1 + number // 250}.{1 + number % 250}'
+        return settings.Settings(
+            name=f'router-{number}',
+            failure_domain='a',
+            address=address,
+            descriptors=1000,
+            memory_mb=300,
+            front=model.Address(address, free_port(address)),
+            ready=model.Address(address, free_port(address)),
+            peer_port=free_port(address),
+            metrics_port=free_port(address),
+            store=self.store.address,
+            least_membership_s=1.0,
+            retry_ratio=0.2,
+            retry_window_s=10.0,
+            retry_extra=62.0,
+            drain_s=2.0,
+            grace_s=6.0,
+        )
+
+    async def _serve(self, router: application.Application) -> None:
+        timeout = aiohttp.ClientTimeout(total=None)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            await router.serve(session)
+
+    async def kill(self, router: application.Application) -> None:
+        """End a router without a word."""
+        task = self.tasks.pop(router)
+        self.routers.remove(router)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    def is_serving(self) -> bool:
+        """Return whether all routers know an owner of each key."""
+        return all(
+            router.state.is_ready()
+            and all(
+                row.upstream for row in router.state.owner_table('views').rows
+            )
+            for router in self.routers
+        )
+
+    async def until(
+        self,
+        condition: typing.Callable[[], bool],
+        seconds: float = START_TIMEOUT_S,
+    ) -> None:
+        """Wait for a condition.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not hold in time.
+        """
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def ask(
+        self,
+        router: application.Application,
+        path: str = '/view/x',
+        key: int | None = None,
+        body: bytes | None = None,
+        timeout_ms: int = 1000,
+    ) -> Reply:
+        """Send a request as a caller does."""
+        headers = {
+            'Host': HOST,
+            'X-Attempt-Id': f'q{next(_ids)}',
+            'X-Deadline-Ms': str(timeout_ms),
+        }
+        if key is not None:
+            headers['X-Shard-Key'] = str(key)
+        method = 'GET' if body is None else 'POST'
+        url = f'http://{router.settings.front}{path}'
+        async with self.session.request(
+            method, url, headers=headers, data=body
+        ) as answer:
+            return Reply(
+                answer.status,
+                await answer.read(),
+                answer.headers.get('X-Response-Signature', ''),
+                answer.headers.get('Retry-After', ''),
+            )
+
+    async def ask_all(self, seconds: float) -> list[Reply]:
+        """Ask all routers for random keys for a time."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        asked = []
+        while loop.time() < until:
+            router = self.rng.choice(self.routers)
+            key = self.rng.randrange(model.KEY_COUNT)
+            asked.append(asyncio.create_task(self.ask(router, '/view/x', key)))
+            await asyncio.sleep(0.01)
+        return await asyncio.gather(*asked)
--- /dev/null
+++ b/packages/knapweedhall-router/tests/test_fleet.py
@@ -0,0 +1,272 @@
+"""Tests of whole routers against stand-ins of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+from aiohttp import web
+
+from knapweedhall_router import application
+from knapweedhall_standins import backend
+from tests import fleet
+
+FORWARD_S = 2.5
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    """Base of the tests."""
+
+    routers = 2
+
+    async def asyncSetUp(self) -> None:
+        """Start a fleet."""
+        self.fleet = fleet.Fleet()
+        self.addAsyncCleanup(self.fleet.stop)
+        await self.fleet.start(self.routers)
+
+    def statuses(self, replies: list[fleet.Reply]) -> dict[int, int]:
+        """Return how often each status came."""
+        found: dict[int, int] = {}
+        for reply in replies:
+            found[reply.status] = found.get(reply.status, 0) + 1
+        return found
+
+    def leader(self) -> application.Application:
+        """Return the router that coordinates."""
+        holder = self.fleet.store.groups['knapweedhall'].holder
+        return next(
+            one
+            for one in self.fleet.routers
+            if holder.startswith(f'{one.settings.name}@')
+        )
+
+    def assert_one_owner(self) -> None:
+        """Check that no key has two holders."""
+        for key in range(0, 65536, 64):
+            holders = [one for one in self.fleet.backends if one.holds(key)]
+            self.assertLessEqual(len(holders), 1, key)
+
+
+class ServingTest(FleetTest):
+    """A quiet fleet."""
+
+    async def test_requests_of_all_kinds(self) -> None:
+        """Guards against a path that is not forwarded as it came."""
+        router = self.fleet.routers[0]
+        found = await self.fleet.ask(router, '/view/x?y=%20z', 7)
+        self.assertEqual(200, found.status)
+        self.assertEqual(b'GET /view/x?y=%20z 0', found.body)
+        found = await self.fleet.ask(router, '/order/1', body=b'z' * 70000)
+        self.assertEqual(b'POST /order/1 70000', found.body)
+        self.assertTrue(found.signature)
+        found = await self.fleet.ask(router, '/other/')
+        self.assertEqual(404, found.status)
+        self.assert_one_owner()
+
+    async def test_new_configuration(self) -> None:
+        """Guards against a version that is taken back or comes late."""
+        found = self.fleet
+        routes = [found.route('new', '/new/', 'safe', 'orders')]
+        found.configure(routes)
+        await found.until(
+            lambda: all(
+                r.state.configuration.version == 5 for r in found.routers
+            ),
+            2.0,
+        )
+        reply = await found.ask(found.routers[0], '/new/')
+        self.assertEqual(200, reply.status)
+        found.version = 0
+        found.configure()
+        await asyncio.sleep(0.3)
+        reply = await found.ask(found.routers[0], '/view/', 1)
+        self.assertEqual(404, reply.status)
+
+    async def test_unreadable_records_change_nothing(self) -> None:
+        """Guards against a foreign record that ends a task."""
+        store = self.fleet.store
+        store.partition('keyed.op').append('config', b'\xff{')
+        store.partition('keyed.servers').append('i-odd', b'[]')
+        replies = await self.fleet.ask_all(1.2)
+        self.assertEqual({200}, set(self.statuses(replies)))
+
+
+class AnswerTest(FleetTest):
+    """Answers of upstreams that are late, extra or broken."""
+
+    routers = 1
+
+    async def order(self) -> fleet.Reply:
+        """Send a request that must not run twice."""
+        router = self.fleet.routers[0]
+        return await self.fleet.ask(router, '/order/1', body=b'{}')
+
+    def orders(self) -> list[backend.Backend]:
+        """Return the upstreams without keys."""
+        return [one for one in self.fleet.backends if not one.divided]
+
+    def spoil(self, how: object) -> None:
+        """Change the answers of all upstreams without keys."""
+        for one in self.orders():
+            one.answer = how  # type: ignore[assignment]
+
+    async def test_lost_answer_is_not_repeated(self) -> None:
+        """Guards against a donation that is charged twice."""
+        self.spoil(lambda request, raw: None)
+        reply = await self.order()
+        self.assertEqual(502, reply.status)
+        self.assertEqual(1, sum(len(one.runs) for one in self.orders()))
+
+    async def test_extra_answer_belongs_to_nobody(self) -> None:
+        """Guards against a caller that gets another one's answer."""
+        extra = (
+            b'HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n'
+            b'X-Response-Signature: s\r\nContent-Length: 5\r\n\r\nother'
+        )
+        self.spoil(lambda request, raw: extra + raw)
+        reply = await self.order()
+        self.assertEqual((200, b'POST /order/1 2'), reply[:2])
+        self.spoil(lambda request, raw: raw + extra)
+        for _ in range(4):
+            reply = await self.order()
+            self.assertEqual((200, b'POST /order/1 2'), reply[:2])
+
+    async def test_cut_answer_is_no_success(self) -> None:
+        """Guards against a part that looks like the whole."""
+
+        def cut(request: web.BaseRequest, raw: bytes) -> bytes:
+            assert request.transport is not None
+            request.transport.write(raw[:-3])
+            request.transport.close()
+            return b''
+
+        self.spoil(cut)
+        reply = await self.order()
+        self.assertEqual(502, reply.status)
+
+    async def test_answer_without_length(self) -> None:
+        """Guards against an answer that ends with its connection."""
+
+        def unframed(request: web.BaseRequest, raw: bytes) -> bytes:
+            head, _, body = raw.partition(b'\r\n\r\n')
+            lines = head.split(b'\r\n')
+            kept = [one for one in lines if b'Content-Length' not in one]
+            assert request.transport is not None
+            request.transport.write(b'\r\n'.join(kept) + b'\r\n\r\n' + body)
+            request.transport.close()
+            return b''
+
+        self.spoil(unframed)
+        reply = await self.order()
+        self.assertEqual((200, b'POST /order/1 2'), reply[:2])
+
+
+class OwnershipTest(FleetTest):
+    """Keys whose owner changes."""
+
+    routers = 3
+
+    async def test_upstream_leaves_and_another_joins(self) -> None:
+        """Guards against requests that are lost while keys move."""
+        leaving = self.fleet.backends[0]
+        traffic = asyncio.create_task(self.fleet.ask_all(FORWARD_S))
+        await asyncio.sleep(0.3)
+        leaving.drain()
+        await self.fleet.add_backend('views', True)
+        replies = await traffic
+        self.assertEqual({200}, set(self.statuses(replies)))
+        self.assertFalse(any(leaving.holds(key) for key in range(0, 65536, 9)))
+        last = max((run.at for run in leaving.runs), default=0.0)
+        self.assertLess(last, time.monotonic() - 0.2)
+        self.assert_one_owner()
+
+    async def test_crashed_upstream(self) -> None:
+        """Guards against keys that stay without an owner."""
+        await self.fleet.backends[0].crash()
+        await asyncio.sleep(5.5)
+        await self.fleet.until(self.fleet.is_serving, 2.0)
+        replies = await self.fleet.ask_all(0.5)
+        self.assertEqual({200}, set(self.statuses(replies)))
+
+    async def test_lost_coordinator(self) -> None:
+        """Guards against grants that end before the next coordinator."""
+        await self.fleet.kill(self.leader())
+        replies = await self.fleet.ask_all(4.0)
+        self.assertEqual({200}, set(self.statuses(replies)))
+        self.assert_one_owner()
+
+    async def test_coordinator_and_upstream_end_together(self) -> None:
+        """Guards against keys that wait for a coordinator that has ended.
+
+        The process that is started again at the former coordinator's
+        address answers that its tenure is over.
+        """
+        leader = self.leader()
+        await self.fleet.kill(leader)
+        await self.fleet.backends[0].crash()
+        self.fleet.start_router(leader.settings)
+        begun = time.monotonic()
+        await asyncio.sleep(2.0)
+        await self.fleet.until(
+            lambda: self.fleet.is_serving() and self.is_spread(1), 9.0
+        )
+        self.assertLess(time.monotonic() - begun, 7.5)
+        self.assert_one_owner()
+
+    def is_spread(self, without: int) -> bool:
+        """Return whether the first upstreams own nothing."""
+        gone = {one.name for one in self.fleet.backends[:without]}
+        table = self.fleet.routers[0].state.owner_table('views')
+        return not gone & {row.upstream for row in table.rows}
+
+    async def test_store_is_down(self) -> None:
+        """Guards against an outage of the store that becomes ours."""
+        self.fleet.store.down = True
+        replies = await self.fleet.ask_all(5.0)
+        self.fleet.store.down = False
+        self.assertEqual({200}, set(self.statuses(replies)))
+        self.assert_one_owner()
+
+    async def test_lost_answer_of_the_store(self) -> None:
+        """Guards against a coordinator that deposes itself."""
+        self.fleet.store.lose_answers = 2
+        self.fleet.backends[0].drain()
+        replies = await self.fleet.ask_all(FORWARD_S)
+        self.assertEqual({200}, set(self.statuses(replies)))
+        self.assert_one_owner()
+
+    async def test_store_forgets_its_history(self) -> None:
+        """Guards against a follower that stays behind for ever."""
+        for partition in self.fleet.store.partitions.values():
+            partition.forget()
+        self.fleet.backends[0].drain()
+        self.fleet.configure([self.fleet.route('n', '/n/', 'safe', 'orders')])
+        await asyncio.sleep(5.0)
+        reply = await self.fleet.ask(self.fleet.routers[0], '/n/')
+        self.assertEqual(200, reply.status)
+
+
+class ShutdownTest(FleetTest):
+    """Planned stops."""
+
+    async def test_no_request_is_cut(self) -> None:
+        """Guards against a stop that cuts requests on kept connections.
+
+        Requests arrive on connections that were idle when the listener was
+        closed, up to the end of the process.
+        """
+        router = self.fleet.routers[0]
+        statuses: list[int] = []
+        router.stop.set()
+        begun = time.monotonic()
+        while not self.fleet.tasks[router].done():
+            try:
+                reply = await self.fleet.ask(router, '/view/x', 5)
+                statuses.append(reply.status)
+            except OSError:
+                self.assertGreater(time.monotonic() - begun, 2.0)
+            await asyncio.sleep(0.01)
+        self.assertEqual({200}, set(statuses))
+        self.assertLess(time.monotonic() - begun, 6.0)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
@@ -154,6 +154,18 @@
             items.append(Holding(following, model.KEY_COUNT - 1))
         self.items = items
 
+    def predecessors_ended(self, now: float) -> None:
+        """Take note that no earlier coordinator sends grants any more.
+
+        Grants of this tenure were sent before `now` as well, so none of them
+        ends later.
+        """
+        until = hold_end(now)
+        for one in self.items:
+            if not one.confirmed:
+                one.held_until = min(one.held_until, until)
+                one.unanswered_until = min(one.unanswered_until, until)
+
     def stored(self) -> list[StoredRange]:
         """Return the rows for the store."""
         return [
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/backend.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/backend.py
@@ -84,13 +84,10 @@
     async def start(self) -> None:
         """Listen and register."""
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(
-            web.Server(
-                self._handle, access_log=None, handler_cancellation=True
-            ),
-            '127.0.0.1',
-            0,
+        self.http = web.Server(
+            self._handle, access_log=None, handler_cancellation=True
         )
+        self.server = await loop.create_server(self.http, '127.0.0.1', 0)
         host, port = self.server.sockets[0].getsockname()
         self.address = f'{host}:{port}'
         self.register()
@@ -127,6 +124,9 @@
         """Stop without a word; the entry stays."""
         assert self.server is not None
         self.server.close()
+        for connection in self.http.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
         self.grants.clear()
 
     def holds(self, key: int) -> bool:
