Refuse keys without an owner at once, keep uploads near, adopt holders

Change: a key without an owner for longer than a move (0.5 s) is refused at once; holders of the earlier tenure serve on until they are granted anew; a silent owner gets no more requests while some are under way; bodies from 16 KB stay in the failure domain if the answer is expected in time there; reports each 0.3 s.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -276,7 +276,7 @@
                 return
             if one not in service.ranges.items or one.in_flight:
                 continue
-            fresh = not one.confirmed
+            fresh = not one.confirmed and not one.inherited
             accepted = await self.orders.grant(service.ranges, one)
             if accepted and fresh:
                 self._announce(service, [one])
@@ -420,7 +420,7 @@
             return
         one.upstream, one.address = target.name, target.address
         one.born_ms = target.born_ms
-        one.confirmed = False
+        one.confirmed = one.inherited = False
         one.handover = handover
         one.fence = self.orders.fences.next()
         one.held_until = one.unanswered_until = 0.0
@@ -447,7 +447,7 @@
     def _keep(self, one: holdings.Holding) -> None:
         """Leave a range to its holder, which may or may not hold it."""
         one.moving = False
-        one.confirmed = False
+        one.confirmed = one.inherited = False
         one.fence = 0
         one.renew_at = 0.0
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -122,9 +122,7 @@
             upstream=target.name,
             reason=type(error).__name__,
         )
-        left = call.end - now
-        after = admission.retry_after(left, left, self.state.rng)
-        failure = self._final(call, Failure(503, 'not-connected', after))
+        failure = self._final(call, self._turn_away(call, 'not-connected'))
         if self._is_divided(call):
             # Nobody else owns the key; the coordinator finds out as well.
             return failure
@@ -277,13 +275,15 @@
                 for one in pool
             ],
             now,
-            self.state.settings.failure_domain,
+            choice.Preference(
+                self.state.settings.failure_domain,
+                len(call.body),
+                call.objective_at,
+            ),
             self.state.rng,
         )
-        left = call.end - now
         if found is None:
-            after = admission.retry_after(left, left, self.state.rng)
-            return Failure(503, 'no-upstream', after)
+            return self._turn_away(call, 'no-upstream')
         return self._admit(call, found.upstream, False)
 
     def _admit(
@@ -317,14 +317,21 @@
         while True:
             now = clock.now()
             row = self.state.owner_table(call.service).find(call.key)
-            if row is not None and row.upstream:
+            if row is None or not row.upstream:
+                if row is None or now - row.since > admission.MOVE_S:
+                    # Its owner is lost; the wait would outlast the caller.
+                    return self._turn_away(call, 'no-owner')
+            else:
                 if row.upstream not in call.tried:
                     if self._may_send(row.upstream, now):
                         return self._admit_owner(call, row, now)
             if not await self.state.owners_changed.wait(hold_until - now):
-                left = call.end - clock.now()
-                after = admission.retry_after(left, left, self.state.rng)
-                return Failure(503, 'no-owner', after)
+                return self._turn_away(call, 'no-new-owner')
+
+    def _turn_away(self, call: calls.Call, reason: str) -> Failure:
+        left = call.end - clock.now()
+        after = admission.retry_after(left, left, self.state.rng)
+        return Failure(503, reason, after)
 
     def _may_send(self, upstream: str, now: float) -> bool:
         directory = self.state.directory
@@ -341,6 +348,9 @@
         entry = self.state.directory.entries.get(row.upstream)
         if entry is None:
             return Failure(503, 'unlisted-owner', 0.1)
+        if self.state.health(entry.name, entry.slots).is_silent(now):
+            # Requests that are under way tell when it answers again.
+            return self._turn_away(call, 'silent-owner')
         cold = entry.cold_until > now and not self.state.admit_cold(
             entry.name, call.service, now
         )
--- a/packages/knapweedhall-router/src/knapweedhall_router/follower_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/follower_link.py
@@ -15,7 +15,7 @@
 
 GROUP = 'knapweedhall'
 TENURE_TOPIC = 'knapweedhall.tenure'
-REPORT_S = 0.5
+REPORT_S = 0.3
 # The coordinator's heartbeat comes twice a second.
 SILENCE_S = 1.5
 CONNECT_TIMEOUT_S = 0.5
@@ -168,7 +168,8 @@
             return
         table = self.state.owner_table(message.service)
         version = messages.version(message)
-        rows = [messages.from_row(row) for row in message.rows]
+        now = clock.now()
+        rows = [messages.from_row(row, now) for row in message.rows]
         if isinstance(message, messages.Table):
             taken = table.replace(version, rows)
         else:
--- a/packages/knapweedhall-router/src/knapweedhall_router/hub.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/hub.py
@@ -12,7 +12,7 @@
 from knapweedhall_router import messages
 
 HEARTBEAT_S = 0.5
-# An instance reports twice a second; four reports missing mean it is gone.
+# An instance reports three times a second; six missing mean it is gone.
 SILENCE_S = 2.0
 # Unsent bytes at which an instance is taken as not reading.
 MAX_BACKLOG_BYTES = 1024 * 1024
--- a/packages/knapweedhall-router/src/knapweedhall_router/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/messages.py
@@ -121,10 +121,11 @@
     return (owned.first, owned.last, owned.upstream, *owned.address)
 
 
-def from_row(row: Row) -> model.OwnedRange:
-    """Return an owned range as it was sent."""
+def from_row(row: Row, now: float) -> model.OwnedRange:
+    """Return an owned range that was received at a time."""
     first, last, upstream, host, port = row
-    return model.OwnedRange(first, last, upstream, model.Address(host, port))
+    address = model.Address(host, port)
+    return model.OwnedRange(first, last, upstream, address, now)
 
 
 def version(message: Table | Change) -> ranges.Version:
--- a/packages/knapweedhall-router/src/knapweedhall_router/orders.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/orders.py
@@ -128,6 +128,7 @@
             part.in_flight = max(0, part.in_flight - 1)
             if accepted:
                 part.confirmed = True
+                part.inherited = False
                 part.handover = ''
                 part.unanswered_until = 0.0
             else:
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/admission.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/admission.py
@@ -9,6 +9,9 @@
 # Part of the latency objective that a request waits for the owner of its
 # keys to change; a move takes about one request's work.
 HOLD_SHARE = 0.6
+# Longest move of keys: release when the work has ended, write, grant. Keys
+# without an owner for longer have lost it.
+MOVE_S = 0.5
 # Part of the remaining time that callers honour in Retry-After (platform
 # protocol, Answers).
 RETRY_AFTER_SHARE = 1 / 3
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/choice.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/choice.py
@@ -14,6 +14,11 @@
 # Expected time of an upstream in another failure domain counts this much
 # more, as bytes between failure domains are priced.
 REMOTE_FACTOR = 1.1
+# Bodies of this size stay in the failure domain where that costs no delay.
+LARGE_BODY_BYTES = 16384
+# Part of the objective within which the answer is expected then; the rest is
+# for the spread of work times.
+LOCAL_TIME_SHARE = 0.6
 # A failing answer costs the caller a repeat; its weight in expected times.
 FAILURE_WEIGHT = 6.0
 # Expected time of an upstream that seems silent counts this much more.
@@ -27,6 +32,24 @@
     health: health_module.Health
 
 
+class Preference(typing.NamedTuple):
+    """What a request asks of an upstream.
+
+    Attributes
+    ----------
+    domain : str
+        Failure domain of the instance.
+    body_bytes : int
+        Size of its body.
+    objective_at : float
+        End of its latency objective, seconds.
+    """
+
+    domain: str
+    body_bytes: int
+    objective_at: float
+
+
 def score(candidate: Candidate, now: float, own_domain: str) -> float:
     """Return the expected cost of sending a request there, in seconds."""
     found = candidate.health
@@ -42,17 +65,32 @@
 def choose(
     candidates: typing.Sequence[Candidate],
     now: float,
-    own_domain: str,
+    preference: Preference,
     rng: random.Random,
 ) -> Candidate | None:
     """Return the best of a few random candidates, or None without any.
 
-    Candidates that refuse connections come last.
+    Candidates that refuse connections come last. A large body stays in the
+    own failure domain if it is answered in time there.
     """
     reachable = [one for one in candidates if one.health.blocked_until <= now]
     pool = reachable or list(candidates)
+    if preference.body_bytes >= LARGE_BODY_BYTES:
+        pool = _near(pool, now, preference) or pool
     if not pool:
         return None
     if len(pool) > COMPARED:
         pool = rng.sample(pool, COMPARED)
-    return min(pool, key=lambda one: score(one, now, own_domain))
+    return min(pool, key=lambda one: score(one, now, preference.domain))
+
+
+def _near(
+    pool: typing.Sequence[Candidate], now: float, preference: Preference
+) -> list[Candidate]:
+    left = (preference.objective_at - now) * LOCAL_TIME_SHARE
+    return [
+        one
+        for one in pool
+        if one.upstream.failure_domain == preference.domain
+        and score(one, now, preference.domain) <= left
+    ]
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
@@ -58,6 +58,9 @@
         the earlier ones.
     confirmed : bool
         Whether the holder accepted this tenure's token.
+    inherited : bool
+        Whether it was granted in an earlier tenure; the holder serves on
+        until that grant ends.
     moving : bool
         Whether a move is under way.
     in_flight : int
@@ -79,6 +82,7 @@
     held_until: float = 0.0
     unanswered_until: float = 0.0
     confirmed: bool = False
+    inherited: bool = False
     moving: bool = False
     in_flight: int = 0
     settled_at: float = 0.0
@@ -87,7 +91,7 @@
 
     def row(self) -> model.OwnedRange:
         """Return what instances are told."""
-        usable = self.confirmed and not self.moving
+        usable = (self.confirmed or self.inherited) and not self.moving
         return model.OwnedRange(
             self.first,
             self.last,
@@ -147,6 +151,7 @@
                     row.born_ms,
                     held_until=until if row.upstream else 0.0,
                     unanswered_until=until if row.upstream else 0.0,
+                    inherited=bool(row.upstream),
                 )
             )
             following = row.last + 1
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/model.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/model.py
@@ -163,9 +163,22 @@
 
 
 class OwnedRange(typing.NamedTuple):
-    """Keys and the upstream that owns them; '' while they are moved."""
+    """Keys and the upstream that owns them.
+
+    Attributes
+    ----------
+    first, last : int
+        Keys, both included.
+    upstream : str
+        The owner; '' while there is none.
+    address : Address
+        Where the owner takes requests.
+    since : float
+        When the instance learned of it, seconds.
+    """
 
     first: int
     last: int
     upstream: str
     address: Address
+    since: float = 0.0
--- a/packages/knapweedhall-routing/tests/test_holdings.py
+++ b/packages/knapweedhall-routing/tests/test_holdings.py
@@ -82,6 +82,13 @@
             self.assertFalse(one.is_free(blind + holdings.HOLD_S))
             self.assertTrue(one.is_free(holdings.hold_end(blind)))
 
+    def test_takeover_interrupts_nobody(self) -> None:
+        """Guards against owners that vanish until each is granted anew."""
+        later = holdings.Holdings('s')
+        later.restore(self.book.stored(), 100.0)
+        owners = [row.upstream for row in later.rows()]
+        self.assertEqual(['a', 'a', 'b'], owners)
+
     def test_restore_of_a_damaged_table_covers_all_keys(self) -> None:
         """Guards against keys that no plan assigns."""
         row = holdings.StoredRange
