--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -42,8 +42,13 @@
 class Application:
     """The router process."""
 
-    def __init__(self, settings: settings_module.Settings) -> None:
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        path: pathlib.Path | None = None,
+    ) -> None:
         self.settings = settings
+        self.path = path
         self.state = state_module.State(settings)
         self.dispatcher = dispatch.Dispatcher(self.state)
         self.front = front.Front(self.state, self.dispatcher)
@@ -54,6 +59,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stop.set)
         loop.add_signal_handler(signal.SIGINT, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         timeout = aiohttp.ClientTimeout(total=None)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             await self.serve(session)
@@ -114,6 +120,23 @@
         await member.leave()
         await self._drain(servers[0], callers, stop_at)
 
+    def reload(self) -> None:
+        """Read the settings again; keep the old ones if they have faults."""
+        if self.path is None:
+            return
+        found = settings_module.read(self.path)
+        if isinstance(found, settings_module.Faults):
+            for message in found.messages:
+                logs.warning('settings_fault', reason=message)
+            return
+        if found == self.settings:
+            return
+        fixed = settings_module.needs_restart(self.settings, found)
+        self.settings = self.state.settings = settings_module.merge(
+            self.settings, found
+        )
+        logs.info('settings_reloaded', needs_restart=fixed)
+
     def _task_ended(self, task: asyncio.Task[None]) -> None:
         if task.cancelled() or self.state.stopping:
             return
@@ -193,6 +216,8 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.dispatcher.pools.expire()
+            # The file may change without a signal.
+            self.reload()
 
 
 def check(path: pathlib.Path) -> settings_module.Settings | None:
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -5,13 +5,12 @@
 import asyncio
 import typing
 
-import msgspec
-
 from knapweedhall_adapter import orders as order_client
 from knapweedhall_adapter import outcomes
 from knapweedhall_adapter import store
 from knapweedhall_router import clock
 from knapweedhall_router import hub as hub_module
+from knapweedhall_router import ledger as ledger_module
 from knapweedhall_router import logs
 from knapweedhall_router import messages
 from knapweedhall_router import orders
@@ -22,11 +21,6 @@
 from knapweedhall_routing import planning
 from knapweedhall_routing import rates
 
-TABLE_TOPIC = 'keyed.knapweedhall'
-TENURE_KEY = 'tenure'
-TABLE_PREFIX = 'table/'
-CALL_TIMEOUT_S = 1.0
-STORE_RETRY_S = 0.1
 # Period of renewals, and of plans; a plan sums the rates of all keys.
 TICK_S = 0.1
 PLAN_S = 0.25
@@ -41,10 +35,6 @@
 RELEASE_RETRY_S = 0.5
 
 
-class DeposedError(Exception):
-    """Another coordinator has taken over."""
-
-
 class Service:
     """What a coordinator keeps of one divided service."""
 
@@ -52,8 +42,6 @@
         self.ranges = holdings.Holdings(name)
         self.rates = rates.KeyRates()
         self.number = 0
-        self.wanted = 0
-        self.written = 0
         self.listed = 0
         self.calm_at = 0.0
 
@@ -72,9 +60,8 @@
 
     Attributes
     ----------
-    end : int
-        Offset at which the table's partition ends, if no other coordinator
-        wrote to it.
+    ledger : ledger.Ledger
+        The tenure and the assignments in the store.
     leased_until : float
         End of the membership that the tenure rests on, on `clock.now`;
         moved by the membership task.
@@ -87,18 +74,14 @@
         state: state_module.State,
         leased_until: float,
     ) -> None:
-        self.client = client
+        self.ledger = ledger_module.Ledger(client, state.settings)
         self.order_client = order_client
         self.state = state
         self.leased_until = leased_until
-        self.end = 0
-        self.epoch = -1
-        self.predecessors: list[str] = []
         self.orders = orders.Orders(order_client, holdings.Fences(0))
         self.services: dict[str, Service] = {}
         self.times = rates.ServiceTimes()
         self.hub = hub_module.Hub(self.tables, self.report, self.is_blind)
-        self.write_lock = asyncio.Lock()
         self.tasks: set[asyncio.Task[None]] = set()
         self.release_after: dict[str, float] = {}
 
@@ -123,80 +106,25 @@
         finally:
             for task in list(self.tasks):
                 task.cancel()
-            logs.info('tenure_ended', epoch=self.epoch)
+            logs.info('tenure_ended', epoch=self.ledger.epoch)
 
     async def _take_over(self) -> None:
-        while True:
-            page = await self.client.newest(TABLE_TOPIC, self._deadline())
-            if not isinstance(page, outcomes.Page):
-                await asyncio.sleep(STORE_RETRY_S)
-                continue
-            self.predecessors = self._find_predecessors(page)
-            record = self._tenure_record()
-            outcome = await self.client.append(
-                TABLE_TOPIC, record, page.end, self._deadline()
-            )
-            if isinstance(outcome, outcomes.Appended):
-                break
-            await asyncio.sleep(STORE_RETRY_S)
-        self.epoch = outcome.offset
-        self.end = outcome.offset + 1
+        found = await self.ledger.begin()
         self.orders = orders.Orders(
-            self.order_client, holdings.Fences(self.epoch)
+            self.order_client, holdings.Fences(self.ledger.epoch)
         )
         now = clock.now()
-        for found in page.records:
-            if found.key.startswith(TABLE_PREFIX) and found.value:
-                self._restore(found, now)
-        logs.info('tenure_begun', epoch=self.epoch)
-
-    def _address(self) -> str:
-        settings = self.state.settings
-        return f'{settings.address}:{settings.peer_port}'
-
-    def _find_predecessors(self, page: outcomes.Page) -> list[str]:
-        for found in page.records:
-            if found.key != TENURE_KEY:
-                continue
-            try:
-                last = msgspec.json.decode(found.value, type=takeover.Tenure)
-            except msgspec.MsgspecError as error:
-                logs.warning('tenure_unreadable', reason=str(error))
-                continue
-            return takeover.predecessors(last, self._address())
-        return []
-
-    def _tenure_record(self) -> bytes:
-        tenure = takeover.Tenure(
-            self.state.settings.name, self._address(), self.predecessors
-        )
-        return store.keyed_record(TENURE_KEY, msgspec.json.encode(tenure))
+        for name, rows in found.items():
+            self.services[name] = Service(name)
+            self.services[name].ranges.restore(rows, now)
+        logs.info('tenure_begun', epoch=self.ledger.epoch)
 
     async def _end_predecessors(self) -> None:
-        await takeover.end_all(self.predecessors, self.epoch)
+        await takeover.end_all(self.ledger.predecessors, self.ledger.epoch)
         now = clock.now()
         for service in self.services.values():
             service.ranges.predecessors_ended(now)
-        if self.predecessors:
-            # The next coordinator need not ask them again.
-            self.predecessors = []
-            async with self.write_lock:
-                await self._write_record(self._tenure_record())
-
-    def _restore(self, record: outcomes.Record, now: float) -> None:
-        service = Service(record.key.removeprefix(TABLE_PREFIX))
-        try:
-            rows = msgspec.json.decode(
-                record.value, type=list[holdings.StoredRange]
-            )
-        except msgspec.MsgspecError as error:
-            logs.warning('table_unreadable', key=record.key, reason=str(error))
-            return
-        service.ranges.restore(rows, now)
-        self.services[service.ranges.service] = service
-
-    def _deadline(self) -> float:
-        return asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+        await self.ledger.predecessors_ended()
 
     # Instances
 
@@ -205,7 +133,7 @@
         return [
             messages.Table(
                 name,
-                self.epoch,
+                self.ledger.epoch,
                 service.number,
                 [messages.to_row(row) for row in service.ranges.rows()],
             )
@@ -227,7 +155,7 @@
         self.hub.send(
             messages.Change(
                 service.ranges.service,
-                self.epoch,
+                self.ledger.epoch,
                 service.number,
                 [messages.to_row(one.row()) for one in changed],
             )
@@ -239,7 +167,7 @@
         while True:
             now = clock.now()
             if self.orders.fenced:
-                raise DeposedError
+                raise ledger_module.DeposedError
             for service in self.services.values():
                 self._renew_service(service, now)
             await asyncio.sleep(TICK_S)
@@ -297,7 +225,7 @@
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             error = task.exception()
-            if isinstance(error, DeposedError):
+            if isinstance(error, ledger_module.DeposedError):
                 self.orders.fenced = True
                 return
             logs.warning('coordinator_fault', reason=repr(error))
@@ -425,7 +353,7 @@
         one.fence = self.orders.fences.next()
         one.held_until = one.unanswered_until = 0.0
         one.settled_at = clock.now() + holdings.SETTLE_S
-        await self._write(service)
+        await self.ledger.write(service.ranges)
         if self.is_blind():
             self._keep(one)
             return
@@ -450,64 +378,3 @@
         one.confirmed = one.inherited = False
         one.fence = 0
         one.renew_at = 0.0
-
-    async def _write(self, service: Service) -> None:
-        """Write the assignment before any grant that it leads to.
-
-        Raises
-        ------
-        DeposedError
-            If another coordinator wrote first.
-        """
-        service.wanted += 1
-        wanted = service.wanted
-        async with self.write_lock:
-            if service.written >= wanted:
-                return
-            covered = service.wanted
-            record = store.keyed_record(
-                TABLE_PREFIX + service.ranges.service,
-                msgspec.json.encode(service.ranges.stored()),
-            )
-            await self._write_record(record)
-            service.written = covered
-
-    async def _write_record(self, record: bytes) -> None:
-        while not await self._append(record):
-            pass
-
-    async def _append(self, record: bytes) -> bool:
-        outcome = await self.client.append(
-            TABLE_TOPIC, record, self.end, self._deadline()
-        )
-        if isinstance(outcome, outcomes.Appended):
-            self.end = outcome.offset + 1
-            return True
-        if isinstance(outcome, outcomes.Conflict):
-            # Either an append of ours whose answer was lost, or another
-            # coordinator's tenure.
-            if await self._is_own(record):
-                self.end += 1
-                return True
-            raise DeposedError
-        logs.info('table_not_written', reason=outcome.reason)
-        if outcome.in_doubt and await self._is_own(record):
-            self.end += 1
-            return True
-        await asyncio.sleep(STORE_RETRY_S)
-        return False
-
-    async def _is_own(self, record: bytes) -> bool:
-        while True:
-            page = await self.client.read(
-                TABLE_TOPIC, self.end, 0, self._deadline()
-            )
-            if isinstance(page, outcomes.Page):
-                break
-            if isinstance(page, outcomes.Expired):
-                return False
-            await asyncio.sleep(STORE_RETRY_S)
-        if not page.records:
-            return False
-        first = page.records[0]
-        return store.keyed_record(first.key, first.value) == record
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/ledger.py
@@ -0,0 +1,174 @@
+"""The tenure and the assignments of keys, as they stand in the store."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from knapweedhall_adapter import outcomes
+from knapweedhall_adapter import store
+from knapweedhall_router import logs
+from knapweedhall_router import settings as settings_module
+from knapweedhall_router import takeover
+from knapweedhall_routing import holdings
+
+TOPIC = 'keyed.knapweedhall'
+TENURE_KEY = 'tenure'
+TABLE_PREFIX = 'table/'
+CALL_TIMEOUT_S = 1.0
+STORE_RETRY_S = 0.1
+
+
+class DeposedError(Exception):
+    """Another coordinator has taken over."""
+
+
+class Ledger:
+    """Writes records at the end that is known, so that one writer wins.
+
+    Attributes
+    ----------
+    epoch : int
+        Offset of the tenure's record; -1 before.
+    end : int
+        Offset at which the partition ends if no other coordinator wrote.
+    predecessors : list of str
+        Where coordinators listen that may still renew grants.
+    """
+
+    def __init__(
+        self, client: store.StoreClient, settings: settings_module.Settings
+    ) -> None:
+        self.client = client
+        self.name = settings.name
+        self.address = f'{settings.address}:{settings.peer_port}'
+        self.epoch = -1
+        self.end = 0
+        self.predecessors: list[str] = []
+        self.lock = asyncio.Lock()
+        # Changes that were asked to be written, and those that were.
+        self.wanted: dict[str, int] = {}
+        self.written: dict[str, int] = {}
+
+    async def begin(self) -> dict[str, list[holdings.StoredRange]]:
+        """Begin a tenure; return the assignments by service."""
+        while True:
+            page = await self.client.newest(TOPIC, self._deadline())
+            if isinstance(page, outcomes.Page):
+                self.predecessors = self._find_predecessors(page)
+                outcome = await self.client.append(
+                    TOPIC, self._tenure(), page.end, self._deadline()
+                )
+                if isinstance(outcome, outcomes.Appended):
+                    break
+            await asyncio.sleep(STORE_RETRY_S)
+        self.epoch = outcome.offset
+        self.end = outcome.offset + 1
+        return self._tables(page)
+
+    async def predecessors_ended(self) -> None:
+        """Tell the next coordinator that it need not ask them again."""
+        if not self.predecessors:
+            return
+        self.predecessors = []
+        async with self.lock:
+            await self._write(self._tenure())
+
+    async def write(self, ranges: holdings.Holdings) -> None:
+        """Write the assignment of a service.
+
+        Writers that wait for the same lock share one record.
+
+        Raises
+        ------
+        DeposedError
+            If another coordinator wrote first.
+        """
+        name = ranges.service
+        wanted = self.wanted[name] = self.wanted.get(name, 0) + 1
+        async with self.lock:
+            if self.written.get(name, 0) >= wanted:
+                return
+            covered = self.wanted[name]
+            await self._write(
+                store.keyed_record(
+                    TABLE_PREFIX + name, msgspec.json.encode(ranges.stored())
+                )
+            )
+            self.written[name] = covered
+
+    def _tenure(self) -> bytes:
+        tenure = takeover.Tenure(self.name, self.address, self.predecessors)
+        return store.keyed_record(TENURE_KEY, msgspec.json.encode(tenure))
+
+    def _find_predecessors(self, page: outcomes.Page) -> list[str]:
+        for found in page.records:
+            if found.key != TENURE_KEY:
+                continue
+            try:
+                last = msgspec.json.decode(found.value, type=takeover.Tenure)
+            except msgspec.MsgspecError as error:
+                logs.warning('tenure_unreadable', reason=str(error))
+                continue
+            return takeover.predecessors(last, self.address)
+        return []
+
+    def _tables(
+        self, page: outcomes.Page
+    ) -> dict[str, list[holdings.StoredRange]]:
+        tables = {}
+        for found in page.records:
+            if not found.key.startswith(TABLE_PREFIX) or not found.value:
+                continue
+            try:
+                tables[found.key.removeprefix(TABLE_PREFIX)] = (
+                    msgspec.json.decode(
+                        found.value, type=list[holdings.StoredRange]
+                    )
+                )
+            except msgspec.MsgspecError as error:
+                logs.warning(
+                    'table_unreadable', key=found.key, reason=str(error)
+                )
+        return tables
+
+    async def _write(self, record: bytes) -> None:
+        while not await self._append(record):
+            await asyncio.sleep(STORE_RETRY_S)
+
+    async def _append(self, record: bytes) -> bool:
+        outcome = await self.client.append(
+            TOPIC, record, self.end, self._deadline()
+        )
+        if isinstance(outcome, outcomes.Appended):
+            self.end = outcome.offset + 1
+            return True
+        if isinstance(outcome, outcomes.Unavailable):
+            logs.info('table_not_written', reason=outcome.reason)
+            if not outcome.in_doubt:
+                return False
+        # Either an append of ours whose answer was lost, or another
+        # coordinator's tenure.
+        if await self._is_own(record):
+            self.end += 1
+            return True
+        if isinstance(outcome, outcomes.Conflict):
+            raise DeposedError
+        return False
+
+    async def _is_own(self, record: bytes) -> bool:
+        while True:
+            page = await self.client.read(TOPIC, self.end, 0, self._deadline())
+            if isinstance(page, outcomes.Page):
+                break
+            if isinstance(page, outcomes.Expired):
+                return False
+            await asyncio.sleep(STORE_RETRY_S)
+        if not page.records:
+            return False
+        first = page.records[0]
+        return store.keyed_record(first.key, first.value) == record
+
+    def _deadline(self) -> float:
+        return asyncio.get_running_loop().time() + CALL_TIMEOUT_S
--- a/packages/knapweedhall-router/src/knapweedhall_router/main.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/main.py
@@ -32,7 +32,8 @@
     )
     options = parser.parse_args(arguments)
     logs.configure('knapweedhall')
-    settings = application.check(pathlib.Path(options.settings))
+    path = pathlib.Path(options.settings)
+    settings = application.check(path)
     if settings is None:
         return EXIT_SETTINGS
     if options.check_config:
@@ -40,5 +41,5 @@
     logs.configure(settings.name)
     # What is imported by now lives as long as the process.
     gc.freeze()
-    asyncio.run(application.Application(settings).run())
+    asyncio.run(application.Application(settings, path).run())
     return 0
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -12,6 +12,7 @@
 from knapweedhall_router import clock
 from knapweedhall_router import coordinator as coordinator_module
 from knapweedhall_router import follower_link
+from knapweedhall_router import ledger
 from knapweedhall_router import logs
 from knapweedhall_router import state as state_module
 
@@ -131,14 +132,14 @@
                 'tenure_failed',
                 reason=', '.join(repr(one) for one in group.exceptions),
             )
-        except coordinator_module.DeposedError:
+        except ledger.DeposedError:
             logs.info('tenure_deposed')
 
     async def yield_to(self, epoch: int) -> None:
         """End a tenure that began before an epoch."""
         found = self.coordinator
-        if found is not None and found.epoch < epoch:
-            logs.info('tenure_yielded', epoch=found.epoch, to=epoch)
+        if found is not None and found.ledger.epoch < epoch:
+            logs.info('tenure_yielded', epoch=found.ledger.epoch, to=epoch)
             await self._stop()
 
     async def leave(self) -> None:
--- a/packages/knapweedhall-router/src/knapweedhall_router/settings.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/settings.py
@@ -111,3 +111,30 @@
     if faults:
         return Faults(tuple(faults))
     return Settings(*values)
+
+
+# Settings that a running process takes over; the others name listeners and
+# what others know of it.
+RELOADED = (
+    'descriptors',
+    'memory_mb',
+    'retry_ratio',
+    'retry_window_s',
+    'retry_extra',
+    'drain_s',
+    'grace_s',
+)
+
+
+def needs_restart(old: Settings, new: Settings) -> list[str]:
+    """Return the changed settings that count only after a restart."""
+    return [
+        name
+        for name in Settings._fields
+        if name not in RELOADED and getattr(old, name) != getattr(new, name)
+    ]
+
+
+def merge(old: Settings, new: Settings) -> Settings:
+    """Return the old settings with the new values of those that reload."""
+    return old._replace(**{name: getattr(new, name) for name in RELOADED})
