--- a/packages/knapweedhall-router/src/knapweedhall_router/front.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/front.py
@@ -83,7 +83,14 @@
         try:
             result = await self.dispatcher.run(call)
         except asyncio.CancelledError:
-            logs.info('caller_left', request=call.request_id)
+            logs.info(
+                'caller_left',
+                request=call.request_id,
+                service=call.service,
+                key=call.key,
+                upstreams=sorted(call.ran_on),
+                waited_ms=round((clock.now() - call.begun) * 1000, 1),
+            )
             raise
         except Exception as error:
             logs.warning(
@@ -171,6 +178,7 @@
             status=failure.status,
             reason=failure.reason,
             sends=call.sends,
+            upstreams=sorted(call.ran_on),
             waited_ms=round((clock.now() - call.begun) * 1000, 1),
             configuration=version,
         )
