--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -13,8 +13,8 @@
 from knapweedhall_adapter import orders
 from knapweedhall_adapter import store
 from knapweedhall_router import clock
+from knapweedhall_router import coordinator_link
 from knapweedhall_router import dispatch
-from knapweedhall_router import follower_link
 from knapweedhall_router import followers
 from knapweedhall_router import front
 from knapweedhall_router import logs
@@ -73,7 +73,7 @@
             Session for calls of the store and orders to upstreams.
         """
         client = store.StoreClient(session, self.settings.store)
-        link = follower_link.FollowerLink(client, self.state)
+        link = coordinator_link.CoordinatorLink(client, self.state)
         async with orders.open_session() as order_session:
             member = membership.Membership(
                 client, order_session, self.state, link
--- a/packages/knapweedhall-router/src/knapweedhall_router/follower_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -40,7 +40,7 @@
     return host, int(port)
 
 
-class FollowerLink:
+class CoordinatorLink:
     """Keeps a connection to the coordinator.
 
     Attributes
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -11,7 +11,7 @@
 from knapweedhall_adapter import store
 from knapweedhall_router import clock
 from knapweedhall_router import coordinator as coordinator_module
-from knapweedhall_router import follower_link
+from knapweedhall_router import coordinator_link
 from knapweedhall_router import ledger
 from knapweedhall_router import logs
 from knapweedhall_router import state as state_module
@@ -47,7 +47,7 @@
         client: store.StoreClient,
         session: aiohttp.ClientSession,
         state: state_module.State,
-        link: follower_link.FollowerLink,
+        link: coordinator_link.CoordinatorLink,
     ) -> None:
         self.client = client
         self.orders = orders.OrderClient(session)
@@ -57,7 +57,7 @@
         self.coordinator: coordinator_module.Coordinator | None = None
         self.task: asyncio.Task[None] | None = None
         settings = state.settings
-        self.member = follower_link.member_name(
+        self.member = coordinator_link.member_name(
             settings.name, settings.address, settings.peer_port
         )
         least = settings.least_membership_s
@@ -86,9 +86,9 @@
             timeout_s = self.coordinator_timeout_s
         deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
         outcome = await self.client.join(
-            follower_link.GROUP,
+            coordinator_link.GROUP,
             self.member,
-            follower_link.TENURE_TOPIC,
+            coordinator_link.TENURE_TOPIC,
             timeout_s,
             self.generation,
             deadline,
@@ -146,4 +146,4 @@
         """End the tenure and tell the store at once."""
         await self._stop()
         deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
-        await self.client.leave(follower_link.GROUP, self.member, deadline)
+        await self.client.leave(coordinator_link.GROUP, self.member, deadline)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
@@ -10,7 +10,6 @@
 import typing
 
 from knapweedhall_routing import model
-from knapweedhall_routing import rates
 
 # Length of a grant, seconds. Longer than the takeover by another coordinator
 # (membership timeout 1.2 s, one join, reading the table) plus one renewal.
@@ -252,10 +251,6 @@
             if first <= one.first and one.last <= last and one.fence == fence
         ]
 
-    def of(self, upstream: str) -> list[Holding]:
-        """Return what one upstream may hold."""
-        return [one for one in self.items if one.upstream == upstream]
-
 
 def _can_merge(one: Holding, other: Holding, now: float) -> bool:
     if not one.upstream or one.upstream != other.upstream:
@@ -269,21 +264,6 @@
     return one.settled_at <= now and other.settled_at <= now
 
 
-def split_points(first: int, last: int, parts: int) -> list[tuple[int, int]]:
-    """Return equal ranges of keys that begin at bucket borders."""
-    buckets = (last - first + 1) // rates.BUCKET_KEYS
-    parts = max(1, min(parts, buckets))
-    found = []
-    begin = first
-    for number in range(1, parts + 1):
-        end = first + buckets * number // parts * rates.BUCKET_KEYS - 1
-        if number == parts:
-            end = last
-        found.append((begin, end))
-        begin = end + 1
-    return found
-
-
 class Fences:
     """Fencing tokens of one tenure.
 
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/model.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/model.py
@@ -157,10 +157,6 @@
     first: int
     last: int
 
-    def size(self) -> int:
-        """Return the number of keys."""
-        return self.last - self.first + 1
-
 
 class OwnedRange(typing.NamedTuple):
     """Keys and the upstream that owns them.
--- a/packages/knapweedhall-routing/tests/test_planning.py
+++ b/packages/knapweedhall-routing/tests/test_planning.py
@@ -165,7 +165,7 @@
         found = view(8, traffic(random.Random(5), 6.0, 160.0, 0.3))
         self.level(found, 12)
         victim = max(loads(self.book, found), key=loads(self.book, found).get)
-        orphans = self.book.of(victim)
+        orphans = [one for one in self.book.items if one.upstream == victim]
         del found.capacity[victim]
         for move in planning.place_orphans(self.book.items, found, orphans):
             assign(self.book, move)
