Keep the tenure through a stop while the store is down

Ruled out: the outage itself, which blind renewals cover. Change: the tenure ends at a stop only if the store confirms that the member left; otherwise it goes on to the end of the process. Test: test_coordinator_stops_while_the_store_is_down, red before, green after.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -95,6 +95,7 @@
                 await self._run(member, tasks[0], servers)
             finally:
                 self.state.stopping = True
+                await member.end()
                 for server in servers:
                     server.close()
                 for task in tasks:
@@ -117,7 +118,8 @@
         stop_at = clock.now() + self.settings.grace_s * GRACE_SHARE
         joining.cancel()
         await asyncio.gather(joining, return_exceptions=True)
-        await member.leave()
+        if not await member.leave():
+            logs.warning('tenure_kept', reason='the store does not answer')
         await self._drain(servers[0], callers, stop_at)
 
     def reload(self) -> None:
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -66,14 +66,11 @@
 
     async def run(self) -> None:
         """Stay in the group until cancelled."""
-        try:
-            while True:
-                sent = clock.now()
-                await self._join(sent)
-                # A lost coordinator may have handed over its place.
-                await self.link.lost.wait(sent + self._period() - clock.now())
-        finally:
-            await self._stop()
+        while True:
+            sent = clock.now()
+            await self._join(sent)
+            # A lost coordinator may have handed over its place.
+            await self.link.lost.wait(sent + self._period() - clock.now())
 
     def _period(self) -> float:
         if self.coordinator is not None:
@@ -142,8 +139,23 @@
             logs.info('tenure_yielded', epoch=found.ledger.epoch, to=epoch)
             await self._stop()
 
-    async def leave(self) -> None:
-        """End the tenure and tell the store at once."""
-        await self._stop()
+    async def leave(self) -> bool:
+        """Give the tenure back to the store.
+
+        Returns
+        -------
+        bool
+            False if the store did not answer. The tenure goes on then, as no
+            other instance can take it over.
+        """
         deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
-        await self.client.leave(coordinator_link.GROUP, self.member, deadline)
+        left = await self.client.leave(
+            coordinator_link.GROUP, self.member, deadline
+        )
+        if left:
+            await self.end()
+        return left
+
+    async def end(self) -> None:
+        """End the tenure, if there is one."""
+        await self._stop()
--- a/packages/knapweedhall-router/tests/fleet.py
+++ b/packages/knapweedhall-router/tests/fleet.py
@@ -186,7 +186,8 @@
     async def kill(self, router: application.Application) -> None:
         """End a router without a word."""
         task = self.tasks.pop(router)
-        self.routers.remove(router)
+        if router in self.routers:
+            self.routers.remove(router)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
 
--- a/packages/knapweedhall-router/tests/test_fleet.py
+++ b/packages/knapweedhall-router/tests/test_fleet.py
@@ -231,6 +231,22 @@
         self.assertEqual({200}, set(self.statuses(replies)))
         self.assert_one_owner()
 
+    async def test_coordinator_stops_while_the_store_is_down(self) -> None:
+        """Guards against keys that lapse as nobody can take over.
+
+        The store is down for longer than a grant lasts, and the coordinator
+        is told to stop meanwhile.
+        """
+        self.fleet.store.down = True
+        await asyncio.sleep(0.5)
+        leader = self.leader()
+        leader.stop.set()
+        self.fleet.routers.remove(leader)
+        replies = await self.fleet.ask_all(5.5)
+        self.fleet.store.down = False
+        self.assertEqual({200}, set(self.statuses(replies)))
+        self.assert_one_owner()
+
     async def test_lost_answer_of_the_store(self) -> None:
         """Guards against a coordinator that deposes itself."""
         self.fleet.store.lose_answers = 2
