Read the operator's records at least each 1.5 s

Ruled out: a failed call, as the read before it had been answered. Change: reads wait 1.5 s. Test: test_configuration_without_a_wake_up; with waits of 4 s it fails.

--- a/packages/knapweedhall-router/src/knapweedhall_router/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/followers.py
@@ -13,9 +13,10 @@
 from knapweedhall_router import logs
 from knapweedhall_router import state as state_module
 
-# How long the store may hold a read for the next change, ms. A connection
-# that went silent is noticed after this and the margin.
-WAIT_MS = 4000
+# How long the store may hold a read for the next change, ms. A read that
+# began just before a change was once not woken by it, so the wait is below
+# the bound within which a configuration is in force (2 s).
+WAIT_MS = 1500
 # After a failure, reads wait only this long, ms, and for so many seconds:
 # the store then answered a waiting read only when its time had passed.
 SHORT_WAIT_MS = 400
--- a/packages/knapweedhall-router/tests/test_fleet.py
+++ b/packages/knapweedhall-router/tests/test_fleet.py
@@ -86,6 +86,24 @@
         reply = await found.ask(found.routers[0], '/view/', 1)
         self.assertEqual(404, reply.status)
 
+    async def test_configuration_without_a_wake_up(self) -> None:
+        """Guards against a version that waits for the end of a read.
+
+        The platform's store was seen not to wake a read that began just
+        before a change; a version is to be in force within 2 s.
+        """
+        found = self.fleet
+        found.store.deaf = True
+        await found.until(lambda: found.store.deaf_reads >= self.routers)
+        found.configure()
+        await found.until(
+            lambda: all(
+                router.state.configuration.version == found.version
+                for router in found.routers
+            ),
+            2.0,
+        )
+
     async def test_unreadable_records_change_nothing(self) -> None:
         """Guards against a foreign record that ends a task."""
         store = self.fleet.store
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
@@ -31,6 +31,10 @@
     ----------
     down : bool
         Whether calls are refused without effect.
+    deaf : bool
+        Whether waiting reads are not woken by changes.
+    deaf_reads : int
+        Reads that began to wait while deaf.
     lose_answers : int
         Appends that take effect and are then answered by a reset.
     calls : int
@@ -41,6 +45,8 @@
         self.partitions: dict[str, store_engine.Partition] = {}
         self.groups: dict[str, store_engine.Group] = {}
         self.down = False
+        self.deaf = False
+        self.deaf_reads = 0
         self.lose_answers = 0
         self.calls = 0
         self.server: asyncio.Server | None = None
@@ -110,7 +116,10 @@
         partition = self.partition(request.query['topic'])
         offset = int(request.query['fromRev'])
         wait_s = min(MAX_WAIT_MS, int(request.query.get('waitMs', 0))) / 1000
-        if offset == partition.end and wait_s:
+        if self.deaf and wait_s:
+            self.deaf_reads += 1
+            await asyncio.sleep(wait_s)
+        elif offset == partition.end and wait_s:
             try:
                 async with asyncio.timeout(wait_s):
                     await partition.changed.wait()
