--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -31,7 +31,8 @@
     Attributes
     ----------
     status : int
-        What the caller gets: 503 says that it has not run and will not.
+        What the caller gets. For a request that isn't idempotent, 503 says
+        that it has not run and will not.
     reason : str
         Word for the log.
     retry_after_s : float or None
