Run repeats for a key at its owner again

Cause: after a failure, a lost answer or a refusal of its owner a repeat of a request for a key was sent to anybody but the owner. As nobody else owns the key, it waited 0.6 of the objective for a new owner and was then refused with 503, also in place of a failure that the upstream had signed. Seen by reading the path of a repeat; each of the four new tests of RepeatTest fails with 503 without the change.

Ruled out: sending repeats to the next owner only; the table changes seldom.

Change: a repeat for a key goes to its owner, within the retry budget, which is now charged once a repeat instead of twice. An owner that refused with 421 is asked again once it is named anew. A refusal with a free slot and an empty queue is repeated as well. Without a repeat the upstream's own failure is passed on.

--- a/packages/knapweedhall-router/src/knapweedhall_router/calls.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/calls.py
@@ -34,8 +34,8 @@
         Times that it was handed to an upstream.
     ran_on : set of str
         Upstreams that may have run it.
-    tried : set of str
-        Upstreams that refused it or were not reached.
+    tried : dict of str to float
+        Upstreams that refused it or were not reached, and when.
     """
 
     __slots__ = (
@@ -86,7 +86,11 @@
         self.objective_at = now + route.objective_s
         self.sends = 0
         self.ran_on: set[str] = set()
-        self.tried: set[str] = set()
+        self.tried: dict[str, float] = {}
+
+    def turned_away(self, upstream: str, now: float) -> None:
+        """Take note that an upstream refused the request."""
+        self.tried[upstream] = now
 
     def encode(self, upstream: str, now: float) -> bytes:
         """Return the request for an upstream."""
--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 from knapweedhall_adapter import decoding
 from knapweedhall_adapter import names
@@ -49,9 +50,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class Repeat:
-    """The request may be sent again; `failure` is the result otherwise."""
+    """The request may be sent again; `otherwise` is the result if not."""
 
-    failure: Failure
+    otherwise: Result
 
 
 class Dispatcher:
@@ -66,17 +67,19 @@
         self.state.retry_budget(call.service).earn(clock.now())
         if call.key is not None and self._is_divided(call):
             self.state.count_key(call.service, call.key)
-        last = Failure(503, 'no-upstream', 0.1)
+        last: Result = Failure(503, 'no-upstream', 0.1)
         try:
             async with asyncio.timeout(max(0.0, call.end - clock.now())):
                 while True:
                     result = await self._attempt(call)
                     if not isinstance(result, Repeat):
                         return result
-                    last = result.failure
+                    last = result.otherwise
                     if not self._may_repeat(call):
                         return last
         except TimeoutError:
+            if isinstance(last, exchange.Answered):
+                return last
             if call.ran_on:
                 return Failure(504, 'timeout')
             return Failure(503, f'timeout-after-{last.reason}')
@@ -116,7 +119,7 @@
     ) -> Repeat | Failure:
         now = clock.now()
         self.state.health(target.name).refused_connection(now)
-        call.tried.add(target.name)
+        call.turned_away(target.name, now)
         logs.info(
             'connection_failed',
             request=call.request_id,
@@ -184,11 +187,21 @@
         )
         if not call.route.idempotent or call.sends > 1:
             return outcome
-        if self._runs_left(call) and now + found.wait_s(now) < call.end:
-            if self.state.retry_budget(call.service).spend(now):
-                call.tried.add(target.name)
-                return Repeat(Failure(502, 'upstream-failed'))
-        return outcome
+        if not self._runs_left(call) or now + found.wait_s(now) >= call.end:
+            return outcome
+        self._avoid(call, target, now)
+        return Repeat(outcome)
+
+    def _avoid(
+        self, call: calls.Call, target: model.Upstream, now: float
+    ) -> None:
+        """Send a repeat elsewhere, if anybody else can run it.
+
+        Only its owner runs requests for a key, so a repeat that waited for
+        another owner would time out.
+        """
+        if not self._is_divided(call):
+            call.turned_away(target.name, now)
 
     def _runs_left(self, call: calls.Call) -> bool:
         return self._is_divided(call) or (
@@ -219,11 +232,13 @@
             status=outcome.status,
             key=call.key,
         )
-        if outcome.status != names.STATUS_WRONG_UPSTREAM:
-            found.judged(True, now)
-            if self._is_divided(call):
-                return failure
-        call.tried.add(target.name)
+        if outcome.status == names.STATUS_WRONG_UPSTREAM:
+            call.turned_away(target.name, now)
+            return Repeat(failure)
+        found.judged(True, now)
+        if self._is_divided(call) and not admission.is_spurious(report):
+            return failure
+        self._avoid(call, target, now)
         return Repeat(failure)
 
     def _broken(
@@ -250,7 +265,7 @@
         failure = Failure(502, outcome.reason)
         if not call.route.idempotent or not self._runs_left(call):
             return failure
-        call.tried.add(target.name)
+        self._avoid(call, target, now)
         return Repeat(failure)
 
     async def _target(self, call: calls.Call) -> model.Upstream | Failure:
@@ -323,7 +338,9 @@
                     # Its owner is lost; the wait would outlast the caller.
                     return self._turn_away(call, 'no-owner')
             else:
-                if row.upstream not in call.tried:
+                # An owner that refused is asked again once it was named
+                # anew, as its grant had only ended meanwhile.
+                if row.since >= call.tried.get(row.upstream, -math.inf):
                     if self._may_send(row.upstream, now):
                         return self._admit_owner(call, row, now)
             if not await self.state.owners_changed.wait(hold_until - now):
--- a/packages/knapweedhall-router/tests/test_fleet.py
+++ b/packages/knapweedhall-router/tests/test_fleet.py
@@ -183,6 +183,67 @@
         self.assertEqual((200, b'POST /order/1 2'), reply[:2])
 
 
+class RepeatTest(FleetTest):
+    """Requests for keys whose owner does not answer them at once."""
+
+    routers = 1
+
+    def owner(self, key: int) -> backend.Backend:
+        """Return the upstream that owns a key."""
+        return next(one for one in self.fleet.backends if one.holds(key))
+
+    async def view(self) -> fleet.Reply:
+        """Send a request that may run more than once."""
+        return await self.fleet.ask(self.fleet.routers[0], '/view/x', 7)
+
+    async def test_lost_answer_is_asked_for_again(self) -> None:
+        """Guards against a repeat that waits for another owner.
+
+        Nobody but the owner of its key can run the request again.
+        """
+        owner = self.owner(7)
+        answers: list[bytes | None] = [None]
+
+        def lose_first(request: web.BaseRequest, raw: bytes) -> bytes | None:
+            return answers.pop() if answers else raw
+
+        owner.answer = lose_first
+        reply = await self.view()
+        self.assertEqual(200, reply.status)
+        self.assertEqual(2, len(owner.runs))
+
+    async def test_failure_is_asked_again(self) -> None:
+        """Guards against a failure of an upstream that a repeat mends."""
+        owner = self.owner(7)
+        failures = [b'HTTP/1.1 500 Failed']
+
+        def fail_first(request: web.BaseRequest, raw: bytes) -> bytes:
+            if not failures:
+                return raw
+            return raw.replace(b'HTTP/1.1 200 OK', failures.pop())
+
+        owner.answer = fail_first
+        reply = await self.view()
+        self.assertEqual(200, reply.status)
+
+    async def test_refusal_with_free_slots(self) -> None:
+        """Guards against a refusal that is passed on though a slot is free."""
+        self.owner(7).shed_next = 1
+        reply = await self.view()
+        self.assertEqual(200, reply.status)
+
+    async def test_repeats_end(self) -> None:
+        """Guards against repeats without end at an upstream that fails."""
+        owner = self.owner(7)
+        owner.answer = lambda request, raw: raw.replace(
+            b'HTTP/1.1 200 OK', b'HTTP/1.1 500 Failed'
+        )
+        reply = await self.view()
+        self.assertEqual(500, reply.status)
+        self.assertTrue(reply.signature)
+        self.assertEqual(2, len(owner.runs))
+
+
 class OwnershipTest(FleetTest):
     """Keys whose owner changes."""
 
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/admission.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/admission.py
@@ -6,6 +6,8 @@
 import random
 import typing
 
+from knapweedhall_routing import model
+
 # Part of the latency objective that a request waits for the owner of its
 # keys to change; a move takes about one request's work.
 HOLD_SHARE = 0.6
@@ -82,6 +84,17 @@
     return Send()
 
 
+def is_spurious(report: model.LoadReport | None) -> bool:
+    """Return whether a refusal contradicts the load that comes with it.
+
+    An upstream that refuses a part of all requests although it has a free
+    slot may take the same request at once.
+    """
+    return report is not None and (
+        report.running < report.slots and not report.waiting
+    )
+
+
 def retry_after(wanted: float, left: float, rng: random.Random) -> float:
     """Return when a refused caller should come back.
 
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/backend.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/backend.py
@@ -44,6 +44,8 @@
         Requests that it began to work on.
     refused : int
         Requests that it refused as it did not hold the key.
+    shed_next : int
+        Requests that it will refuse although it has a free slot.
     answer : callable or None
         Replaces the answer of a request: takes the request and the bytes of
         the ordinary answer, returns the bytes that are sent, None for a reset.
@@ -72,6 +74,7 @@
         self.seen: dict[int, int] = {}
         self.runs: list[Run] = []
         self.refused = 0
+        self.shed_next = 0
         self.state = 'ready'
         self.sequence = 0
         self.born_ms = int(time.time() * 1000)
@@ -193,6 +196,9 @@
             return self._not_run(421)
         if self.waiting >= self.queue:
             return self._not_run(503)
+        if self.shed_next:
+            self.shed_next -= 1
+            return self._not_run(503)
         request_id = request.headers.get('X-Attempt-Id', '')
         self.waiting += 1
         try:
