--- /dev/null
+++ b/packages/knapweedhall-routing/tests/test_rates.py
@@ -0,0 +1,64 @@
+"""Tests of measured rates."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from knapweedhall_routing import rates
+
+PERIOD_S = 0.25
+HOT_FIRST, HOT_LAST = 30000, 30199
+
+
+class KeyRatesTest(unittest.TestCase):
+    """Requests per second by key."""
+
+    def setUp(self) -> None:
+        """Begin with steady traffic for all keys."""
+        self.random = random.Random(4)
+        self.rates = rates.KeyRates()
+        self.now = 0.0
+        self.run_for(6.0, 240.0, 0.0)
+
+    def run_for(self, seconds: float, per_s: float, hot_per_s: float) -> None:
+        """Count requests for all keys and for a few neighbours."""
+        for _ in range(round(seconds / PERIOD_S)):
+            counts: dict[int, int] = {}
+            for _ in range(round(per_s * PERIOD_S)):
+                bucket = self.random.randrange(rates.BUCKETS)
+                counts[bucket] = counts.get(bucket, 0) + 1
+            for _ in range(round(hot_per_s * PERIOD_S)):
+                key = self.random.randint(HOT_FIRST, HOT_LAST)
+                bucket = rates.bucket_of(key)
+                counts[bucket] = counts.get(bucket, 0) + 1
+            self.rates.add(counts)
+            self.now += PERIOD_S
+            self.rates.decay(self.now)
+
+    def test_steady_traffic(self) -> None:
+        """Guards against loads that are seen too low between reports."""
+        self.assertAlmostEqual(240, self.rates.total(), delta=20)
+
+    def test_hot_keys_are_seen_within_a_second(self) -> None:
+        """Guards against moves that are too small for a sudden hot range.
+
+        With the slow time constant alone, half of the load is seen after a
+        second, and what moves by it overloads the next upstream.
+        """
+        self.run_for(0.75, 240.0, 90.0)
+        seen = self.rates.rate(HOT_FIRST, HOT_LAST)
+        self.assertGreater(seen, 0.65 * 90)
+        self.assertLess(seen, 1.35 * 90)
+
+    def test_noise_is_not_hot(self) -> None:
+        """Guards against ranges that move because of a few requests."""
+        slow = rates.KeyRates()
+        slow.counts = list(self.rates.counts)
+        slow.decayed_at = self.now
+        slow.decay(self.now)
+        raised = sum(
+            fast > 1.5 * steady + 1
+            for fast, steady in zip(self.rates.estimates, slow.estimates)
+        )
+        self.assertLess(raised, rates.BUCKETS / 50)
