Let the coordinator read the store for all instances

Cause: each instance reads two topics by itself, about 1.9 calls a second.

Ruled out: fewer reads by each instance; an upstream that leaves must be known within 2 s and a configuration be in force within 2 s.

Change: the coordinator reads each topic 2.5 times a second and passes on what changed. Its heartbeat, now 0.3 s, tells how old its reads are; an instance relies on them for 1.2 s and reads by itself otherwise. While the store is down, those who hear a coordinator try less often than it. The heartbeat names the instances only when they changed.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -9,6 +9,7 @@
 from knapweedhall_adapter import outcomes
 from knapweedhall_adapter import store
 from knapweedhall_router import clock
+from knapweedhall_router import feed
 from knapweedhall_router import hub as hub_module
 from knapweedhall_router import ledger as ledger_module
 from knapweedhall_router import logs
@@ -81,7 +82,7 @@
         self.orders = orders.Orders(order_client, holdings.Fences(0))
         self.services: dict[str, Service] = {}
         self.times = rates.ServiceTimes()
-        self.hub = hub_module.Hub(self.tables, self.report, self.is_blind)
+        self.hub = hub_module.Hub(self.greeting, self.report, self.heartbeat)
         self.tasks: set[asyncio.Task[None]] = set()
         self.release_after: dict[str, float] = {}
 
@@ -98,12 +99,14 @@
         """Take over and coordinate until cancelled or deposed."""
         try:
             await self._take_over()
+            self.state.feed.relay = self.pass_on
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.hub.run())
                 group.create_task(self._end_predecessors())
                 group.create_task(self._renew())
                 group.create_task(self._plan())
         finally:
+            self.state.feed.relay = None
             for task in list(self.tasks):
                 task.cancel()
             logs.info('tenure_ended', epoch=self.ledger.epoch)
@@ -128,8 +131,42 @@
 
     # Instances
 
+    def greeting(self) -> list[messages.Message]:
+        """Return what an instance gets that connects."""
+        return [
+            *self.tables(),
+            self.heartbeat(None),
+            *(
+                messages.Records(topic, True, list(known.items()))
+                for topic, known in self.state.feed.newest.items()
+            ),
+        ]
+
+    def heartbeat(self, instances: list[str] | None) -> messages.Fleet:
+        """Return a heartbeat."""
+        now = clock.now()
+        return messages.Fleet(
+            instances,
+            self.is_blind(),
+            self.state.feed.ages(now),
+            now - self.state.directory.outage_end,
+        )
+
+    def pass_on(
+        self, topic: str, records: feed.Records, listing: bool
+    ) -> None:
+        """Send records of the store to all instances."""
+        # The heartbeat says how recent an outage was, without which the
+        # removals after it would be taken as departures.
+        self.hub.beat()
+        self.hub.send(
+            messages.Records(
+                topic, listing, [(one.key, one.value) for one in records]
+            )
+        )
+
     def tables(self) -> list[messages.Table]:
-        """Return all tables for an instance that connects."""
+        """Return all tables of owners."""
         return [
             messages.Table(
                 name,
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -16,7 +16,7 @@
 GROUP = 'knapweedhall'
 TENURE_TOPIC = 'knapweedhall.tenure'
 REPORT_S = 0.3
-# The coordinator's heartbeat comes twice a second.
+# The coordinator's heartbeat comes three times a second.
 SILENCE_S = 1.5
 CONNECT_TIMEOUT_S = 0.5
 # Pause between two questions for the coordinator's address; a call of the
@@ -150,6 +150,19 @@
             }
             writer.write(messages.encode(messages.Report(keys, means)))
 
+    def _take_heartbeat(self, message: messages.Fleet) -> None:
+        now = clock.now()
+        self.connected = True
+        self.blind = message.blind
+        self.state.feed.told(message.ages, now)
+        if not self.state.feed.relay:
+            directory = self.state.directory
+            directory.outage_end = max(
+                directory.outage_end, now - message.outage_age_s
+            )
+        if message.instances:
+            self.state.instances = tuple(message.instances)
+
     def apply(self, message: messages.Message) -> None:
         """Take over what the coordinator says.
 
@@ -159,10 +172,12 @@
             If a change is missing; a new connection gets the whole table.
         """
         if isinstance(message, messages.Fleet):
-            self.connected = True
-            self.blind = message.blind
-            if message.instances:
-                self.state.instances = tuple(message.instances)
+            self._take_heartbeat(message)
+            return
+        if isinstance(message, messages.Records):
+            self.state.feed.deliver(
+                message.topic, message.records, message.listing
+            )
             return
         if not isinstance(message, messages.Table | messages.Change):
             return
--- a/packages/knapweedhall-router/src/knapweedhall_router/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/followers.py
@@ -17,6 +17,8 @@
 # began just before a change was once not woken by it, so the wait is below
 # the bound within which a configuration is in force (2 s).
 WAIT_MS = 1500
+# The coordinator reads for all; they rely on a read for 1.2 s.
+RELAY_WAIT_MS = 400
 # After a failure, reads wait only this long, ms, and for so many seconds:
 # the store then answered a waiting read only when its time had passed.
 SHORT_WAIT_MS = 400
@@ -26,8 +28,17 @@
 # times a second, so a waiting read would return at once; upstreams that
 # leave must be known within `drain_s`, 2 s at the least.
 UPSTREAM_PERIOD_S = 0.8
-# Pause after a failed call; calls are priced also while the store is down.
+# The same for the coordinator, whose records travel on.
+RELAY_PERIOD_S = 0.4
+# Pause after a failed call; calls are priced also while the store is down,
+# so that those who hear a coordinator leave the search to it.
 RETRY_S = 0.25
+FED_RETRY_S = 0.8
+# Time between two checks of what is relied on meanwhile.
+FED_CHECK_S = 0.25
+# The end of a cold start must shift by this much to be passed on; heartbeats
+# shift it by the time that they were under way.
+COLD_SHIFT_S = 0.3
 
 
 class Follower:
@@ -50,6 +61,57 @@
         self.state = state
         self.next_offset = -1
         self.failing = False
+        state.feed.handlers[self.topic] = self.take
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            now = clock.now()
+            fed_s = self.state.feed.fed_until(self.topic) - now
+            if fed_s > 0:
+                self._rely()
+                await asyncio.sleep(min(fed_s, FED_CHECK_S))
+                continue
+            if await self.step(self.wait_ms(now)):
+                pause = self.pause_s() - (clock.now() - now)
+            else:
+                pause = self._retry_s(now)
+            self.housekeeping()
+            await asyncio.sleep(max(0.0, pause))
+
+    def wait_ms(self, now: float) -> int:
+        """Return how long the store may hold a read."""
+        raise NotImplementedError
+
+    def pause_s(self) -> float:
+        """Return the least time from one read to the next."""
+        raise NotImplementedError
+
+    def housekeeping(self) -> None:
+        """Do what is due after each read."""
+
+    def _retry_s(self, now: float) -> float:
+        feed = self.state.feed
+        heard_s = now - feed.heard_at
+        if feed.relay is None and heard_s < FED_RETRY_S:
+            return FED_RETRY_S
+        return RETRY_S
+
+    def _rely(self) -> None:
+        """Leave the reading to the coordinator."""
+        # The own place in the log falls behind; reading begins anew.
+        self.next_offset = -1
+        self.failing = False
+        self.housekeeping()
+
+    def take(
+        self, records: typing.Sequence[outcomes.Record], listing: bool
+    ) -> None:
+        """Take over records that the store holds."""
+        changed = self.apply(records, listing)
+        feed = self.state.feed
+        feed.took(self.topic, records, listing)
+        feed.pass_on(self.topic, records if listing else changed, listing)
 
     async def step(self, wait_ms: int) -> bool:
         """Read once; return whether the store answered."""
@@ -71,7 +133,8 @@
             return True
         listing = self.next_offset < 0
         self.next_offset = outcome.end
-        self.apply(outcome.records, listing)
+        self.state.feed.was_read(self.topic, clock.now())
+        self.take(outcome.records, listing)
         return True
 
     async def _read(self, wait_ms: int) -> outcomes.ReadOutcome:
@@ -84,8 +147,11 @@
 
     def apply(
         self, records: typing.Sequence[outcomes.Record], listing: bool
-    ) -> None:
-        """Take over records; a listing names each key there is."""
+    ) -> list[outcomes.Record]:
+        """Take over records and return those that say anything new.
+
+        A listing names each key there is.
+        """
         raise NotImplementedError
 
 
@@ -94,17 +160,20 @@
 
     topic = names.OPERATOR_TOPIC
 
-    async def run(self) -> None:
-        """Follow until cancelled."""
-        while True:
-            calm = clock.now() - self.state.directory.outage_end
-            wait_ms = WAIT_MS if calm > SHORT_WAITS_S else SHORT_WAIT_MS
-            if not await self.step(wait_ms):
-                await asyncio.sleep(RETRY_S)
+    def wait_ms(self, now: float) -> int:
+        """Return how long the store may hold a read."""
+        if self.state.feed.relay is not None:
+            return RELAY_WAIT_MS
+        calm_s = now - self.state.directory.outage_end
+        return WAIT_MS if calm_s > SHORT_WAITS_S else SHORT_WAIT_MS
+
+    def pause_s(self) -> float:
+        """Return the least time from one read to the next."""
+        return 0.0
 
     def apply(
         self, records: typing.Sequence[outcomes.Record], listing: bool
-    ) -> None:
+    ) -> list[outcomes.Record]:
         """Take over the operator's records."""
         directory = self.state.directory
         evacuated = set() if listing else set(directory.evacuated)
@@ -119,6 +188,7 @@
                     evacuated.discard(domain)
         if directory.evacuate(evacuated, clock.now()):
             logs.info('failure_domains_evacuated', domains=sorted(evacuated))
+        return list(records)
 
     def _configure(self, record: outcomes.Record) -> None:
         try:
@@ -136,46 +206,57 @@
 
     topic = names.UPSTREAM_TOPIC
 
-    async def run(self) -> None:
-        """Follow until cancelled."""
-        while True:
-            begun = clock.now()
-            answered = await self.step(0)
-            self._expire()
-            pause = UPSTREAM_PERIOD_S - (clock.now() - begun)
-            await asyncio.sleep(pause if answered else RETRY_S)
+    def wait_ms(self, now: float) -> int:
+        """Return how long the store may hold a read."""
+        return 0
+
+    def pause_s(self) -> float:
+        """Return the least time from one read to the next."""
+        if self.state.feed.relay is not None:
+            return RELAY_PERIOD_S
+        return UPSTREAM_PERIOD_S
 
-    def _expire(self) -> None:
+    def housekeeping(self) -> None:
+        """Drop the upstreams that are gone for certain."""
         for name in self.state.directory.expire(clock.now()):
             logs.info('upstream_gone', upstream=name)
             self.state.forget(name)
 
     def apply(
         self, records: typing.Sequence[outcomes.Record], listing: bool
-    ) -> None:
+    ) -> list[outcomes.Record]:
         """Take over the entries of upstreams."""
         now = clock.now()
         directory = self.state.directory
         # Only the last record of each key counts.
         newest = {record.key: record for record in records}
+        changed = []
         for name, record in newest.items():
             if record.value:
-                self._put(name, record, now)
-            else:
-                directory.remove(name, now)
+                if self._put(name, record, now):
+                    changed.append(record)
+            elif directory.remove(name, now):
+                changed.append(record)
         if listing:
             directory.keep_only(newest, now)
         self.state.listed = True
+        return changed
 
-    def _put(self, name: str, record: outcomes.Record, now: float) -> None:
+    def _put(self, name: str, record: outcomes.Record, now: float) -> bool:
+        """Take over an entry; return whether it says anything new."""
         directory = self.state.directory
         try:
             entry = decoding.upstream(name, record.value, now)
         except decoding.DecodeError as error:
             logs.info('upstream_unreadable', upstream=name, reason=str(error))
-            directory.remove(name, now)
-            return
+            return directory.remove(name, now)
         known = directory.entries.get(name)
+        news = (
+            known is None
+            or name in directory.departures
+            or abs(known.cold_until - entry.cold_until) > COLD_SHIFT_S
+            or known._replace(cold_until=entry.cold_until) != entry
+        )
         if directory.put(entry, now):
             self.state.forget(name)
             logs.info(
@@ -187,3 +268,4 @@
             )
         if entry.draining and not (known and known.draining):
             logs.info('upstream_draining', upstream=name)
+        return news
--- a/packages/knapweedhall-router/src/knapweedhall_router/hub.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/hub.py
@@ -11,7 +11,9 @@
 from knapweedhall_router import logs
 from knapweedhall_router import messages
 
-HEARTBEAT_S = 0.5
+# Instances rely on the coordinator's reads for 1.2 s; a heartbeat that
+# comes much less often would leave them without.
+HEARTBEAT_S = 0.3
 # An instance reports three times a second; six missing mean it is gone.
 SILENCE_S = 2.0
 # Unsent bytes at which an instance is taken as not reading.
@@ -35,34 +37,35 @@
 
 
 class Hub:
-    """Sends owners to instances and takes their reports.
+    """Sends owners and records to instances and takes their reports.
 
     Attributes
     ----------
-    tables : callable
-        Returns the tables that a new instance gets.
+    greeting : callable
+        Returns what a new instance gets.
     report : callable
         Takes each report.
-    blind : callable
-        Tells whether the coordinator can't reach the store.
+    heartbeat : callable
+        Returns a heartbeat; takes the names of the instances, or None.
     """
 
     def __init__(
         self,
-        tables: typing.Callable[[], list[messages.Table]],
+        greeting: typing.Callable[[], list[messages.Message]],
         report: typing.Callable[[messages.Report], None],
-        blind: typing.Callable[[], bool],
+        heartbeat: typing.Callable[[list[str] | None], messages.Fleet],
     ) -> None:
-        self.tables = tables
+        self.greeting = greeting
         self.report = report
-        self.blind = blind
+        self.heartbeat = heartbeat
         self.links: set[Link] = set()
+        self.announced: list[str] = []
 
     async def run(self) -> None:
         """Send heartbeats until cancelled; then end all connections."""
         try:
             while True:
-                self._beat()
+                self.beat()
                 await asyncio.sleep(HEARTBEAT_S)
         finally:
             for link in list(self.links):
@@ -78,8 +81,12 @@
         for link in list(self.links):
             link.send(frame)
 
-    def _beat(self) -> None:
-        self.send(messages.Fleet(self.instances(), self.blind()))
+    def beat(self) -> None:
+        """Send a heartbeat, with the instances if they changed."""
+        found = self.instances()
+        changed = found != self.announced
+        self.announced = found
+        self.send(self.heartbeat(found if changed else None))
 
     async def attach(
         self,
@@ -90,10 +97,12 @@
         """Serve the connection of an instance until it ends."""
         link = Link(instance, writer)
         try:
-            for table in self.tables():
-                link.send(messages.encode(table))
+            for message in self.greeting():
+                link.send(messages.encode(message))
             self.links.add(link)
-            self._beat()
+            # One that returned under its name needs the names as well.
+            self.announced = []
+            self.beat()
             logs.info('instance_joined', instance=link.instance)
             await self._follow(reader)
         except (OSError, EOFError, TimeoutError, msgspec.MsgspecError) as e:
--- a/packages/knapweedhall-router/src/knapweedhall_router/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/messages.py
@@ -78,18 +78,44 @@
 
     Attributes
     ----------
-    instances : list of str
-        Names of the connected instances.
+    instances : list of str or None
+        Names of the connected instances; None if they are as before.
     blind : bool
         Whether the coordinator can't reach the store, so that another one
         may have taken its place.
+    ages : dict of str to float
+        Time since the coordinator's last read of each topic, seconds.
+    outage_age_s : float
+        Time since the store last failed to answer the coordinator.
     """
 
-    instances: list[str]
+    instances: list[str] | None
     blind: bool
+    ages: dict[str, float]
+    outage_age_s: float
 
 
-Message = Hello | Takeover | Yielded | Report | Table | Change | Fleet
+class Records(msgspec.Struct, tag='records', array_like=True):
+    """Records of the store that the coordinator read.
+
+    Attributes
+    ----------
+    topic : str
+        Where they stand.
+    listing : bool
+        Whether they are all that there are.
+    records : list of tuple of str and bytes
+        Keys and values; a value is empty if its key was dropped.
+    """
+
+    topic: str
+    listing: bool
+    records: list[tuple[str, bytes]]
+
+
+Message = (
+    Hello | Takeover | Yielded | Report | Table | Change | Fleet | Records
+)
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+from knapweedhall_router import feed
 from knapweedhall_router import logs
 from knapweedhall_router import settings as settings_module
 from knapweedhall_routing import budgets
@@ -51,6 +52,8 @@
         The highest version seen; None before the first.
     listed : bool
         Whether the list of upstreams was read once.
+    feed : feed.Feed
+        Records of the store, and who reads them.
     owners : dict of str to ranges.OwnerTable
         By service.
     instances : tuple of str
@@ -68,6 +71,7 @@
         self.splitter = routes.Splitter()
         self.directory = directory.Directory()
         self.listed = False
+        self.feed = feed.Feed()
         self.owners: dict[str, ranges.OwnerTable] = {}
         self.healths: dict[str, health.Health] = {}
         self.instances: tuple[str, ...] = (settings.name,)
--- a/packages/knapweedhall-router/tests/test_fleet.py
+++ b/packages/knapweedhall-router/tests/test_fleet.py
@@ -356,6 +356,63 @@
         self.assertEqual(200, reply.status)
 
 
+class FeedTest(FleetTest):
+    """Records that the coordinator reads for all."""
+
+    routers = 5
+
+    async def test_one_instance_reads(self) -> None:
+        """Guards against calls of the store that grow with the fleet.
+
+        The coordinator reads two topics 2.5 times a second; five instances
+        that read by themselves made 10 reads a second.
+        """
+        await asyncio.sleep(1.0)
+        before = self.fleet.store.calls['/log-read']
+        await asyncio.sleep(2.0)
+        reads = self.fleet.store.calls['/log-read'] - before
+        self.assertLessEqual(reads, 12)
+
+    async def test_changes_reach_all_instances(self) -> None:
+        """Guards against an instance that is left with an old list."""
+        await asyncio.sleep(1.0)
+        added = await self.fleet.add_backend('orders', False)
+        gone = self.fleet.backends[-2]
+        self.fleet.store.put('keyed.servers', gone.name, None)
+        self.fleet.configure([self.fleet.route('n', '/n/', 'safe', 'orders')])
+
+        def know(router: application.Application) -> bool:
+            known = router.state.directory.entries
+            configuration = router.state.configuration
+            assert configuration is not None
+            return (
+                added.name in known
+                and gone.name not in known
+                and configuration.version == self.fleet.version
+            )
+
+        await self.fleet.until(
+            lambda: all(know(router) for router in self.fleet.routers), 1.0
+        )
+
+    async def test_lost_coordinator_hides_no_drain(self) -> None:
+        """Guards against an instance that relies on a silent coordinator.
+
+        An upstream gets nothing later than 2 s after it announced that it
+        leaves, also if the coordinator ends at the same moment.
+        """
+        await asyncio.sleep(1.0)
+        leaving = self.fleet.backends[-1]
+        await self.fleet.kill(self.leader())
+        leaving.drain()
+        left_at = time.monotonic()
+        while time.monotonic() < left_at + 3.0:
+            for router in self.fleet.routers:
+                await self.fleet.ask(router, '/order/1', body=b'{}')
+        late = [run for run in leaving.runs if run.at > left_at + 2.0]
+        self.assertEqual([], late)
+
+
 class ShutdownTest(FleetTest):
     """Planned stops."""
 
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/directory.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/directory.py
@@ -69,17 +69,21 @@
             self.leaving_since.pop(entry.name, None)
         return known is None or known.born_ms != entry.born_ms
 
-    def remove(self, name: str, now: float) -> None:
-        """Take note that the store has no entry of this name any more."""
+    def remove(self, name: str, now: float) -> bool:
+        """Take note that the store has no entry of this name any more.
+
+        Returns whether it had one before.
+        """
         entry = self.entries.get(name)
         if entry is None or name in self.departures:
-            return
+            return False
         certain_at = now
         if now - self.outage_end < OUTAGE_MEMORY_S:
             certain_at = self.outage_end + LAPSE_GRACE_S
             certain_at = max(certain_at, now + LAPSE_GRACE_S / 2)
         self.departures[name] = Departure(entry, certain_at)
         self.expire(now)
+        return True
 
     def keep_only(self, names: typing.Collection[str], now: float) -> None:
         """Remove all entries that a full listing does not name."""
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import collections
 import json
 import struct
 import time
@@ -37,8 +38,8 @@
         Reads that began to wait while deaf.
     lose_answers : int
         Appends that take effect and are then answered by a reset.
-    calls : int
-        Calls so far.
+    calls : collections.Counter of str
+        Calls so far, by path.
     """
 
     def __init__(self) -> None:
@@ -48,7 +49,7 @@
         self.deaf = False
         self.deaf_reads = 0
         self.lose_answers = 0
-        self.calls = 0
+        self.calls: collections.Counter[str] = collections.Counter()
         self.server: asyncio.Server | None = None
         self.address = ''
         self.handlers: dict[
@@ -86,7 +87,7 @@
         self.partition(topic).append(key, raw)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self.calls += 1
+        self.calls[request.path] += 1
         if self.down:
             return web.Response(status=503)
         handler = self.handlers.get(request.path)
