Send the tables when a tenure begins

Cause: after the end of all processes the store still names the former coordinator. All instances connect to it before it has read the assignment, and get no table; a table is sent on connect and changes only with a move.

Change: the coordinator sends its tables once it has read them.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -120,6 +120,9 @@
         for name, rows in found.items():
             self.services[name] = Service(name)
             self.services[name].ranges.restore(rows, now)
+        # Instances may have connected while the store was asked.
+        for table in self.tables():
+            self.hub.send(table)
         logs.info('tenure_begun', epoch=self.ledger.epoch)
 
     async def _end_predecessors(self) -> None:
--- a/packages/knapweedhall-router/tests/test_fleet.py
+++ b/packages/knapweedhall-router/tests/test_fleet.py
@@ -296,6 +296,26 @@
         self.assertLess(time.monotonic() - begun, 7.5)
         self.assert_one_owner()
 
+    async def test_all_instances_end_at_once(self) -> None:
+        """Guards against instances that are never told who owns the keys.
+
+        The store still names the former coordinator, so that all connect to
+        it before it has read the assignment. Without a move nothing else was
+        sent to them (first site, scale-1: no key was served after the end of
+        all processes).
+        """
+        found = self.fleet
+        restarted = [router.settings for router in found.routers]
+        for router in list(found.routers):
+            await found.kill(router)
+        found.store.delays['/log-newest'] = 0.2
+        for settings in restarted:
+            found.start_router(settings)
+        await found.until(found.is_serving, 4.0)
+        replies = await found.ask_all(0.5)
+        self.assertEqual({200}, set(self.statuses(replies)))
+        self.assert_one_owner()
+
     def is_spread(self, without: int) -> bool:
         """Return whether the first upstreams own nothing."""
         gone = {one.name for one in self.fleet.backends[:without]}
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
@@ -38,6 +38,8 @@
         Reads that began to wait while deaf.
     lose_answers : int
         Appends that take effect and are then answered by a reset.
+    delays : dict of str to float
+        Time until a call takes effect, by path, seconds.
     calls : collections.Counter of str
         Calls so far, by path.
     """
@@ -49,6 +51,7 @@
         self.deaf = False
         self.deaf_reads = 0
         self.lose_answers = 0
+        self.delays: dict[str, float] = {}
         self.calls: collections.Counter[str] = collections.Counter()
         self.server: asyncio.Server | None = None
         self.address = ''
@@ -90,6 +93,7 @@
         self.calls[request.path] += 1
         if self.down:
             return web.Response(status=503)
+        await asyncio.sleep(self.delays.get(request.path, 0.0))
         handler = self.handlers.get(request.path)
         if handler is None:
             return web.Response(status=404)
