End the wait for a silent coordinator by a majority

Cause: a coordinator that is gone for good may be one that only lost the store and renews its grants for 6 s.

Ruled out: shorter renewals without the store; it is down for up to 9 s on the sites, and the grants have to bridge that. Trust in the store's membership alone; it says who may coordinate, not who has stopped.

Change: the tenure record names the connected instances. A coordinator that lost the store renews only while a majority of them is connected to it and has no answer of the store either; reports repeat the number of the heartbeat that they follow, so that one which a partition held back proves nothing. The successor goes on when a majority has been connected to it for 1 s. Without a majority both keep the bound of 6 s. The adapter's group of the store still says who coordinates; no instance votes.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -20,6 +20,7 @@
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
 from knapweedhall_routing import planning
+from knapweedhall_routing import quorum
 from knapweedhall_routing import rates
 
 # Period of renewals, and of plans; a plan sums the rates of all keys.
@@ -32,6 +33,9 @@
 LEVEL_MOVES = 6
 # Share of its cold budget that an upstream's keys may bring.
 COLD_USE = 0.8
+# Time for which the connected instances must be the same before they are
+# recorded, so that a restart of all makes a few records.
+FLEET_CALM_S = 0.5
 # Pause before a release without an answer is tried again.
 RELEASE_RETRY_S = 0.5
 
@@ -90,10 +94,22 @@
         """Return whether another coordinator may have taken over."""
         return clock.now() >= self.leased_until
 
+    def is_over(self) -> bool:
+        """Return whether nothing may be sent any more."""
+        blind_until = self.leased_until + holdings.BLIND_RENEWAL_S
+        return clock.now() >= blind_until or self.orders.fenced
+
     def may_renew(self) -> bool:
         """Return whether grants that exist may still be renewed."""
-        blind_until = self.leased_until + holdings.BLIND_RENEWAL_S
-        return clock.now() < blind_until and not self.orders.fenced
+        if self.is_over():
+            return False
+        if not self.is_blind():
+            return True
+        reports, now = self.hub.reports(), clock.now()
+        return all(
+            quorum.is_general_outage(fleet, reports, now)
+            for fleet in self.ledger.fleets()
+        )
 
     async def run(self) -> None:
         """Take over and coordinate until cancelled or deposed."""
@@ -103,6 +119,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.hub.run())
                 group.create_task(self._end_predecessors())
+                group.create_task(self._record_fleet())
                 group.create_task(self._renew())
                 group.create_task(self._plan())
         finally:
@@ -126,29 +143,45 @@
         logs.info('tenure_begun', epoch=self.ledger.epoch)
 
     async def _end_predecessors(self) -> None:
-        await takeover.end_all(self.ledger.predecessors, self.ledger.epoch)
+        await takeover.end_all(
+            self.ledger.predecessors, self.ledger.epoch, self.hub.connected_at
+        )
         now = clock.now()
         for service in self.services.values():
             service.ranges.predecessors_ended(now)
         await self.ledger.predecessors_ended()
 
+    async def _record_fleet(self) -> None:
+        """Keep the instances whose majority counts in the store."""
+        known: list[str] = []
+        while True:
+            await asyncio.sleep(FLEET_CALM_S)
+            found = self.hub.instances()
+            if found != known or self.is_blind():
+                known = found
+            elif found != self.ledger.fleet:
+                await self.ledger.record_fleet(found)
+
     # Instances
 
     def greeting(self) -> list[messages.Message]:
         """Return what an instance gets that connects."""
         return [
             *self.tables(),
-            self.heartbeat(None),
+            self.heartbeat(self.hub.number, None),
             *(
                 messages.Records(topic, True, list(known.items()))
                 for topic, known in self.state.feed.newest.items()
             ),
         ]
 
-    def heartbeat(self, instances: list[str] | None) -> messages.Fleet:
+    def heartbeat(
+        self, number: int, instances: list[str] | None
+    ) -> messages.Fleet:
         """Return a heartbeat."""
         now = clock.now()
         return messages.Fleet(
+            number,
             instances,
             self.is_blind(),
             self.state.feed.ages(now),
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -58,6 +58,7 @@
         self.lost = state_module.Signal()
         self.heard_at = 0.0
         self.blind = False
+        self.heartbeat = -1
         self.hint = ''
 
     async def run(self) -> None:
@@ -103,6 +104,7 @@
             )
             self.heard_at = clock.now()
             self.blind = False
+            self.heartbeat = -1
             logs.info('coordinator_found', coordinator=member)
             self.hint = member
             async with asyncio.TaskGroup() as group:
@@ -148,12 +150,15 @@
                 name: (int(count), total / count)
                 for name, (count, total) in times.items()
             }
-            writer.write(messages.encode(messages.Report(keys, means)))
+            store_age_s = clock.now() - self.state.store_answered_at
+            report = messages.Report(keys, means, self.heartbeat, store_age_s)
+            writer.write(messages.encode(report))
 
     def _take_heartbeat(self, message: messages.Fleet) -> None:
         now = clock.now()
         self.connected = True
         self.blind = message.blind
+        self.heartbeat = message.number
         self.state.feed.told(message.ages, now)
         if not self.state.feed.relay:
             directory = self.state.directory
--- a/packages/knapweedhall-router/src/knapweedhall_router/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/followers.py
@@ -133,7 +133,9 @@
             return True
         listing = self.next_offset < 0
         self.next_offset = outcome.end
-        self.state.feed.was_read(self.topic, clock.now())
+        now = clock.now()
+        self.state.store_answered_at = now
+        self.state.feed.was_read(self.topic, now)
         self.take(outcome.records, listing)
         return True
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/hub.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/hub.py
@@ -10,12 +10,15 @@
 from knapweedhall_router import clock
 from knapweedhall_router import logs
 from knapweedhall_router import messages
+from knapweedhall_routing import quorum
 
 # Instances rely on the coordinator's reads for 1.2 s; a heartbeat that
 # comes much less often would leave them without.
 HEARTBEAT_S = 0.3
 # An instance reports three times a second; six missing mean it is gone.
 SILENCE_S = 2.0
+# Heartbeats whose time of sending is known; instances answer the last ones.
+KEPT_HEARTBEATS = 20
 # Unsent bytes at which an instance is taken as not reading.
 MAX_BACKLOG_BYTES = 1024 * 1024
 
@@ -26,6 +29,8 @@
     def __init__(self, instance: str, writer: asyncio.StreamWriter) -> None:
         self.instance = instance
         self.writer = writer
+        self.connected_at = clock.now()
+        self.report: quorum.Report | None = None
 
     def send(self, frame: bytes) -> None:
         """Send a frame, or close a connection that does not take it."""
@@ -46,20 +51,24 @@
     report : callable
         Takes each report.
     heartbeat : callable
-        Returns a heartbeat; takes the names of the instances, or None.
+        Returns a heartbeat; takes its number, and the names of the instances
+        or None.
     """
 
     def __init__(
         self,
         greeting: typing.Callable[[], list[messages.Message]],
         report: typing.Callable[[messages.Report], None],
-        heartbeat: typing.Callable[[list[str] | None], messages.Fleet],
+        heartbeat: typing.Callable[[int, list[str] | None], messages.Fleet],
     ) -> None:
         self.greeting = greeting
         self.report = report
         self.heartbeat = heartbeat
         self.links: set[Link] = set()
         self.announced: list[str] = []
+        self.number = 0
+        # When the last heartbeats were sent, by number.
+        self.sent_at: dict[int, float] = {}
 
     async def run(self) -> None:
         """Send heartbeats until cancelled; then end all connections."""
@@ -86,7 +95,28 @@
         found = self.instances()
         changed = found != self.announced
         self.announced = found
-        self.send(self.heartbeat(found if changed else None))
+        self.number += 1
+        self.sent_at[self.number] = clock.now()
+        self.sent_at.pop(self.number - KEPT_HEARTBEATS, None)
+        self.send(self.heartbeat(self.number, found if changed else None))
+
+    def reports(self) -> dict[str, quorum.Report]:
+        """Return what each connected instance said last."""
+        return {
+            link.instance: link.report
+            for link in self.links
+            if link.report is not None
+        }
+
+    def connected_at(self) -> dict[str, float]:
+        """Return since when instances are connected, seconds."""
+        return {link.instance: link.connected_at for link in self.links}
+
+    def _take(self, link: Link, report: messages.Report) -> None:
+        as_of = self.sent_at.get(report.heartbeat)
+        if as_of is not None:
+            link.report = quorum.Report(as_of, report.store_age_s)
+        self.report(report)
 
     async def attach(
         self,
@@ -104,7 +134,7 @@
             self.announced = []
             self.beat()
             logs.info('instance_joined', instance=link.instance)
-            await self._follow(reader)
+            await self._follow(link, reader)
         except (OSError, EOFError, TimeoutError, msgspec.MsgspecError) as e:
             logs.info(
                 'instance_left',
@@ -114,10 +144,10 @@
         finally:
             self.links.discard(link)
 
-    async def _follow(self, reader: asyncio.StreamReader) -> None:
+    async def _follow(self, link: Link, reader: asyncio.StreamReader) -> None:
         while True:
             silent_at = clock.now() + SILENCE_S
             async with asyncio.timeout(silent_at - clock.now()):
                 message = await messages.read(reader)
             if isinstance(message, messages.Report):
-                self.report(message)
+                self._take(link, message)
--- a/packages/knapweedhall-router/src/knapweedhall_router/ledger.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/ledger.py
@@ -33,8 +33,10 @@
         Offset of the tenure's record; -1 before.
     end : int
         Offset at which the partition ends if no other coordinator wrote.
-    predecessors : list of str
-        Where coordinators listen that may still renew grants.
+    fleet : list of str
+        Recorded instances; renewals without the store need their majority.
+    predecessors : list of takeover.Predecessor
+        Coordinators that may still renew grants.
     """
 
     def __init__(
@@ -45,7 +47,9 @@
         self.address = f'{settings.address}:{settings.peer_port}'
         self.epoch = -1
         self.end = 0
-        self.predecessors: list[str] = []
+        self.fleet: list[str] = []
+        self.next_fleet: list[str] = []
+        self.predecessors: list[takeover.Predecessor] = []
         self.lock = asyncio.Lock()
         # Changes that were asked to be written, and those that were.
         self.wanted: dict[str, int] = {}
@@ -75,6 +79,23 @@
         async with self.lock:
             await self._write(self._tenure())
 
+    def fleets(self) -> list[list[str]]:
+        """Return the fleets that may stand in the store now."""
+        return [self.fleet, self.next_fleet]
+
+    async def record_fleet(self, instances: list[str]) -> None:
+        """Write which instances are connected.
+
+        Raises
+        ------
+        DeposedError
+            If another coordinator wrote first.
+        """
+        async with self.lock:
+            self.next_fleet = instances
+            await self._write(self._tenure())
+            self.fleet = instances
+
     async def write(self, ranges: holdings.Holdings) -> None:
         """Write the assignment of a service.
 
@@ -99,10 +120,14 @@
             self.written[name] = covered
 
     def _tenure(self) -> bytes:
-        tenure = takeover.Tenure(self.name, self.address, self.predecessors)
+        tenure = takeover.Tenure(
+            self.name, self.address, self.next_fleet, self.predecessors
+        )
         return store.keyed_record(TENURE_KEY, msgspec.json.encode(tenure))
 
-    def _find_predecessors(self, page: outcomes.Page) -> list[str]:
+    def _find_predecessors(
+        self, page: outcomes.Page
+    ) -> list[takeover.Predecessor]:
         for found in page.records:
             if found.key != TENURE_KEY:
                 continue
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -92,9 +92,10 @@
         )
         if isinstance(outcome, outcomes.Unavailable):
             logs.info('join_failed', reason=outcome.reason)
-            if self.coordinator and not self.coordinator.may_renew():
+            if self.coordinator and self.coordinator.is_over():
                 await self._stop()
             return
+        self.state.store_answered_at = clock.now()
         self.generation = outcome.generation
         if not outcome.held:
             await self._stop()
--- a/packages/knapweedhall-router/src/knapweedhall_router/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/messages.py
@@ -49,10 +49,16 @@
         Requests by service and bucket of keys.
     times : dict of str to tuple of int and float
         Answers and mean service time in seconds, by upstream.
+    heartbeat : int
+        Number of the last heartbeat that came before; -1 before the first.
+    store_age_s : float
+        Time since the store last answered the instance.
     """
 
     keys: dict[str, dict[int, int]]
     times: dict[str, tuple[int, float]]
+    heartbeat: int
+    store_age_s: float
 
 
 class Table(msgspec.Struct, tag='table', array_like=True):
@@ -78,6 +84,8 @@
 
     Attributes
     ----------
+    number : int
+        Counts the heartbeats of a tenure.
     instances : list of str or None
         Names of the connected instances; None if they are as before.
     blind : bool
@@ -89,6 +97,7 @@
         Time since the store last failed to answer the coordinator.
     """
 
+    number: int
     instances: list[str] | None
     blind: bool
     ages: dict[str, float]
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -52,6 +52,8 @@
         The highest version seen; None before the first.
     listed : bool
         Whether the list of upstreams was read once.
+    store_answered_at : float
+        When the store last answered a call of this instance, seconds.
     feed : feed.Feed
         Records of the store, and who reads them.
     owners : dict of str to ranges.OwnerTable
@@ -71,6 +73,7 @@
         self.splitter = routes.Splitter()
         self.directory = directory.Directory()
         self.listed = False
+        self.store_answered_at = float('-inf')
         self.feed = feed.Feed()
         self.owners: dict[str, ranges.OwnerTable] = {}
         self.healths: dict[str, health.Health] = {}
--- a/packages/knapweedhall-router/src/knapweedhall_router/takeover.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/takeover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import typing
 
 import msgspec
 
@@ -10,11 +11,27 @@
 from knapweedhall_router import logs
 from knapweedhall_router import messages
 from knapweedhall_routing import holdings
+from knapweedhall_routing import quorum
 
 ASK_TIMEOUT_S = 0.5
 ASK_AGAIN_S = 0.3
 
 
+class Predecessor(msgspec.Struct, frozen=True):
+    """An earlier coordinator that may still renew grants.
+
+    Attributes
+    ----------
+    address : str
+        Where that process listened for peers.
+    fleet : list of str
+        Instances whose majority it needs to renew without the store.
+    """
+
+    address: str
+    fleet: list[str]
+
+
 class Tenure(msgspec.Struct):
     """Record of a tenure in the store.
 
@@ -22,25 +39,29 @@
     ----------
     instance, address : str
         Who coordinates, and where that process listens for peers.
-    predecessors : list of str
-        Where earlier coordinators listened that may still renew grants.
+    fleet : list of str
+        Instances that are connected to it.
+    predecessors : list of Predecessor
+        Earlier coordinators that may still renew grants.
     """
 
     instance: str
     address: str
-    predecessors: list[str]
+    fleet: list[str]
+    predecessors: list[Predecessor]
 
 
-def predecessors(found: Tenure | None, own: str) -> list[str]:
+def predecessors(found: Tenure | None, own: str) -> list[Predecessor]:
     """Return who may still renew grants when a new tenure begins.
 
     An earlier process at the own address has ended, as two processes can't
-    listen there.
+    listen there; of two tenures of one process the first has ended.
     """
     if found is None:
         return []
-    named = [*found.predecessors, found.address]
-    return [one for one in dict.fromkeys(named) if one != own]
+    named = [*found.predecessors, Predecessor(found.address, found.fleet)]
+    last = {one.address: one for one in named if one.address != own}
+    return list(last.values())
 
 
 async def ask(address: str, epoch: int) -> bool:
@@ -65,16 +86,45 @@
     return isinstance(answer, messages.Yielded) and answer.epoch == epoch
 
 
-async def end_all(addresses: list[str], epoch: int) -> None:
+async def end_all(
+    found: list[Predecessor],
+    epoch: int,
+    connected_at: typing.Callable[[], typing.Mapping[str, float]],
+) -> None:
     """Return when no earlier coordinator renews grants any more.
 
-    One that does not answer stops by itself when its blind renewals end.
+    One that does not answer stops by itself: when a majority of its instances
+    is connected to this one, or when its blind renewals end.
+
+    Parameters
+    ----------
+    found : list of Predecessor
+        The earlier coordinators.
+    epoch : int
+        The own epoch.
+    connected_at : callable
+        Returns since when instances are connected to this one, seconds.
     """
     give_up_at = clock.now() + holdings.BLIND_RENEWAL_S
-    waiting = list(addresses)
+    waiting = list(found)
+    unanswered: list[str] = []
     while waiting and clock.now() < give_up_at:
-        answers = await asyncio.gather(*(ask(one, epoch) for one in waiting))
+        answers = await asyncio.gather(
+            *(ask(one.address, epoch) for one in waiting)
+        )
         waiting = [one for one, sure in zip(waiting, answers) if not sure]
+        unanswered = [one.address for one in waiting]
+        now, connected = clock.now(), connected_at()
+        waiting = [
+            one
+            for one in waiting
+            if not quorum.has_left(one.fleet, connected, now)
+        ]
         if waiting:
             await asyncio.sleep(ASK_AGAIN_S)
-    logs.info('predecessors_ended', epoch=epoch, unanswered=waiting)
+    logs.info(
+        'predecessors_ended',
+        epoch=epoch,
+        unanswered=unanswered,
+        expired=[one.address for one in waiting],
+    )
--- a/packages/knapweedhall-router/tests/fleet.py
+++ b/packages/knapweedhall-router/tests/fleet.py
@@ -179,8 +179,14 @@
         )
 
     async def _serve(self, router: application.Application) -> None:
+        # The store tells instances apart by their addresses.
+        connector = aiohttp.TCPConnector(
+            local_addr=(router.settings.address, 0)
+        )
         timeout = aiohttp.ClientTimeout(total=None)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with aiohttp.ClientSession(
+            connector=connector, timeout=timeout
+        ) as session:
             await router.serve(session)
 
     async def kill(self, router: application.Application) -> None:
--- a/packages/knapweedhall-router/tests/test_fleet.py
+++ b/packages/knapweedhall-router/tests/test_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 import unittest
 
@@ -50,6 +51,21 @@
             holders = [one for one in self.fleet.backends if one.holds(key)]
             self.assertLessEqual(len(holders), 1, key)
 
+    def has_recorded(self, routers: list[application.Application]) -> bool:
+        """Return whether the store names the instances of the fleet."""
+        newest = self.fleet.store.partition('keyed.knapweedhall').newest
+        record = newest.get('tenure')
+        if record is None:
+            return False
+        named = json.loads(record.value)['fleet']
+        return named == sorted(one.settings.name for one in routers)
+
+    def is_spread(self, without: int) -> bool:
+        """Return whether the first upstreams own nothing."""
+        gone = {one.name for one in self.fleet.backends[:without]}
+        table = self.fleet.routers[0].state.owner_table('views')
+        return not gone & {row.upstream for row in table.rows}
+
 
 class ServingTest(FleetTest):
     """A quiet fleet."""
@@ -316,11 +332,21 @@
         self.assertEqual({200}, set(self.statuses(replies)))
         self.assert_one_owner()
 
-    def is_spread(self, without: int) -> bool:
-        """Return whether the first upstreams own nothing."""
-        gone = {one.name for one in self.fleet.backends[:without]}
-        table = self.fleet.routers[0].state.owner_table('views')
-        return not gone & {row.upstream for row in table.rows}
+    async def test_coordinator_is_turned_away(self) -> None:
+        """Guards against a coordinator that goes on beside the next one.
+
+        The store turns away the coordinator alone, which reaches everything
+        else. It is to be replaced without a gap, and sends no grants once
+        another one has taken over.
+        """
+        found = self.fleet
+        await found.until(lambda: self.has_recorded(found.routers), 3.0)
+        former = self.leader()
+        found.store.refused.add(former.settings.address)
+        replies = await found.ask_all(4.0)
+        self.assertEqual({200}, set(self.statuses(replies)))
+        self.assertIsNot(former, self.leader())
+        self.assert_one_owner()
 
     async def test_store_is_down(self) -> None:
         """Guards against an outage of the store that becomes ours."""
@@ -376,6 +402,28 @@
         self.assertEqual(200, reply.status)
 
 
+class TakeoverTest(FleetTest):
+    """Coordinators that never return."""
+
+    routers = 5
+
+    async def test_upstream_is_lost_with_the_coordinator(self) -> None:
+        """Guards against keys that wait for a coordinator that is gone.
+
+        Four of five instances are connected to the next one, so the former
+        one can't renew grants; without that the wait is 9.5 s.
+        """
+        found = self.fleet
+        await found.until(lambda: self.has_recorded(found.routers), 3.0)
+        await found.kill(self.leader())
+        await found.backends[0].crash()
+        begun = time.monotonic()
+        await found.until(lambda: self.is_spread(1), 9.0)
+        await found.until(found.is_serving, 1.0)
+        self.assertLess(time.monotonic() - begun, 7.5)
+        self.assert_one_owner()
+
+
 class FeedTest(FleetTest):
     """Records that the coordinator reads for all."""
 
--- a/packages/knapweedhall-router/tests/test_takeover.py
+++ b/packages/knapweedhall-router/tests/test_takeover.py
@@ -13,8 +13,15 @@
 
     def test_own_address_and_repeats_are_left_out(self) -> None:
         """Guards against a wait for a process that has ended."""
-        found = takeover.Tenure('n', 'b:1', ['a:1', 'c:1', 'a:1'])
-        self.assertEqual(['a:1', 'b:1'], takeover.predecessors(found, 'c:1'))
+        old = [
+            takeover.Predecessor(address, ['x'])
+            for address in ('a:1', 'c:1', 'b:1')
+        ]
+        found = takeover.Tenure('n', 'b:1', ['y'], old)
+        self.assertEqual(
+            [old[0], takeover.Predecessor('b:1', ['y'])],
+            takeover.predecessors(found, 'c:1'),
+        )
         self.assertEqual([], takeover.predecessors(None, 'c:1'))
 
     def test_hold_of_a_silent_upstream_is_shortened(self) -> None:
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
@@ -32,6 +32,8 @@
     ----------
     down : bool
         Whether calls are refused without effect.
+    refused : set of str
+        IP addresses whose calls are refused without effect.
     deaf : bool
         Whether waiting reads are not woken by changes.
     deaf_reads : int
@@ -48,6 +50,7 @@
         self.partitions: dict[str, store_engine.Partition] = {}
         self.groups: dict[str, store_engine.Group] = {}
         self.down = False
+        self.refused: set[str] = set()
         self.deaf = False
         self.deaf_reads = 0
         self.lose_answers = 0
@@ -91,7 +94,7 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.calls[request.path] += 1
-        if self.down:
+        if self.down or request.remote in self.refused:
             return web.Response(status=503)
         await asyncio.sleep(self.delays.get(request.path, 0.0))
         handler = self.handlers.get(request.path)
