Count an upstream's reported pace in its expected time

Cause: upstreams share their machines and take three times as long for moments of 0.4 s. The fourth figure of their load, how long work takes at this moment, was decoded and not used; the smoothed service time follows after about ten answers, when the moment is over.

Ruled out: more weight for new samples (it makes the estimate of all others noisy); health checks (priced).

Change: the expected time of a choice is scaled by the last reported pace against its mean; the report loses its meaning with a time constant of 0.3 s.

--- a/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
@@ -11,6 +11,11 @@
 # Time after which a report of others' load says little: work on one slot
 # takes about that long.
 REPORT_AGE_S = 0.15
+# Time in which a reported pace loses most of its meaning: neighbours on the
+# upstream's machine come and go several times a second.
+PACE_AGE_S = 0.3
+# Weight of a new report of the pace against its mean.
+PACE_SMOOTHING = 0.05
 # Time in which half of a failure score is forgotten, so that an upstream
 # that recovered is tried again.
 FAILURE_HALF_LIFE_S = 2.0
@@ -48,6 +53,8 @@
         self.blocked_until = 0.0
         self.block_s = 0.0
         self.others = 0.0
+        self.pace = 1.0
+        self.mean_pace = 1.0
         self.reported_at = -math.inf
         self.answered_at = -math.inf
 
@@ -84,6 +91,8 @@
         self.others = float(max(0, total - own))
         self.reported_at = now
         self.slots = max(1, report.slots)
+        self.pace = report.pace
+        self.mean_pace += PACE_SMOOTHING * (report.pace - self.mean_pace)
 
     def judged(self, failed: bool, now: float) -> None:
         """Count a success or a failure."""
@@ -121,4 +130,10 @@
     def wait_s(self, now: float) -> float:
         """Return the expected time until a new request is answered."""
         queued = max(0.0, self.load(now) + 1 - self.slots)
-        return self.service_s * (1 + queued / self.slots)
+        service_s = self.service_s * self.present_pace(now)
+        return service_s * (1 + queued / self.slots)
+
+    def present_pace(self, now: float) -> float:
+        """Return the expected time of work now, as a part of the mean."""
+        fresh = math.exp(-max(0.0, now - self.reported_at) / PACE_AGE_S)
+        return 1 + (self.pace / self.mean_pace - 1) * fresh
