Remove the earlier entry process, its elections, permits and hops

Two data paths and two clients of the store stood side by side; the earlier one carried the demo, knapweedhallctl and the failure scripts. Not traced further, as the process that it starts goes.

Ruled out: keeping it behind a switch; nothing on the platform runs it.

Change: entry, ownership, peering, traffic, the first client of the store, the trace checker, the experiments, failure scripts, schedules and the old stand-ins are removed with their tests and pages.

--- a/packages/knapweedhall-entry/src/knapweedhall_entry/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The entry process."""
--- a/packages/knapweedhall-entry/src/knapweedhall_entry/gateway/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""HTTP data path of the entry process."""
--- a/packages/knapweedhall-ownership/src/knapweedhall_ownership/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Decision logic for ownership and configuration."""
--- a/packages/knapweedhall-peering/src/knapweedhall_peering/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Authenticated messages between the instances."""
--- a/packages/knapweedhall-platform/src/knapweedhall_platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Clients of the platform's log and instance list."""
--- a/packages/knapweedhall-replay/src/knapweedhall_replay/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Checker for recorded traces."""
--- a/packages/knapweedhall-traffic/src/knapweedhall_traffic/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Decision logic for admission, limits and upstream choice."""
--- a/tools/write_catalogue.py
+++ b/tools/write_catalogue.py
@@ -9,9 +9,11 @@
 PAGE = pathlib.Path(__file__).resolve().parent.parent / 'docs' / 'events.md'
 HEAD = """# Events
 
-Every log line that states a fact carries a number from this table. A trace
-file holds the same events as JSON lines; `knapweedhallctl timeline` merges
-the traces of all processes. `make catalogue` writes this page.
+Each line on a router's standard output is one JSON object: `at` (time of day,
+seconds), `level`, `process`, `event` (its name) and the fields below. A field
+`left_out` counts the events of the same kind that were not written, as a kind
+has 20 lines a second at most. `knapweedhallctl timeline` merges the logs of
+all processes. `make catalogue` writes this page.
 
 | number | name | level | fields | meaning |
 |---|---|---|---|---|
