--- a/deploy/knapweedhall.py
+++ b/deploy/knapweedhall.py
@@ -6,6 +6,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path[0:1] = [
     str(ROOT / 'platform' / 'src'),
+    str(ROOT / 'packages' / 'knapweedhall-events' / 'src'),
+    str(ROOT / 'packages' / 'knapweedhall-records' / 'src'),
     str(ROOT / 'packages' / 'knapweedhall-routing' / 'src'),
     str(ROOT / 'packages' / 'knapweedhall-router' / 'src'),
     str(ROOT / 'target' / 'deps'),
--- /dev/null
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/connection.py
@@ -0,0 +1,107 @@
+"""Calls of the store and of the coordinator that the commands share."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import typing
+
+import aiohttp
+import msgspec
+
+from knapweedhall_adapter import outcomes
+from knapweedhall_adapter import store
+from knapweedhall_router import coordinator_link
+from knapweedhall_router import messages
+
+DEFAULT_STORE = '127.0.0.1:7000'
+DEFAULT_TIMEOUT_S = 10.0
+# Longest wait for one call; the platform's slow answers take 0.3 s.
+CALL_TIMEOUT_S = 2.0
+
+
+class Unanswered(Exception):
+    """Nobody answered; the message says who was asked."""
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of a command that calls the store."""
+    parser.add_argument(
+        '--store',
+        default=DEFAULT_STORE,
+        metavar='ADDRESS',
+        help='IP:PORT of the platform\'s store',
+    )
+    parser.add_argument(
+        '--timeout',
+        type=float,
+        default=DEFAULT_TIMEOUT_S,
+        metavar='SECONDS',
+        help='how long to try while the platform does not answer',
+    )
+
+
+def call_deadline() -> float:
+    """Return when the next call is given up, on the event loop's clock."""
+    return asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+
+
+@contextlib.asynccontextmanager
+async def connect(
+    arguments: argparse.Namespace,
+) -> typing.AsyncIterator[store.StoreClient]:
+    """Return a client of the store that the arguments name."""
+    timeout = aiohttp.ClientTimeout(total=None)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        yield store.StoreClient(session, arguments.store)
+
+
+async def newest(client: store.StoreClient, topic: str) -> outcomes.Page:
+    """Return the newest record of each key of a topic.
+
+    Raises
+    ------
+    Unanswered
+        If the store does not answer.
+    """
+    page = await client.newest(topic, call_deadline())
+    if isinstance(page, outcomes.Page):
+        return page
+    reason = getattr(page, 'reason', 'history gone')
+    raise Unanswered(f'the store: {reason}')
+
+
+async def overview(client: store.StoreClient) -> messages.Overview:
+    """Return what the coordinator knows.
+
+    Raises
+    ------
+    Unanswered
+        If the store names no coordinator, or it does not answer.
+    """
+    member = await client.holder(
+        coordinator_link.GROUP, coordinator_link.TENURE_TOPIC, call_deadline()
+    )
+    if isinstance(member, outcomes.Unavailable):
+        raise Unanswered(f'the store: {member.reason}')
+    address = coordinator_link.member_address(member)
+    if address is None:
+        raise Unanswered('the store names no coordinator')
+    try:
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            return await _inspect(address)
+    except (OSError, EOFError, TimeoutError, msgspec.MsgspecError) as error:
+        raise Unanswered(f'{member}: {type(error).__name__}') from error
+
+
+async def _inspect(address: tuple[str, int]) -> messages.Overview:
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write(messages.encode(messages.Inspect()))
+        answer = await messages.read(reader)
+    finally:
+        writer.transport.abort()
+    if not isinstance(answer, messages.Overview):
+        raise ConnectionError('not the coordinator')
+    return answer
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/errors.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/errors.py
@@ -9,14 +9,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class MissingRecords(errors.Refusal):
-    """Records that decide the version in force have expired."""
+class UnreadableLog(errors.Refusal):
+    """A log file cannot be read."""
 
-    tag: typing.ClassVar[str] = 'missing-records'
-
-
-@dataclasses.dataclass(frozen=True)
-class UnreadableTrace(errors.Refusal):
-    """A trace file cannot be read."""
-
-    tag: typing.ClassVar[str] = 'unreadable-trace'
+    tag: typing.ClassVar[str] = 'unreadable-log'
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/exchange.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/exchange.py
@@ -1,40 +1,56 @@
-"""Appends one record and reads its outcome back from the log."""
+"""Appends one record and finds out whether it is in force."""
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
-import typing
 
-from knapweedhall_ctl import winners as log_winners
-from knapweedhall_platform import outcomes
+from knapweedhall_adapter import outcomes
+from knapweedhall_adapter import store
+from knapweedhall_ctl import connection
 from knapweedhall_records import bodies
 from knapweedhall_records import codec
 from knapweedhall_records import errors
+from knapweedhall_router import appender
+from knapweedhall_router import published
 
-READ_TIMEOUT_S = 2.0
-APPEND_TIMEOUT_S = 2.0
-# Keeps a command from filling the platform's append budget while it is down.
+# Keeps a command from filling the platform's budget while it is down.
 RETRY_PAUSE_S = 0.5
 
 
-class Log(typing.Protocol):
-    """The calls of `knapweedhall_platform.client.LogClient` used here."""
+@dataclasses.dataclass(frozen=True)
+class InForce:
+    """What stands in the store when a record is to be appended.
+
+    Attributes
+    ----------
+    version : int
+        Version of the record in force, 0 for none.
+    end : int
+        Offset at which the next record is appended.
+    """
+
+    version: int
+    end: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Accepted:
+    """The record is in force from its offset on."""
+
+    offset: int
 
-    async def append(
-        self, record: bytes, deadline: float
-    ) -> outcomes.AppendOutcome:
-        """Append one encoded record."""
 
-    async def read(
-        self, start: int, deadline: float, limit: int = 500, wait_ms: int = 0
-    ) -> outcomes.ReadOutcome:
-        """Read entries from an offset."""
+@dataclasses.dataclass(frozen=True)
+class Conflict:
+    """Another version came into force."""
+
+    in_force: int
 
 
 @dataclasses.dataclass(frozen=True)
 class Unavailable:
-    """The platform did not respond in time.
+    """The store did not answer in time.
 
     Attributes
     ----------
@@ -48,102 +64,60 @@
     sent: bool
 
 
-@dataclasses.dataclass
-class Reader:
-    """The part of the log read so far.
+Result = Accepted | Conflict | Unavailable
 
-    Attributes
-    ----------
-    log : Log
-        Client of the log.
-    first, next : int
-        Oldest offset that the log had at the start; offset to read next.
-    entries : list
-        Entries in the order of their offsets.
-    """
 
-    log: Log
-    first: int = 0
-    next: int = 0
-    entries: list[outcomes.StoredRecord] = dataclasses.field(
-        default_factory=list
-    )
-
-    async def read_to_end(self) -> outcomes.Unreachable | None:
-        """Read all entries up to the tail, or return the failure."""
-        while True:
-            deadline = asyncio.get_running_loop().time() + READ_TIMEOUT_S
-            page = await self.log.read(self.next, deadline)
-            if isinstance(page, outcomes.Unreachable):
-                return page
-            if isinstance(page, outcomes.Expired):
-                self.entries.clear()
-                self.first = self.next = page.first
-                continue
-            if not page.records:
-                return None
-            self.entries.extend(page.records)
-            self.next = page.next
-
-
-async def load(
-    log: Log, deadline: float
-) -> tuple[Reader, log_winners.Winners] | errors.Refusal | Unavailable:
-    """Read the whole log and find the versions in force."""
-    reader = Reader(log)
+async def find(
+    client: store.StoreClient, key: str, deadline: float
+) -> InForce | Unavailable:
+    """Return what is in force for a key; tries until the deadline."""
     while True:
-        failure = await reader.read_to_end()
-        if failure is None:
-            break
-        if asyncio.get_running_loop().time() >= deadline:
-            return Unavailable(failure.reason, sent=False)
-        await asyncio.sleep(RETRY_PAUSE_S)
-    found = log_winners.fold(reader.first, reader.entries)
-    if isinstance(found, errors.Refusal):
-        return found
-    return reader, found
-
-
-async def append_and_confirm(
-    reader: Reader,
-    winners: log_winners.Winners,
+        try:
+            page = await connection.newest(client, published.TOPIC)
+        except connection.Unanswered as error:
+            if asyncio.get_running_loop().time() >= deadline:
+                return Unavailable(str(error), sent=False)
+            await asyncio.sleep(RETRY_PAUSE_S)
+            continue
+        return InForce(_version(page, key), page.end)
+
+
+def _version(page: outcomes.Page, key: str) -> int:
+    for found in page.records:
+        if found.key != key or not found.value:
+            continue
+        record = codec.decode(found.value)
+        if not isinstance(record, errors.Refusal):
+            return record.version
+    return 0
+
+
+async def append(
+    client: store.StoreClient,
     record: bodies.Record,
+    in_force: InForce,
     deadline: float,
-) -> log_winners.Verdict | outcomes.AppendRefused | Unavailable:
-    """Append until the record is read back, with the same number each time.
+) -> Result:
+    """Append a record after the one that it replaces.
 
-    Parameters
-    ----------
-    reader, winners
-        The log up to now and its state; both advance.
-    record : bodies.Record
-        What to append.
-    deadline : float
-        When to give up, in seconds of the event loop's clock.
+    A record of another key at the same offset only makes it try again.
     """
-    author = (record.writer, record.incarnation, record.number)
-    data = codec.encode(record)
-    loop = asyncio.get_running_loop()
+    framed = store.keyed_record(record.key, codec.encode(record))
+    writer = appender.Appender(client, published.TOPIC, in_force.end)
+    sent = False
     while True:
-        limit = min(deadline, loop.time() + APPEND_TIMEOUT_S)
-        appended = await reader.log.append(data, limit)
-        if isinstance(appended, outcomes.AppendRefused):
-            return appended
-        reason = getattr(appended, 'reason', '')
-        failure = await _advance(reader, winners)
-        if author in winners.verdicts:
-            return winners.verdicts[author]
-        reason = failure.reason if failure else reason
-        if loop.time() >= deadline:
-            return Unavailable(reason, sent=True)
-        await asyncio.sleep(RETRY_PAUSE_S)
-
-
-async def _advance(
-    reader: Reader, winners: log_winners.Winners
-) -> outcomes.Unreachable | None:
-    reader.entries.clear()
-    failure = await reader.read_to_end()
-    for entry in reader.entries:
-        winners.apply(entry)
-    return failure
+        outcome = await writer.append(framed)
+        if isinstance(outcome, appender.Written):
+            return Accepted(outcome.offset)
+        if isinstance(outcome, appender.Unknown):
+            sent = sent or outcome.in_doubt
+            if asyncio.get_running_loop().time() >= deadline:
+                return Unavailable(outcome.reason, sent)
+            await asyncio.sleep(RETRY_PAUSE_S)
+            continue
+        found = await find(client, record.key, deadline)
+        if isinstance(found, Unavailable):
+            return Unavailable(found.reason, sent)
+        if found.version != record.replaces:
+            return Conflict(found.version)
+        writer.end = found.end
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/main.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/main.py
@@ -5,13 +5,16 @@
 import argparse
 import sys
 
-from knapweedhall_ctl import check
+from knapweedhall_ctl import mark
+from knapweedhall_ctl import owners
 from knapweedhall_ctl import publish
 from knapweedhall_ctl import report
+from knapweedhall_ctl import show
+from knapweedhall_ctl import status
 from knapweedhall_ctl import timeline
 from knapweedhall_ctl import validate
 
-COMMANDS = (publish, validate, timeline, check)
+COMMANDS = (publish, validate, mark, show, status, owners, timeline)
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -24,6 +27,7 @@
     for command in COMMANDS:
         command.add_parser(commands)
     for command_parser in commands.choices.values():
+        command_parser.formatter_class = argparse.RawDescriptionHelpFormatter
         # Without SUPPRESS the default would reset a --json given before the
         # command.
         command_parser.add_argument(
--- /dev/null
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/owners.py
@@ -0,0 +1,90 @@
+"""`owners`: prints who owns the keys of a service."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import typing
+
+import msgspec
+
+from knapweedhall_ctl import connection
+from knapweedhall_ctl import exit_codes
+from knapweedhall_ctl import report
+from knapweedhall_records import errors
+from knapweedhall_router import ledger
+from knapweedhall_routing import holdings
+from knapweedhall_routing import model
+
+EXAMPLE = """example:
+  knapweedhallctl owners ledger 4096-8191"""
+
+
+class _Keys(typing.NamedTuple):
+    first: int
+    last: int
+
+
+def add_parser(commands: argparse._SubParsersAction) -> None:
+    """Add the arguments of this command."""
+    parser = commands.add_parser(
+        'owners', help='print who owns keys', epilog=EXAMPLE
+    )
+    parser.add_argument('service')
+    parser.add_argument(
+        'keys', nargs='?', default='', help='KEY or FIRST-LAST; default: all'
+    )
+    connection.add_arguments(parser)
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> report.Report:
+    """Read the assignment that stands in the store."""
+    keys = _parse(arguments.keys)
+    if isinstance(keys, errors.Refusal):
+        return report.rejected(keys)
+    try:
+        rows = asyncio.run(_assignment(arguments))
+    except connection.Unanswered as error:
+        return report.unavailable(str(error))
+    chosen = [
+        row
+        for row in rows
+        if row.first <= keys.last and keys.first <= row.last
+    ]
+    return report.Report(
+        exit_codes.OK if chosen else exit_codes.NEGATIVE,
+        report.table(
+            ('first', 'last', 'upstream', 'address'),
+            [
+                (row.first, row.last, row.upstream, f'{row.host}:{row.port}')
+                for row in chosen
+            ],
+        ),
+        {'owners': [row._asdict() for row in chosen]},
+    )
+
+
+def _parse(text: str) -> _Keys | errors.Refusal:
+    if not text:
+        return _Keys(0, model.KEY_COUNT - 1)
+    first, _, last = text.partition('-')
+    if not first.isdigit() or (last and not last.isdigit()):
+        return errors.InvalidField(
+            f'keys {text!r}', f'use numbers from 0 to {model.KEY_COUNT - 1}'
+        )
+    return _Keys(int(first), int(last or first))
+
+
+async def _assignment(
+    arguments: argparse.Namespace,
+) -> list[holdings.StoredRange]:
+    async with connection.connect(arguments) as client:
+        page = await connection.newest(client, ledger.TOPIC)
+    key = ledger.TABLE_PREFIX + arguments.service
+    for record in page.records:
+        if record.key == key and record.value:
+            return msgspec.json.decode(
+                record.value, type=list[holdings.StoredRange]
+            )
+    return []
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/report.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/report.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+from knapweedhall_ctl import exit_codes
+from knapweedhall_records import errors
+
 
 class Report(typing.NamedTuple):
     """Result of a command.
@@ -32,3 +35,40 @@
     else:
         print(report.text)
     return report.exit_code
+
+
+def rejected(refusal: errors.Refusal) -> Report:
+    """Return the report of invalid input."""
+    return Report(
+        exit_codes.INVALID_INPUT,
+        f'rejected: {refusal}',
+        {
+            'outcome': 'rejected',
+            'error': refusal.tag,
+            'reason': refusal.reason,
+            'remedy': refusal.remedy,
+        },
+    )
+
+
+def unavailable(reason: str) -> Report:
+    """Return the report of a platform that did not answer."""
+    return Report(
+        exit_codes.PLATFORM_UNAVAILABLE,
+        f'unavailable: {reason}; check --store and try again',
+        {'outcome': 'unavailable', 'reason': reason},
+    )
+
+
+def table(
+    head: typing.Sequence[str], rows: typing.Iterable[typing.Sequence[object]]
+) -> str:
+    """Return a table with aligned columns."""
+    lines = [list(head), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*lines)]
+    return '\n'.join(
+        '  '.join(
+            cell.ljust(width) for cell, width in zip(line, widths)
+        ).rstrip()
+        for line in lines
+    )
--- /dev/null
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/show.py
@@ -0,0 +1,80 @@
+"""`show`: prints the records in force."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import typing
+
+from knapweedhall_ctl import connection
+from knapweedhall_ctl import exit_codes
+from knapweedhall_ctl import report
+from knapweedhall_records import bodies
+from knapweedhall_records import codec
+from knapweedhall_records import errors
+from knapweedhall_router import published
+
+EXAMPLE = """example:
+  knapweedhallctl show service ledger"""
+HEAD = ('kind', 'name', 'version', 'schema', 'writer', 'body')
+
+
+def add_parser(commands: argparse._SubParsersAction) -> None:
+    """Add the arguments of this command."""
+    parser = commands.add_parser(
+        'show', help='print the records in force', epilog=EXAMPLE
+    )
+    parser.add_argument('kind', nargs='?', choices=codec.KINDS)
+    parser.add_argument('name', nargs='?')
+    connection.add_arguments(parser)
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> report.Report:
+    """Print the records that the arguments name, or all."""
+    try:
+        found = asyncio.run(_records(arguments))
+    except connection.Unanswered as error:
+        return report.unavailable(str(error))
+    chosen = [
+        record
+        for record in found
+        if arguments.kind in (None, record.kind)
+        and arguments.name in (None, record.name)
+    ]
+    return report.Report(
+        exit_codes.OK if chosen else exit_codes.NEGATIVE,
+        report.table(HEAD, map(_row, chosen)),
+        {
+            'records': [
+                {**record._asdict(), 'body': _body(record)}
+                for record in chosen
+            ]
+        },
+    )
+
+
+def _body(record: bodies.Record) -> dict[str, typing.Any]:
+    return codec.body_fields(record.body, record.schema)
+
+
+def _row(record: bodies.Record) -> tuple[object, ...]:
+    body = ' '.join(f'{name}={v}' for name, v in _body(record).items())
+    return (
+        record.kind,
+        record.name,
+        record.version,
+        record.schema,
+        record.writer,
+        body,
+    )
+
+
+async def _records(arguments: argparse.Namespace) -> list[bodies.Record]:
+    async with connection.connect(arguments) as client:
+        page = await connection.newest(client, published.TOPIC)
+    found = [codec.decode(record.value) for record in page.records]
+    return sorted(
+        (one for one in found if not isinstance(one, errors.Refusal)),
+        key=lambda record: record.key,
+    )
--- /dev/null
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/status.py
@@ -0,0 +1,68 @@
+"""`status`: prints the coordinator and what is in force per instance."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+
+from knapweedhall_ctl import connection
+from knapweedhall_ctl import exit_codes
+from knapweedhall_ctl import report
+from knapweedhall_router import messages
+
+EXAMPLE = """example:
+  knapweedhallctl status --store 10.200.1.7:8541"""
+
+
+def add_parser(commands: argparse._SubParsersAction) -> None:
+    """Add the arguments of this command."""
+    parser = commands.add_parser(
+        'status', help='print the state of all instances', epilog=EXAMPLE
+    )
+    connection.add_arguments(parser)
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> report.Report:
+    """Ask the coordinator; 1 if instances differ in their configuration."""
+    try:
+        found = asyncio.run(_overview(arguments))
+    except connection.Unanswered as error:
+        return report.unavailable(str(error))
+    unowned = {
+        service: sum(row[1] - row[0] + 1 for row in rows if not row[2])
+        for service, rows in found.services.items()
+    }
+    agree = len(set(found.versions.values())) <= 1
+    text = '\n\n'.join(
+        (
+            f'coordinator {found.coordinator}, tenure {found.epoch}'
+            + (', without the store' if found.blind else ''),
+            report.table(
+                ('instance', 'configuration'), sorted(found.versions.items())
+            ),
+            report.table(
+                ('service', 'ranges', 'keys without owner'),
+                [
+                    (service, len(rows), unowned[service])
+                    for service, rows in sorted(found.services.items())
+                ],
+            ),
+        )
+    )
+    return report.Report(
+        exit_codes.OK if agree else exit_codes.NEGATIVE,
+        text,
+        {
+            'coordinator': found.coordinator,
+            'epoch': found.epoch,
+            'blind': found.blind,
+            'versions': found.versions,
+            'unowned': unowned,
+        },
+    )
+
+
+async def _overview(arguments: argparse.Namespace) -> messages.Overview:
+    async with connection.connect(arguments) as client:
+        return await connection.overview(client)
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/timeline.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/timeline.py
@@ -1,34 +1,55 @@
-"""`timeline`: merges traces into one time line."""
+"""`timeline`: merges the logs of several processes into one time line."""
 
 from __future__ import annotations
 
 import argparse
+import pathlib
 
+from knapweedhall_ctl import errors as ctl_errors
 from knapweedhall_ctl import exit_codes
 from knapweedhall_ctl import report
-from knapweedhall_ctl import traces
-from knapweedhall_ctl import validate
-from knapweedhall_events import trace
-from knapweedhall_records import errors
-from knapweedhall_replay import text
+from knapweedhall_events import timeline
+
+EXAMPLE = """example:
+  knapweedhallctl timeline --request 9c41d07be2a35f68 front-*.log"""
 
 
 def add_parser(commands: argparse._SubParsersAction) -> None:
     """Add the arguments of this command."""
-    parser = commands.add_parser('timeline', help='merge traces')
-    traces.add_trace_arguments(parser)
+    parser = commands.add_parser('timeline', help='merge logs', epilog=EXAMPLE)
+    parser.add_argument('logs', type=pathlib.Path, nargs='+', metavar='LOG')
+    parser.add_argument(
+        '--request',
+        metavar='ID',
+        help='only what concerns a request: its own lines, and what the '
+        'processes learned in the seconds before',
+    )
+    parser.add_argument(
+        '--before',
+        type=float,
+        default=timeline.CONTEXT_S,
+        metavar='SECONDS',
+        help='how long before the request (default: %(default)s)',
+    )
     parser.set_defaults(run=run)
 
 
 def run(arguments: argparse.Namespace) -> report.Report:
     """Merge the files; times count from the first event."""
-    found = traces.read(arguments.traces)
-    if isinstance(found, errors.Refusal):
-        return validate.rejected(found)
-    events = trace.merge(found)
-    origin = events[0].monotonic_s if events else 0.0
+    found: list[timeline.Event] = []
+    for path in arguments.logs:
+        try:
+            found += timeline.read(path)
+        except OSError as error:
+            return report.rejected(
+                ctl_errors.UnreadableLog(str(error), 'name a readable file')
+            )
+    events = timeline.merge(found)
+    if arguments.request:
+        events = timeline.about(events, arguments.request, arguments.before)
+    origin = events[0].at if events else 0.0
     return report.Report(
-        exit_codes.OK,
-        '\n'.join(text.event_line(event, origin) for event in events),
+        exit_codes.OK if events else exit_codes.NEGATIVE,
+        '\n'.join(timeline.line(event, origin) for event in events),
         {'events': [event._asdict() for event in events]},
     )
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/validate.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/validate.py
@@ -8,12 +8,18 @@
 from knapweedhall_ctl import draft
 from knapweedhall_ctl import exit_codes
 from knapweedhall_ctl import report
+from knapweedhall_records import codec
 from knapweedhall_records import errors
 
+EXAMPLE = """example:
+  knapweedhallctl validate ledger.json"""
+
 
 def add_parser(commands: argparse._SubParsersAction) -> None:
     """Add the arguments of this command."""
-    parser = commands.add_parser('validate', help='check a record file')
+    parser = commands.add_parser(
+        'validate', help='check a record file', epilog=EXAMPLE
+    )
     add_record_arguments(parser)
     parser.set_defaults(run=run)
 
@@ -21,22 +27,13 @@
 def add_record_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the arguments that name a record and its writer."""
     parser.add_argument('file', type=pathlib.Path, help='record as JSON')
-    parser.add_argument(
-        '--writer', metavar='NAME', help='default: name of the login'
-    )
+    add_writer_argument(parser)
 
 
-def rejected(refusal: errors.Refusal) -> report.Report:
-    """Return the report of an invalid record."""
-    return report.Report(
-        exit_codes.INVALID_INPUT,
-        f'rejected: {refusal}',
-        {
-            'outcome': 'rejected',
-            'error': refusal.tag,
-            'reason': refusal.reason,
-            'remedy': refusal.remedy,
-        },
+def add_writer_argument(parser: argparse.ArgumentParser) -> None:
+    """Add the argument that names the writer of a record."""
+    parser.add_argument(
+        '--writer', metavar='NAME', help='default: name of the login'
     )
 
 
@@ -44,13 +41,22 @@
     """Check the file; fields that `publish` fills in may be absent."""
     fields = draft.read(arguments.file)
     if isinstance(fields, errors.Refusal):
-        return rejected(fields)
+        return report.rejected(fields)
     author = draft.author_of(arguments)
     record = draft.check(draft.complete(fields, 0, author))
     if isinstance(record, errors.Refusal):
-        return rejected(record)
+        return report.rejected(record)
+    retired = codec.retired_fields(record.kind, fields['body'])
+    text = f'valid: {record.kind} {record.name}'
+    if retired:
+        text += f'; without effect: {", ".join(retired)}'
     return report.Report(
         exit_codes.OK,
-        f'valid: {record.kind} {record.name}',
-        {'outcome': 'valid', 'kind': record.kind, 'name': record.name},
+        text,
+        {
+            'outcome': 'valid',
+            'kind': record.kind,
+            'name': record.name,
+            'retired': retired,
+        },
     )
--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -29,347 +29,147 @@
     meaning: str
 
 
-def _kind(
-    number: int, name: str, level: str, fields: str, meaning: str
-) -> EventKind:
-    return EventKind(number, name, level, tuple(fields.split()), meaning)
+class _Group(typing.NamedTuple):
+    """Kinds of events with consecutive numbers, one a line.
 
+    A line has name, level, fields and meaning, separated by bars.
+    """
 
-_ALL = (
-    # Process life
-    _kind(
-        1000, 'process_started', 'INFO', 'role address', 'The process started.'
-    ),
-    _kind(1001, 'process_ready', 'INFO', '', 'The process takes requests.'),
-    _kind(
-        1002,
-        'stop_requested',
-        'INFO',
-        'signal',
-        'A planned stop began; readiness is off.',
-    ),
-    _kind(
-        1003,
-        'process_stopped',
-        'INFO',
-        'unfinished',
-        'The process ends; unfinished counts requests that were cut.',
-    ),
-    # Configuration
-    _kind(
-        1100,
-        'record_in_force',
-        'INFO',
-        'kind record version offset source',
-        'A record came into force in this process.',
-    ),
-    _kind(
-        1101,
-        'record_superseded',
-        'WARNING',
-        'kind record version in_force offset',
-        'A record lost against another one with the same predecessor.',
-    ),
-    _kind(
-        1102,
-        'record_skipped',
-        'WARNING',
-        'offset reason',
-        'A record on the log was refused and skipped.',
-    ),
-    _kind(
-        1103,
-        'record_repeated',
-        'INFO',
-        'offset writer number',
-        'A repeated append was dropped.',
-    ),
-    _kind(
-        1104,
-        'checkpoint_written',
-        'INFO',
-        'offset chunks',
-        'A checkpoint was written.',
-    ),
-    _kind(
-        1105,
-        'state_restored',
-        'INFO',
-        'source offset records',
-        'The configuration was restored from the log or from a peer.',
-    ),
-    _kind(
-        1106,
-        'records_expired',
-        'WARNING',
-        'wanted first',
-        'Records wanted from the log have expired.',
-    ),
-    # Membership
-    _kind(
-        1200,
-        'peer_up',
-        'INFO',
-        'peer failure_domain',
-        'A peer answers heartbeats.',
-    ),
-    _kind(
-        1201,
-        'peer_down',
-        'WARNING',
-        'peer failure_domain',
-        'A peer stopped answering heartbeats.',
-    ),
-    # Lease and vote
-    _kind(
-        1300,
-        'lease_acquired',
-        'INFO',
-        'group term',
-        'This instance became the coordinator of a group.',
-    ),
-    _kind(
-        1301,
-        'lease_lost',
-        'WARNING',
-        'group term',
-        'The lease on a group expired.',
-    ),
-    _kind(
-        1302,
-        'lease_released',
-        'INFO',
-        'group term',
-        'The lease on a group was given back.',
-    ),
-    _kind(
-        1303,
-        'vote_given',
-        'DEBUG',
-        'group term candidate',
-        'A vote was given to a candidate in a new term.',
-    ),
-    # Grants and permits
-    _kind(
-        1400,
-        'slices_activated',
-        'INFO',
-        'group service upstream token slices',
-        'The coordinator activated slices on an upstream.',
-    ),
-    _kind(
-        1401,
-        'slices_released',
-        'INFO',
-        'group service upstream slices reason',
-        'Slices were released by or taken from an upstream.',
-    ),
-    _kind(
-        1402,
-        'grant_accepted',
-        'INFO',
-        'group service upstream token slices',
-        'An upstream accepted a grant with new slices or tokens.',
-    ),
-    _kind(
-        1403,
-        'grant_expired',
-        'WARNING',
-        'service upstream slices',
-        'A grant expired at the upstream.',
-    ),
-    _kind(
-        1404,
-        'grant_refused',
-        'WARNING',
-        'upstream term highest_term',
-        'An upstream refused a grant of an older term.',
-    ),
-    _kind(
-        1405,
-        'permit_expired',
-        'WARNING',
-        'group',
-        'The send permit of this instance expired.',
-    ),
-    _kind(
-        1406,
-        'table_received',
-        'INFO',
-        'group term version',
-        'A new slice table came into use.',
-    ),
-    # Requests
-    _kind(
-        1500,
-        'request_received',
-        'DEBUG',
-        'request service key idempotent',
-        'A request arrived from a caller.',
-    ),
-    _kind(
-        1501,
-        'request_sent',
-        'DEBUG',
-        'request service upstream slice token',
-        'A request is about to be written to an upstream.',
-    ),
-    _kind(
-        1502,
-        'request_forwarded',
-        'DEBUG',
-        'request instance',
-        'A request was forwarded to another instance.',
-    ),
-    _kind(
-        1503,
-        'request_answered',
-        'DEBUG',
-        'request status bytes',
-        'The whole answer was handed to the caller.',
-    ),
-    _kind(
-        1504,
-        'request_not_run',
-        'DEBUG',
-        'request reason',
-        'A request was refused and did not run.',
-    ),
-    _kind(
-        1505,
-        'request_unknown',
-        'WARNING',
-        'request reason',
-        'A request has an unknown outcome.',
-    ),
-    _kind(
-        1510,
-        'work_started',
-        'DEBUG',
-        'request service upstream key slice token cold',
-        'An upstream began to run a request.',
-    ),
-    _kind(
-        1511,
-        'work_finished',
-        'DEBUG',
-        'request upstream',
-        'An upstream finished a request.',
-    ),
-    _kind(
-        1512,
-        'work_refused',
-        'DEBUG',
-        'request upstream reason',
-        'An upstream refused a request that it did not run.',
-    ),
-    _kind(
-        1513,
-        'work_abandoned',
-        'DEBUG',
-        'request upstream reason',
-        'An upstream stopped a request before its end.',
-    ),
-    _kind(
-        1520,
-        'call_sent',
-        'DEBUG',
-        'request service key idempotent',
-        'A test caller sent a request.',
-    ),
-    _kind(
-        1521,
-        'call_finished',
-        'DEBUG',
-        'request outcome status whole matches',
-        'A test caller got an answer or a failure.',
-    ),
-    # Upstream health and load
-    _kind(
-        1600,
-        'upstream_lost',
-        'WARNING',
-        'group upstream',
-        'An upstream stopped answering.',
-    ),
-    _kind(
-        1601,
-        'upstream_back',
-        'INFO',
-        'group upstream',
-        'An upstream answers again.',
-    ),
-    _kind(
-        1602,
-        'upstream_cold',
-        'WARNING',
-        'upstream sign',
-        'An upstream was noticed to be cold.',
-    ),
-    _kind(
-        1603,
-        'upstream_warm',
-        'INFO',
-        'upstream',
-        'An upstream bears its full load.',
-    ),
-    _kind(
-        1604,
-        'upstream_draining',
-        'INFO',
-        'upstream reason',
-        'An upstream leaves; it gets no new work.',
-    ),
-    _kind(
-        1610,
-        'cold_started',
-        'INFO',
-        'upstream bears',
-        'An upstream stand-in began a cold start.',
-    ),
-    # Platform
-    _kind(
-        1700,
-        'log_unreachable',
-        'WARNING',
-        'reason',
-        'The log does not answer.',
-    ),
-    _kind(1701, 'log_reachable', 'INFO', 'offset', 'The log answers again.'),
-    _kind(
-        1702, 'fault_set', 'INFO', 'fault', 'A fault was set on a stand-in.'
-    ),
-    # Operator commands
-    _kind(
-        1800,
-        'record_accepted',
-        'INFO',
-        'kind record version offset',
-        'A published record was read back as the winner.',
-    ),
-    _kind(
-        1801,
-        'record_conflict',
-        'WARNING',
-        'kind record version in_force',
-        'A published record lost against another one.',
-    ),
-    # Refused input
-    _kind(
-        1900,
-        'message_dropped',
-        'WARNING',
-        'sender reason',
-        'A message from a peer was dropped.',
-    ),
-    _kind(
-        1901,
-        'request_malformed',
-        'INFO',
-        'reason',
-        'A malformed request was refused.',
+    first: int
+    lines: str
+
+
+# Numbers below 2000 belonged to the entry process of earlier releases.
+_GROUPS = (
+    _Group(
+        2000,
+        """
+started | INFO | instance | The process listens.
+stopping | INFO | running | A planned stop began; readiness is off.
+stopped | INFO | running | The process ends; running counts requests cut.
+settings_reloaded | INFO | needs_restart | The settings file changed; the \
+named settings count after a restart only.
+settings_fault | WARNING | reason | A setting is wrong; the remedy is named.
+task_fault | WARNING | reason | A task ended by an error; the process \
+restarts.
+instance_marked | INFO | out | Operators marked this instance in or out.
+""",
+    ),
+    _Group(
+        2100,
+        """
+configuration_in_force | INFO | version routes services | A configuration \
+came into force.
+configuration_unreadable | WARNING | offset reason | A configuration can't \
+be read; the one before stays in force.
+record_in_force | INFO | kind name version writer | An operator's record \
+came into force.
+record_skipped | WARNING | key reason | A record can't be read; the one \
+before stays in force.
+failure_domains_evacuated | INFO | domains | The evacuated failure domains \
+changed.
+""",
+    ),
+    _Group(
+        2200,
+        """
+store_lost | WARNING | topic reason | The store stopped answering reads of \
+a topic.
+store_regained | INFO | topic | The store answers reads of a topic again.
+store_history_gone | INFO | topic | The store deleted what was to be read \
+next; the topic is listed anew.
+upstream_listed | INFO | upstream service address cold_s | An upstream or a \
+new incarnation of one is listed.
+upstream_draining | INFO | upstream | An upstream announced that it leaves.
+upstream_gone | INFO | upstream | An upstream is certainly gone.
+upstream_unreadable | INFO | upstream reason | An entry can't be read and \
+names no upstream.
+""",
+    ),
+    _Group(
+        2300,
+        """
+coordinator_found | INFO | coordinator | The instance is connected to the \
+coordinator.
+coordinator_lost | INFO | coordinator reason | The connection to the \
+coordinator ended.
+coordinator_unknown | INFO | reason | The store does not say who \
+coordinates.
+join_failed | INFO | reason | The store did not answer a join of the group.
+tenure_begun | INFO | epoch | This instance coordinates.
+tenure_ended | INFO | epoch | This instance does not coordinate any more.
+tenure_kept | WARNING | reason | A stopping instance could not give its \
+tenure back.
+tenure_yielded | INFO | epoch to | A tenure ended at a successor's request.
+tenure_deposed | INFO | | Another coordinator wrote to the store.
+tenure_failed | WARNING | reason | A tenure ended by an error.
+tenure_unreadable | WARNING | reason | The last tenure's record can't be \
+read.
+table_unreadable | WARNING | key reason | A stored assignment can't be read.
+table_not_written | INFO | reason | The store did not take an assignment.
+predecessor_silent | INFO | address reason | An earlier coordinator did not \
+answer.
+predecessor_odd | WARNING | address reason | An earlier coordinator's answer \
+can't be read.
+predecessors_ended | INFO | epoch unanswered expired | No earlier \
+coordinator renews grants; those unanswered lost their majority, those \
+expired their time.
+instance_joined | INFO | instance | An instance connected to the coordinator.
+instance_left | INFO | instance reason | An instance's connection ended.
+peer_rejected | INFO | reason | A connection between instances did not begin \
+as it has to.
+coordinator_fault | WARNING | reason | A task of the tenure failed.
+""",
+    ),
+    _Group(
+        2400,
+        """
+keys_moved | INFO | service first last source target fence accepted | Keys \
+have another owner.
+grant_unanswered | INFO | upstream first last reason | An upstream did not \
+answer a grant.
+grant_fenced | WARNING | upstream first | An upstream has seen a higher \
+token.
+release_unanswered | INFO | upstream first last reason | An upstream did not \
+answer a release.
+""",
+    ),
+    _Group(
+        2500,
+        """
+request_answered | INFO | request route service key upstreams status \
+waited_ms configuration | One in some of the requests that an upstream \
+answered.
+request_failed | INFO | request route service key status reason sends \
+upstreams waited_ms configuration owner_version owner_age_s | A request got \
+a failure of our own.
+request_refused_by_upstream | INFO | request upstream status key | An \
+upstream did not run a request.
+request_repeated | INFO | request upstream reason sends | A request is sent \
+once more.
+upstream_failed | INFO | request upstream status | An upstream ran a request \
+and failed.
+exchange_broken | INFO | request upstream reason sent | No whole answer came.
+connection_failed | INFO | request upstream reason | No connection to an \
+upstream could be made.
+caller_left | INFO | request service key upstreams waited_ms | The caller \
+closed its connection.
+request_fault | WARNING | request reason | An error in the router ended a \
+request.
+""",
     ),
 )
 
-EVENTS: dict[int, EventKind] = {kind.number: kind for kind in _ALL}
-BY_NAME: dict[str, EventKind] = {kind.name: kind for kind in _ALL}
+
+def _read(group: _Group) -> typing.Iterator[EventKind]:
+    lines = group.lines.strip().splitlines()
+    for number, row in enumerate(lines, group.first):
+        name, level, fields, meaning = (
+            cell.strip() for cell in row.split('|')
+        )
+        yield EventKind(number, name, level, tuple(fields.split()), meaning)
+
+
+_ALL = [kind for group in _GROUPS for kind in _read(group)]
+EVENTS = {kind.number: kind for kind in _ALL}
+BY_NAME = {kind.name: kind for kind in _ALL}
--- /dev/null
+++ b/packages/knapweedhall-events/tests/test_catalogue.py
@@ -0,0 +1,63 @@
+"""Holds the catalogue, the page and the code against one another."""
+
+from __future__ import annotations
+
+import ast
+import pathlib
+import unittest
+
+from knapweedhall_events import catalogue
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+ROUTER = ROOT / 'packages' / 'knapweedhall-router' / 'src'
+LEVELS = {'info': 'INFO', 'warning': 'WARNING'}
+
+
+def emitted() -> list[tuple[str, str, frozenset[str]]]:
+    """Return name, level and fields of each event that the router writes."""
+    found = []
+    for path in ROUTER.rglob('*.py'):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            call = node.func
+            if (
+                isinstance(call, ast.Attribute)
+                and isinstance(call.value, ast.Name)
+                and call.value.id == 'logs'
+                and call.attr in LEVELS
+            ):
+                name = node.args[0]
+                assert isinstance(name, ast.Constant)
+                fields = frozenset(one.arg or '' for one in node.keywords)
+                found.append((str(name.value), LEVELS[call.attr], fields))
+    return found
+
+
+class CatalogueTest(unittest.TestCase):
+    """Events that on-call engineers look up."""
+
+    def test_code_and_catalogue_agree(self) -> None:
+        """Guards against a line that no page explains."""
+        used = emitted()
+        for name, level, fields in used:
+            with self.subTest(event=name):
+                kind = catalogue.BY_NAME[name]
+                self.assertEqual(kind.level, level)
+                self.assertEqual(set(kind.fields), set(fields))
+        names = {name for name, _, _ in used}
+        self.assertEqual(set(catalogue.BY_NAME), names)
+
+    def test_numbers_are_unique(self) -> None:
+        """Guards against two meanings of one number."""
+        self.assertEqual(len(catalogue.EVENTS), len(catalogue.BY_NAME))
+
+    def test_page_shows_the_catalogue(self) -> None:
+        """Guards against a page that was not written again."""
+        page = (ROOT / 'docs' / 'events.md').read_text()
+        for kind in catalogue.EVENTS.values():
+            row = (
+                f'| {kind.number} | {kind.name} | {kind.level} '
+                f'| {", ".join(kind.fields)} | {kind.meaning} |'
+            )
+            self.assertIn(row, page)
--- a/packages/knapweedhall-records/src/knapweedhall_records/codec.py
+++ b/packages/knapweedhall-records/src/knapweedhall_records/codec.py
@@ -9,69 +9,36 @@
 
 from knapweedhall_records import bodies
 from knapweedhall_records import errors
-from knapweedhall_records import ids
 from knapweedhall_records import wire
 
 MAX_RECORD_BYTES = 65536
 SCHEMAS = (1, 2)
+# Prefixes of the names of marks.
+MARKED = ('domain/', 'instance/')
 
 Fields = typing.Mapping[str, typing.Any]
 
 
-def _limits(fields: Fields) -> bodies.Limits:
-    return bodies.Limits(**fields)
-
-
 def _service_v1(fields: Fields) -> bodies.Service:
     rest = dict(fields)
-    limits = bodies.Limits(rest.pop('slots'), rest.pop('connections'))
-    return _service(rest, limits)
+    return _service(rest, bodies.Limits(rest.pop('connections')))
 
 
 def _service_v2(fields: Fields) -> bodies.Service:
     rest = dict(fields)
-    return _service(rest, _limits(rest.pop('limits')))
+    return _service(rest, bodies.Limits(**rest.pop('limits')))
 
 
 def _service(rest: Fields, limits: bodies.Limits) -> bodies.Service:
     values = dict(rest)
-    if 'idempotent_methods' in values:
-        values['idempotent_methods'] = tuple(values['idempotent_methods'])
-    return bodies.Service(limits=limits, **values)
-
-
-def _upstream(fields: Fields) -> bodies.Upstream:
-    values = dict(fields)
-    if 'limits' in values:
-        values['limits'] = _limits(values['limits'])
-    return bodies.Upstream(**values)
-
-
-def _electors(fields: Fields) -> bodies.Electors:
-    return bodies.Electors(
-        tuple(ids.InstanceId(*pair) for pair in fields['instances'])
-    )
-
-
-def _plan(fields: Fields) -> bodies.Plan:
-    hot_keys = fields.get('hot_keys', {})
-    return bodies.Plan(
-        tuple(fields['upstreams']),
-        tuple(tuple(indices) for indices in fields['slices']),
-        {key: tuple(indices) for key, indices in hot_keys.items()},
-        {
-            number: bodies.Origin(group, version)
-            for number, group, version in fields.get('origins', ())
-        },
-    )
-
-
-def _release(fields: Fields) -> bodies.Release:
-    return bodies.Release(**{**fields, 'slices': tuple(fields['slices'])})
-
-
-def _checkpoint(fields: Fields) -> bodies.Checkpoint:
-    return bodies.Checkpoint(**{**fields, 'records': tuple(fields['records'])})
+    for name in ('hosts', 'idempotent_methods'):
+        if name in values:
+            values[name] = tuple(values[name])
+    service = bodies.Service(limits=limits, **values)
+    if 'objective_ms' in values:
+        return service
+    objective_ms = min(service.objective_ms, service.default_timeout_ms)
+    return service._replace(objective_ms=objective_ms)
 
 
 class _Shape(typing.NamedTuple):
@@ -83,12 +50,7 @@
     'movement': _Shape(
         wire.MovementFields, lambda fields: bodies.Movement(**fields)
     ),
-    'upstream': _Shape(wire.UpstreamFields, _upstream),
     'mark': _Shape(wire.MarkFields, lambda fields: bodies.Mark(**fields)),
-    'electors': _Shape(wire.ElectorsFields, _electors),
-    'plan': _Shape(wire.PlanFields, _plan),
-    'release': _Shape(wire.ReleaseFields, _release),
-    'checkpoint': _Shape(wire.CheckpointFields, _checkpoint),
 }
 _SHAPES: dict[int, dict[str, _Shape]] = {
     1: {
@@ -142,21 +104,22 @@
         return errors.UnknownKind(
             f'kind {kind!r}', f'use one of {", ".join(KINDS)}'
         )
-    unknown = _unknown_fields(envelope['body'], shape.fields)
+    given = without_retired(kind, envelope['body'])
+    unknown = _unknown_fields(given, shape.fields)
     if unknown:
         return errors.InvalidField(
             f'unknown field {unknown[0]!r} in the body of a {kind} record',
             f'remove it or use a schema version other than {schema}',
         )
     try:
-        fields = msgspec.convert(envelope['body'], shape.fields)
+        fields = msgspec.convert(given, shape.fields)
     except msgspec.ValidationError as error:
         return errors.InvalidField(
             f'{kind} {envelope["name"]!r}: {error}',
             'correct the field that the path names',
         )
     body = shape.build(fields)
-    refusal = check_body(body)
+    refusal = check_body(body, envelope['name'])
     if refusal is not None:
         return refusal
     rest = {key: value for key, value in envelope.items() if key != 'body'}
@@ -164,10 +127,34 @@
     return _check_versions(record)
 
 
+def without_retired(kind: str, body: Fields) -> dict[str, typing.Any]:
+    """Return the fields of a body that have an effect."""
+    retired = wire.RETIRED.get(kind, frozenset())
+    kept = {name: body[name] for name in body if name not in retired}
+    limits = kept.get('limits')
+    if kind == 'service' and isinstance(limits, dict):
+        kept['limits'] = without_retired('limits', limits)
+    return kept
+
+
+def retired_fields(kind: str, body: Fields) -> list[str]:
+    """Return the names of the fields of a body that have no effect."""
+    found = sorted(set(body) & wire.RETIRED.get(kind, frozenset()))
+    limits = body.get('limits')
+    if kind == 'service' and isinstance(limits, dict):
+        nested = set(limits) & wire.RETIRED['limits']
+        found += sorted(f'limits.{name}' for name in nested)
+    return found
+
+
 def _unknown_fields(body: Fields, fields: typing.Any) -> list[str]:
     # msgspec ignores unknown keys of a TypedDict, so a misspelt option would
     # silently keep its default.
-    return sorted(set(body) - set(typing.get_type_hints(fields)))
+    found = set(body) - set(typing.get_type_hints(fields))
+    limits = body.get('limits')
+    if isinstance(limits, dict):
+        found |= set(limits) - set(typing.get_type_hints(wire.LimitsFields))
+    return sorted(found)
 
 
 def _check_versions(record: bodies.Record) -> bodies.Record | errors.Refusal:
@@ -180,60 +167,28 @@
 
 
 @functools.singledispatch
-def check_body(body: object) -> errors.Refusal | None:
-    """Return why the values of a body contradict each other, or None."""
+def check_body(body: object, name: str) -> errors.Refusal | None:
+    """Return why a body's values contradict each other or its name."""
     return None
 
 
 @check_body.register
-def _check_service(body: bodies.Service) -> errors.Refusal | None:
-    if body.slices & (body.slices - 1) or body.slices > bodies.MAX_SLICES:
-        return errors.InvalidField(
-            f'slices is {body.slices}',
-            f'use a power of two up to {bodies.MAX_SLICES}',
-        )
-    if body.limits.cold_slots > body.limits.slots:
-        return errors.InvalidField(
-            f'cold_slots {body.limits.cold_slots} is above slots',
-            f'use at most {body.limits.slots}',
-        )
-    return None
-
-
-@check_body.register
-def _check_plan(body: bodies.Plan) -> errors.Refusal | None:
-    known = len(body.upstreams)
-    lists = [*body.slices, *body.hot_keys.values()]
-    if any(not indices or max(indices) >= known for indices in lists):
-        return errors.InvalidField(
-            f'an index is missing or not below {known}',
-            'list at least one upstream of the plan per slice',
-        )
-    if len(body.hot_keys) > bodies.MAX_HOT_KEYS:
-        return errors.InvalidField(
-            f'{len(body.hot_keys)} hot keys',
-            f'assign at most {bodies.MAX_HOT_KEYS} keys on their own',
-        )
-    return None
-
-
-@check_body.register
-def _check_electors(body: bodies.Electors) -> errors.Refusal | None:
-    names = [instance.name for instance in body.instances]
-    if names and len(set(names)) == len(names):
+def _check_service(body: bodies.Service, name: str) -> errors.Refusal | None:
+    if body.objective_ms <= body.default_timeout_ms:
         return None
     return errors.InvalidField(
-        'the set of electors is empty or names an instance twice',
-        'name each elector once',
+        f'objective_ms {body.objective_ms} is above default_timeout_ms',
+        f'use at most {body.default_timeout_ms}',
     )
 
 
 @check_body.register
-def _check_checkpoint(body: bodies.Checkpoint) -> errors.Refusal | None:
-    if body.chunk < body.chunks:
+def _check_mark(body: bodies.Mark, name: str) -> errors.Refusal | None:
+    if name.startswith(MARKED):
         return None
     return errors.InvalidField(
-        f'chunk {body.chunk} of {body.chunks}', 'number chunks from 0'
+        f'mark {name!r} names neither a failure domain nor an instance',
+        'name it domain/NAME or instance/NAME',
     )
 
 
@@ -250,34 +205,10 @@
     fields = dict(body._asdict())
     limits = fields.pop('limits')
     if schema == 1:
-        return {
-            **fields,
-            'slots': limits.slots,
-            'connections': limits.connections,
-        }
+        return {**fields, 'connections': limits.connections}
     return {**fields, 'limits': limits._asdict()}
 
 
-@body_fields.register
-def _upstream_fields(
-    body: bodies.Upstream, schema: int
-) -> dict[str, typing.Any]:
-    fields = dict(body._asdict())
-    limits = fields.pop('limits')
-    return {**fields, 'limits': limits._asdict()} if limits else fields
-
-
-@body_fields.register
-def _plan_fields(body: bodies.Plan, schema: int) -> dict[str, typing.Any]:
-    origins = [
-        (number, *origin) for number, origin in sorted(body.origins.items())
-    ]
-    fields = dict(body._asdict(), origins=origins)
-    if not origins:
-        del fields['origins']
-    return fields
-
-
 def encode(record: bodies.Record) -> bytes:
     """Encode a record as JSON in the schema version that it names."""
     fields = dict(record._asdict())
--- a/packages/knapweedhall-records/src/knapweedhall_records/wire.py
+++ b/packages/knapweedhall-records/src/knapweedhall_records/wire.py
@@ -12,10 +12,31 @@
 ]
 Positive = typing.Annotated[int, msgspec.Meta(ge=1)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
-Work = typing.Annotated[int, msgspec.Meta(ge=0, le=500)]
-Cost = typing.Annotated[float, msgspec.Meta(ge=0)]
+Rate = typing.Annotated[float, msgspec.Meta(ge=0)]
 Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 
+# Fields that earlier releases used and that have no effect any more. Records
+# with them stay valid, so that what is in force needs not be written again.
+RETIRED: dict[str, frozenset[str]] = {
+    'service': frozenset(
+        (
+            'slots',
+            'slices',
+            'partition_mode',
+            'checks_tokens',
+            'max_work_ms',
+            'hedging',
+            'customer_header',
+            'kind_header',
+            'kind_weights',
+        )
+    ),
+    'limits': frozenset(
+        ('slots', 'cold_slots', 'connect_cost_ms', 'probe_cost_ms')
+    ),
+    'mark': frozenset(('out_wait_ms',)),
+}
+
 
 class Envelope(typing.TypedDict):
     """Fields that every record has; the kind decides about `body`."""
@@ -34,33 +55,25 @@
 class LimitsFields(typing.TypedDict):
     """Limits of an upstream."""
 
-    slots: Positive
     connections: Positive
-    cold_slots: typing.NotRequired[Positive]
-    connect_cost_ms: typing.NotRequired[Cost]
-    probe_cost_ms: typing.NotRequired[Cost]
+    cold_per_s: typing.NotRequired[Rate]
 
 
 class ServiceFields(typing.TypedDict):
     """Fields of a service that both schema versions share."""
 
     mode: typing.Literal['divided', 'choice']
-    slices: typing.NotRequired[Positive]
-    partition_mode: typing.NotRequired[typing.Literal['stay', 'handover']]
-    checks_tokens: typing.NotRequired[bool]
-    max_work_ms: typing.NotRequired[Work]
-    default_timeout_ms: typing.NotRequired[Positive]
+    hosts: typing.NotRequired[list[Name]]
     idempotent_methods: typing.NotRequired[list[str]]
-    hedging: typing.NotRequired[bool]
-    customer_header: typing.NotRequired[str]
-    kind_header: typing.NotRequired[str]
-    kind_weights: typing.NotRequired[dict[str, Cost]]
+    default_timeout_ms: typing.NotRequired[Positive]
+    objective_ms: typing.NotRequired[Positive]
+    max_attempts: typing.NotRequired[Positive]
+    priority: typing.NotRequired[Count]
 
 
 class ServiceFieldsV1(ServiceFields):
     """Service in schema version 1: limits stand beside the other fields."""
 
-    slots: Positive
     connections: Positive
 
 
@@ -71,7 +84,7 @@
 
 
 class MovementFields(typing.TypedDict, total=False):
-    """Rules for moving hot keys."""
+    """Rules for moving keys."""
 
     hot_key_share: Share
     min_gain: Share
@@ -79,50 +92,7 @@
     max_moves: Count
 
 
-class UpstreamFields(typing.TypedDict):
-    """What operators say of one upstream."""
-
-    service: Name
-    failure_domain: Name
-    address: Name
-    limits: typing.NotRequired[LimitsFields]
-
-
 class MarkFields(typing.TypedDict):
     """Mark of a failure domain or instance."""
 
     state: typing.Literal['in', 'out']
-    out_wait_ms: typing.NotRequired[Count]
-
-
-class ElectorsFields(typing.TypedDict):
-    """Electors of a group as (name, incarnation) pairs."""
-
-    instances: list[tuple[Name, Count]]
-
-
-class PlanFields(typing.TypedDict):
-    """Assignment of a divided service."""
-
-    upstreams: list[Name]
-    slices: list[list[Count]]
-    hot_keys: typing.NotRequired[dict[str, list[Count]]]
-    origins: typing.NotRequired[list[tuple[Count, Name, Positive]]]
-
-
-class ReleaseFields(typing.TypedDict):
-    """Slices given up for another group."""
-
-    service: Name
-    plan_version: Positive
-    group: Name
-    slices: list[Count]
-
-
-class CheckpointFields(typing.TypedDict):
-    """One chunk of a checkpoint."""
-
-    offset: Count
-    chunk: Count
-    chunks: Positive
-    records: list[str]
--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -82,7 +82,7 @@
                 asyncio.create_task(work)
                 for work in (
                     member.run(),
-                    followers.OperatorFollower(client, self.state).run(),
+                    followers.configuration_follower(client, self.state).run(),
                     followers.UpstreamFollower(client, self.state).run(),
                     link.run(),
                     self._housekeeping(),
--- a/packages/knapweedhall-router/src/knapweedhall_router/calls.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/calls.py
@@ -25,6 +25,8 @@
         The caller's id of this attempt.
     route, service : model.Route, str
         Route, and the service that its split chose.
+    idempotent : bool
+        Whether it may run more than once.
     key : int or None
         Key of a divided service.
     begun, end, objective_at : float
@@ -34,6 +36,8 @@
         Times that it was handed to an upstream.
     ran_on : set of str
         Upstreams that may have run it.
+    last_upstream : str
+        Where it was sent last; '' before.
     tried : dict of str to float
         Upstreams that refused it or were not reached, and when.
     """
@@ -46,6 +50,7 @@
         'headers',
         'body',
         'route',
+        'idempotent',
         'service',
         'key',
         'begun',
@@ -54,6 +59,7 @@
         'sends',
         'ran_on',
         'tried',
+        'last_upstream',
     )
 
     def __init__(
@@ -76,6 +82,7 @@
         ]
         self.body = body
         self.route = route
+        self.idempotent = route.may_repeat(request.method)
         self.service = service
         self.key = decoding.key(found.get(names.KEY))
         left = decoding.time_left(found.get(names.TIME_LEFT_MS))
@@ -86,6 +93,7 @@
         self.objective_at = now + route.objective_s
         self.sends = 0
         self.ran_on: set[str] = set()
+        self.last_upstream = ''
         self.tried: dict[str, float] = {}
 
     def turned_away(self, upstream: str, now: float) -> None:
--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -28,6 +28,10 @@
 # Idle time after which a connection is not used again when the upstream
 # states no Keep-Alive; half of the shortest timeout of the sites (10 s).
 IDLE_S = 5.0
+# Idle time up to which a connection carries a request that must not run
+# twice: an upstream that forgot an idle connection resets what comes next,
+# and nobody knows whether it ran.
+FRESH_S = 1.0
 # Part of a stated Keep-Alive timeout for which a connection is reused.
 KEEP_ALIVE_SHARE = 0.8
 # Closes with a reset: what is still in the buffers is not delivered.
@@ -39,14 +43,16 @@
 
     Attributes
     ----------
-    usable_until : float
-        When it is too long idle to be used again, seconds.
+    idle_since, usable_until : float
+        When its last exchange ended, and when it is too long idle to be used
+        again, seconds.
     was_reset : bool
         Whether it ended by a reset instead of an end of stream.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
+        self.idle_since = 0.0
         self.usable_until = 0.0
         self.keep_alive_s = IDLE_S
         self.was_reset = False
@@ -105,10 +111,19 @@
         self.idle: collections.deque[Connection] = collections.deque()
         self.used_at = clock.now()
 
-    def take(self) -> Connection | None:
-        """Return the idle connection that was used last, or None."""
+    def take(self, idempotent: bool) -> Connection | None:
+        """Return the idle connection that was used last, or None.
+
+        Parameters
+        ----------
+        idempotent : bool
+            Whether the request may be sent again if the connection turns out
+            to be stale.
+        """
         self.used_at = now = clock.now()
         while self.idle:
+            if not idempotent and now - self.idle[-1].idle_since > FRESH_S:
+                return None
             connection = self.idle.pop()
             if connection.is_reusable(now):
                 return connection
@@ -144,6 +159,7 @@
             connection.close()
             return
         now = clock.now()
+        connection.idle_since = now
         connection.usable_until = now + connection.keep_alive_s
         self.idle.append(connection)
         self.expire(now)
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -29,13 +29,14 @@
 # The first assignment of a service waits until no upstream was listed for
 # this time, or it would give all keys to the first few.
 FIRST_PLAN_CALM_S = 1.2
-# Moves that level the load and begin in one plan.
-LEVEL_MOVES = 6
 # Share of its cold budget that an upstream's keys may bring.
 COLD_USE = 0.8
 # Time for which the connected instances must be the same before they are
 # recorded, so that a restart of all makes a few records.
 FLEET_CALM_S = 0.5
+# Time after an outage for which it is told with each record: longer than the
+# memory of outages in `directory`.
+OUTAGE_NEWS_S = 5.0
 # Pause before a release without an answer is tried again.
 RELEASE_RETRY_S = 0.5
 
@@ -164,25 +165,26 @@
 
     # Instances
 
-    def greeting(self) -> list[messages.Message]:
+    def greeting(self, wanted: list[str]) -> list[messages.Message]:
         """Return what an instance gets that connects."""
         return [
             *self.tables(),
-            self.heartbeat(self.hub.number, None),
             *(
-                messages.Records(topic, True, list(known.items()))
-                for topic, known in self.state.feed.newest.items()
+                messages.Records(topic, True, self.state.feed.listing(topic))
+                for topic in wanted
+                if topic in self.state.feed.newest
             ),
         ]
 
     def heartbeat(
-        self, number: int, instances: list[str] | None
+        self, number: int, joined: list[str], left: list[str]
     ) -> messages.Fleet:
         """Return a heartbeat."""
         now = clock.now()
         return messages.Fleet(
             number,
-            instances,
+            joined,
+            left,
             self.is_blind(),
             self.state.feed.ages(now),
             now - self.state.directory.outage_end,
@@ -192,15 +194,29 @@
         self, topic: str, records: feed.Records, listing: bool
     ) -> None:
         """Send records of the store to all instances."""
-        # The heartbeat says how recent an outage was, without which the
-        # removals after it would be taken as departures.
-        self.hub.beat()
+        now = clock.now()
+        if now - self.state.directory.outage_end < OUTAGE_NEWS_S:
+            # Without the heartbeat, which tells how recent the outage was,
+            # the removals after it would be taken as departures.
+            self.hub.beat()
         self.hub.send(
             messages.Records(
-                topic, listing, [(one.key, one.value) for one in records]
+                topic,
+                listing,
+                [(one.offset, one.key, one.value) for one in records],
             )
         )
 
+    def overview(self) -> messages.Overview:
+        """Return what an operator is shown."""
+        return messages.Overview(
+            self.state.settings.name,
+            self.ledger.epoch,
+            self.is_blind(),
+            self.hub.versions(),
+            {table.service: table.rows for table in self.tables()},
+        )
+
     def tables(self) -> list[messages.Table]:
         """Return all tables of owners."""
         return [
@@ -339,7 +355,7 @@
         ]
         moves = planning.place_orphans(items, view, orphans)
         if not moves:
-            moves = planning.level(items, view, now, LEVEL_MOVES)
+            moves = planning.level(items, view, now)
         for move in moves:
             self._begin(service, move, now)
 
@@ -371,7 +387,9 @@
             capacity = {
                 one.name: max(1.0, cold_per_s * COLD_USE) for one in usable
             }
-        return planning.View(capacity, service.rates)
+        return planning.View(
+            capacity, service.rates, self.state.movement(name)
+        )
 
     # Moves
 
@@ -422,7 +440,8 @@
         one.handover = handover
         one.fence = self.orders.fences.next()
         one.held_until = one.unanswered_until = 0.0
-        one.settled_at = clock.now() + holdings.SETTLE_S
+        rules = self.state.movement(service.ranges.service)
+        one.settled_at = clock.now() + rules.settle_s
         await self.ledger.write(service.ranges)
         if self.is_blind():
             self._keep(one)
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -22,6 +22,10 @@
 # Pause between two questions for the coordinator's address; a call of the
 # store each.
 SEARCH_S = 0.3
+# Longest such pause, for coordinators that answer no connection, and the time
+# of a connection after which it is short again.
+MAX_PAUSE_S = 1.2
+STEADY_S = 3.0
 CALL_TIMEOUT_S = 1.0
 # While the coordinator can't reach the store another one may take over.
 BLIND_SEARCH_S = 1.0
@@ -59,7 +63,9 @@
         self.heard_at = 0.0
         self.blind = False
         self.heartbeat = -1
+        self.instances: set[str] = set()
         self.hint = ''
+        self.pause_s = SEARCH_S
 
     async def run(self) -> None:
         """Find the coordinator and follow it, until cancelled."""
@@ -69,6 +75,7 @@
             if address is None:
                 await asyncio.sleep(SEARCH_S)
                 continue
+            followed_at = clock.now()
             try:
                 await self._follow(member, address)
             except (
@@ -84,7 +91,13 @@
                 )
             self.connected = False
             self.lost.notify()
-            await asyncio.sleep(SEARCH_S / 3)
+            lasted_s = clock.now() - followed_at
+            self.pause_s = min(2 * self.pause_s, MAX_PAUSE_S)
+            if lasted_s > STEADY_S:
+                self.pause_s = SEARCH_S
+            # One whose link is busy would be asked by all at once.
+            pause = self.state.rng.uniform(SEARCH_S / 3, self.pause_s)
+            await asyncio.sleep(pause)
 
     async def _find(self) -> str:
         deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
@@ -99,12 +112,14 @@
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(*address)
         try:
-            writer.write(
-                messages.encode(messages.Hello(self.state.settings.name))
-            )
-            self.heard_at = clock.now()
+            feed, now = self.state.feed, clock.now()
+            hello = messages.Hello(self.state.settings.name, feed.wanted(now))
+            writer.write(messages.encode(hello))
+            self.heard_at = now
+            self.instances = set()
             self.blind = False
             self.heartbeat = -1
+            feed.connected_at = now
             logs.info('coordinator_found', coordinator=member)
             self.hint = member
             async with asyncio.TaskGroup() as group:
@@ -151,7 +166,13 @@
                 for name, (count, total) in times.items()
             }
             store_age_s = clock.now() - self.state.store_answered_at
-            report = messages.Report(keys, means, self.heartbeat, store_age_s)
+            report = messages.Report(
+                keys,
+                means,
+                self.heartbeat,
+                store_age_s,
+                self.state.version(),
+            )
             writer.write(messages.encode(report))
 
     def _take_heartbeat(self, message: messages.Fleet) -> None:
@@ -165,8 +186,10 @@
             directory.outage_end = max(
                 directory.outage_end, now - message.outage_age_s
             )
-        if message.instances:
-            self.state.instances = tuple(message.instances)
+        self.instances |= set(message.joined)
+        self.instances -= set(message.left)
+        if self.instances:
+            self.state.instances = tuple(sorted(self.instances))
 
     def apply(self, message: messages.Message) -> None:
         """Take over what the coordinator says.
--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -77,6 +77,7 @@
                     last = result.otherwise
                     if not self._may_repeat(call):
                         return last
+                    self._log_repeat(call, last)
         except TimeoutError:
             if isinstance(last, exchange.Answered):
                 return last
@@ -84,6 +85,18 @@
                 return Failure(504, 'timeout')
             return Failure(503, f'timeout-after-{last.reason}')
 
+    def _log_repeat(self, call: calls.Call, last: Result) -> None:
+        reason = f'status-{last.status}'
+        if isinstance(last, Failure):
+            reason = last.reason
+        logs.info(
+            'request_repeated',
+            request=call.request_id,
+            upstream=call.last_upstream,
+            reason=reason,
+            sends=call.sends,
+        )
+
     def _is_divided(self, call: calls.Call) -> bool:
         return self.state.service(call.service).divided
 
@@ -100,7 +113,7 @@
         if isinstance(target, Failure):
             return self._final(call, target)
         pool = self.pools.get(target.address)
-        connection = pool.take()
+        connection = pool.take(call.idempotent)
         if connection is None:
             try:
                 connection = await pool.connect(call.end)
@@ -110,7 +123,7 @@
 
     def _final(self, call: calls.Call, failure: Failure) -> Failure:
         """Return a failure that is true for the whole call."""
-        if call.ran_on and not call.route.idempotent:
+        if call.ran_on and not call.idempotent:
             return Failure(502, failure.reason)
         return failure
 
@@ -142,6 +155,7 @@
         found = self.state.health(target.name, target.slots)
         sent = clock.now()
         call.sends += 1
+        call.last_upstream = target.name
         found.sent(call.number, sent)
         ran_before = target.name in call.ran_on
         call.ran_on.add(target.name)
@@ -185,7 +199,7 @@
             upstream=target.name,
             status=outcome.status,
         )
-        if not call.route.idempotent or call.sends > 1:
+        if not call.idempotent or call.sends > 1:
             return outcome
         if not self._runs_left(call) or now + found.wait_s(now) >= call.end:
             return outcome
@@ -263,7 +277,7 @@
             return Repeat(self._final(call, Failure(503, outcome.reason, 0.1)))
         self.state.health(target.name).judged(True, now)
         failure = Failure(502, outcome.reason)
-        if not call.route.idempotent or not self._runs_left(call):
+        if not call.idempotent or not self._runs_left(call):
             return failure
         self._avoid(call, target, now)
         return Repeat(failure)
--- a/packages/knapweedhall-router/src/knapweedhall_router/feed.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/feed.py
@@ -15,6 +15,9 @@
 # upstream that leaves must be known within 2 s of the store's
 # acknowledgement; one read of its own and a request's way fit in besides.
 RELY_S = 1.2
+# Age of the own last read after which an instance that connects asks the
+# coordinator for all records: longer than any pause between two reads.
+STALE_S = 3.0
 NEVER = float('-inf')
 
 Records = typing.Sequence[outcomes.Record]
@@ -29,12 +32,16 @@
     ----------
     handlers : dict of str to callable
         Takes the records of a topic that the coordinator passed on.
-    newest : dict of str to dict of str to bytes
-        By topic, the last value of each key; without topics never listed.
+    newest : dict of str to dict of str to outcomes.Record
+        By topic, the last record of each key; without topics never listed.
+    floors : dict of str to int
+        Offsets before which a listing covers everything, by topic.
     read_at : dict of str to float
         When the instance itself read a topic last, seconds.
     told_at : dict of str to float
         When the coordinator read a topic last, seconds of the own clock.
+    connected_at : float
+        When the instance connected to the coordinator, seconds.
     heard_at : float
         When the coordinator was heard last, seconds.
     relay : callable or None
@@ -43,34 +50,70 @@
 
     def __init__(self) -> None:
         self.handlers: dict[str, Handler] = {}
-        self.newest: dict[str, dict[str, bytes]] = {}
+        self.newest: dict[str, dict[str, outcomes.Record]] = {}
+        self.floors: dict[str, int] = {}
         self.read_at: dict[str, float] = {}
         self.told_at: dict[str, float] = {}
+        self.connected_at = float('inf')
         self.heard_at = NEVER
         self.relay: Relay | None = None
 
     def fed_until(self, topic: str) -> float:
-        """Return until when the coordinator's reads are relied on."""
+        """Return until when the coordinator's reads are relied on.
+
+        The coordinator passes on what changes after the instance connected,
+        so one own read must come later than that.
+        """
         if self.relay is not None or topic not in self.newest:
             return NEVER
+        if self.read_at.get(topic, NEVER) < self.connected_at:
+            return NEVER
         return self.told_at.get(topic, NEVER) + RELY_S
 
+    def wanted(self, now: float) -> list[str]:
+        """Return the topics that the instance can't read by itself."""
+        return [
+            topic
+            for topic in self.handlers
+            if now - self.read_at.get(topic, NEVER) > STALE_S
+        ]
+
+    def listing(self, topic: str) -> list[tuple[int, str, bytes]]:
+        """Return all known records of a topic."""
+        return [
+            (one.offset, one.key, one.value)
+            for one in self.newest[topic].values()
+        ]
+
+    def fresh(self, topic: str, records: Records) -> list[outcomes.Record]:
+        """Return the records that are not older than what is known.
+
+        Records of the coordinator may arrive after a read of one's own that
+        covers later ones.
+        """
+        known = self.newest.get(topic, {})
+        floor = self.floors.get(topic, 0)
+        return [
+            one
+            for one in records
+            if one.offset >= floor
+            and (one.key not in known or one.offset >= known[one.key].offset)
+        ]
+
     def took(self, topic: str, records: Records, listing: bool) -> None:
-        """Keep the newest values for instances that connect later."""
+        """Keep the newest records of each key."""
         known = self.newest.get(topic)
         if known is None and not listing:
             return
         if known is None or listing:
             known = self.newest[topic] = {}
         for record in records:
-            if record.value:
-                known[record.key] = record.value
-            else:
-                known.pop(record.key, None)
+            known[record.key] = record
 
-    def was_read(self, topic: str, now: float) -> None:
-        """Take note that the store answered this instance."""
+    def was_read(self, topic: str, end: int, now: float) -> None:
+        """Take note that this instance read a topic up to an offset."""
         self.read_at[topic] = now
+        self.floors[topic] = end
 
     def pass_on(self, topic: str, records: Records, listing: bool) -> None:
         """Send changes to the other instances, if this one coordinates."""
@@ -80,13 +123,21 @@
     def deliver(
         self,
         topic: str,
-        found: typing.Iterable[tuple[str, bytes]],
+        found: typing.Iterable[tuple[int, str, bytes]],
         listing: bool,
     ) -> None:
         """Take over records that the coordinator passed on."""
         handler = self.handlers.get(topic)
-        if handler is not None and self.relay is None:
-            handler([outcomes.Record(-1, *pair) for pair in found], listing)
+        if handler is None or self.relay is not None:
+            return
+        records = [outcomes.Record(*one) for one in found]
+        if not listing:
+            records = self.fresh(topic, records)
+        elif topic not in self.wanted(self.heard_at):
+            # The own reads have caught up meanwhile.
+            return
+        if records or listing:
+            handler(records, listing)
 
     def ages(self, now: float) -> dict[str, float]:
         """Return the age of the own last read of each topic, seconds."""
--- a/packages/knapweedhall-router/src/knapweedhall_router/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/followers.py
@@ -9,8 +9,12 @@
 from knapweedhall_adapter import names
 from knapweedhall_adapter import outcomes
 from knapweedhall_adapter import store
+from knapweedhall_records import bodies
+from knapweedhall_records import codec
+from knapweedhall_records import errors
 from knapweedhall_router import clock
 from knapweedhall_router import logs
+from knapweedhall_router import published
 from knapweedhall_router import state as state_module
 
 # How long the store may hold a read for the next change, ms. A read that
@@ -92,8 +96,8 @@
 
     def _retry_s(self, now: float) -> float:
         feed = self.state.feed
-        heard_s = now - feed.heard_at
-        if feed.relay is None and heard_s < FED_RETRY_S:
+        hears = now - feed.heard_at < FED_RETRY_S
+        if hears and feed.relay is None and self.topic in feed.newest:
             return FED_RETRY_S
         return RETRY_S
 
@@ -135,8 +139,8 @@
         self.next_offset = outcome.end
         now = clock.now()
         self.state.store_answered_at = now
-        self.state.feed.was_read(self.topic, now)
         self.take(outcome.records, listing)
+        self.state.feed.was_read(self.topic, outcome.end, now)
         return True
 
     async def _read(self, wait_ms: int) -> outcomes.ReadOutcome:
@@ -203,6 +207,79 @@
             )
 
 
+class RecordFollower(Follower):
+    """Follows the operators' records of the product.
+
+    Attributes
+    ----------
+    records : dict of str to bodies.Record
+        Records in force, by key. One that can't be read keeps what was in
+        force before.
+    """
+
+    topic = published.TOPIC
+
+    def __init__(
+        self, client: store.StoreClient, state: state_module.State
+    ) -> None:
+        super().__init__(client, state)
+        self.records: dict[str, bodies.Record] = {}
+
+    def wait_ms(self, now: float) -> int:
+        """Return how long the store may hold a read."""
+        return RELAY_WAIT_MS if self.state.feed.relay else WAIT_MS
+
+    def pause_s(self) -> float:
+        """Return the least time from one read to the next."""
+        return 0.0
+
+    def apply(
+        self, records: typing.Sequence[outcomes.Record], listing: bool
+    ) -> list[outcomes.Record]:
+        """Take over the operators' records."""
+        for record in records:
+            self._take_record(record)
+        state = self.state
+        state.configure(published.configuration(self.records))
+        state.movements = published.movements(self.records)
+        out = published.marked_out(self.records, published.DOMAIN_MARK)
+        if state.directory.evacuate(out, clock.now()):
+            logs.info('failure_domains_evacuated', domains=sorted(out))
+        out = published.marked_out(self.records, published.INSTANCE_MARK)
+        marked = state.settings.name in out
+        if marked != state.marked_out:
+            state.marked_out = marked
+            logs.info('instance_marked', out=marked)
+        return list(records)
+
+    def _take_record(self, record: outcomes.Record) -> None:
+        found = codec.decode(record.value)
+        if isinstance(found, errors.Refusal):
+            logs.warning('record_skipped', key=record.key, reason=str(found))
+            return
+        known = self.records.get(record.key)
+        if found.key != record.key:
+            logs.warning('record_skipped', key=record.key, reason='foreign')
+        elif known is None or known.version < found.version:
+            self.records[record.key] = found
+            logs.info(
+                'record_in_force',
+                kind=found.kind,
+                name=found.name,
+                version=found.version,
+                writer=found.writer,
+            )
+
+
+def configuration_follower(
+    client: store.StoreClient, state: state_module.State
+) -> Follower:
+    """Return the follower of what operators configure."""
+    if state.settings.source == 'records':
+        return RecordFollower(client, state)
+    return OperatorFollower(client, state)
+
+
 class UpstreamFollower(Follower):
     """Follows the entries of upstreams."""
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/front.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/front.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from aiohttp import web
+import aioprometheus
 
 from knapweedhall_adapter import names
 from knapweedhall_router import calls
@@ -12,6 +13,7 @@
 from knapweedhall_router import dispatch
 from knapweedhall_router import exchange
 from knapweedhall_router import logs
+from knapweedhall_router import metrics
 from knapweedhall_router import state as state_module
 
 # Bodies in memory, as a part of the process's memory limit.
@@ -40,6 +42,8 @@
         self.busy: set[web.RequestHandler] = set()
         self.body_bytes = 0
         self.outcomes: dict[str, int] = {}
+        self.registry = aioprometheus.Registry()
+        self.seconds = metrics.request_seconds(self.registry)
 
     def server(self) -> web.Server:
         """Return the HTTP server for the listener of callers."""
@@ -105,6 +109,7 @@
             return self._refuse(
                 request, result.status, result.reason, result.retry_after_s
             )
+        self._note_answer(call, result)
         return self._pass_on(result)
 
     async def _body(
@@ -166,9 +171,12 @@
     def _log_failure(
         self, call: calls.Call, failure: dispatch.Failure
     ) -> None:
-        version = 0
-        if self.state.configuration is not None:
-            version = self.state.configuration.version
+        table = self.state.owner_table(call.service)
+        row = table.find(call.key) if call.key is not None else None
+        now = clock.now()
+        self.seconds.add(
+            {'route': call.route.name, 'outcome': 'failed'}, now - call.begun
+        )
         logs.info(
             'request_failed',
             request=call.request_id,
@@ -179,8 +187,29 @@
             reason=failure.reason,
             sends=call.sends,
             upstreams=sorted(call.ran_on),
-            waited_ms=round((clock.now() - call.begun) * 1000, 1),
-            configuration=version,
+            waited_ms=round((now - call.begun) * 1000, 1),
+            configuration=self.state.version(),
+            owner_version='.'.join(map(str, table.version)) if row else '',
+            owner_age_s=round(now - row.since, 3) if row else None,
+        )
+
+    def _note_answer(
+        self, call: calls.Call, answer: exchange.Answered
+    ) -> None:
+        waited_s = clock.now() - call.begun
+        self.seconds.add(
+            {'route': call.route.name, 'outcome': 'answered'}, waited_s
+        )
+        logs.info(
+            'request_answered',
+            request=call.request_id,
+            route=call.route.name,
+            service=call.service,
+            key=call.key,
+            upstreams=sorted(call.ran_on),
+            status=answer.status,
+            waited_ms=round(waited_s * 1000, 1),
+            configuration=self.state.version(),
         )
 
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/hub.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/hub.py
@@ -31,6 +31,7 @@
         self.writer = writer
         self.connected_at = clock.now()
         self.report: quorum.Report | None = None
+        self.version = 0
 
     def send(self, frame: bytes) -> None:
         """Send a frame, or close a connection that does not take it."""
@@ -47,25 +48,27 @@
     Attributes
     ----------
     greeting : callable
-        Returns what a new instance gets.
+        Returns what a new instance gets, by the topics that it wants.
     report : callable
         Takes each report.
     heartbeat : callable
-        Returns a heartbeat; takes its number, and the names of the instances
-        or None.
+        Returns a heartbeat from its number, the names of instances that
+        joined, and of those that left.
     """
 
     def __init__(
         self,
-        greeting: typing.Callable[[], list[messages.Message]],
+        greeting: typing.Callable[[list[str]], list[messages.Message]],
         report: typing.Callable[[messages.Report], None],
-        heartbeat: typing.Callable[[int, list[str] | None], messages.Fleet],
+        heartbeat: typing.Callable[
+            [int, list[str], list[str]], messages.Fleet
+        ],
     ) -> None:
         self.greeting = greeting
         self.report = report
         self.heartbeat = heartbeat
         self.links: set[Link] = set()
-        self.announced: list[str] = []
+        self.announced: set[str] = set()
         self.number = 0
         # When the last heartbeats were sent, by number.
         self.sent_at: dict[int, float] = {}
@@ -91,14 +94,19 @@
             link.send(frame)
 
     def beat(self) -> None:
-        """Send a heartbeat, with the instances if they changed."""
-        found = self.instances()
-        changed = found != self.announced
+        """Send a heartbeat with the changes of the fleet.
+
+        The names of all would be as many bytes as there are pairs of
+        instances each time that one of them connects.
+        """
+        found = set(self.instances())
+        joined = sorted(found - self.announced)
+        left = sorted(self.announced - found)
         self.announced = found
         self.number += 1
         self.sent_at[self.number] = clock.now()
         self.sent_at.pop(self.number - KEPT_HEARTBEATS, None)
-        self.send(self.heartbeat(self.number, found if changed else None))
+        self.send(self.heartbeat(self.number, joined, left))
 
     def reports(self) -> dict[str, quorum.Report]:
         """Return what each connected instance said last."""
@@ -108,6 +116,10 @@
             if link.report is not None
         }
 
+    def versions(self) -> dict[str, int]:
+        """Return the configuration in force at each instance."""
+        return {link.instance: link.version for link in self.links}
+
     def connected_at(self) -> dict[str, float]:
         """Return since when instances are connected, seconds."""
         return {link.instance: link.connected_at for link in self.links}
@@ -116,23 +128,23 @@
         as_of = self.sent_at.get(report.heartbeat)
         if as_of is not None:
             link.report = quorum.Report(as_of, report.store_age_s)
+        link.version = report.version
         self.report(report)
 
     async def attach(
         self,
         instance: str,
+        wanted: list[str],
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Serve the connection of an instance until it ends."""
         link = Link(instance, writer)
         try:
-            for message in self.greeting():
+            first = self.heartbeat(self.number, sorted(self.announced), [])
+            for message in (first, *self.greeting(wanted)):
                 link.send(messages.encode(message))
             self.links.add(link)
-            # One that returned under its name needs the names as well.
-            self.announced = []
-            self.beat()
             logs.info('instance_joined', instance=link.instance)
             await self._follow(link, reader)
         except (OSError, EOFError, TimeoutError, msgspec.MsgspecError) as e:
--- a/packages/knapweedhall-router/src/knapweedhall_router/ledger.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/ledger.py
@@ -8,6 +8,7 @@
 
 from knapweedhall_adapter import outcomes
 from knapweedhall_adapter import store
+from knapweedhall_router import appender
 from knapweedhall_router import logs
 from knapweedhall_router import settings as settings_module
 from knapweedhall_router import takeover
@@ -16,7 +17,6 @@
 TOPIC = 'keyed.knapweedhall'
 TENURE_KEY = 'tenure'
 TABLE_PREFIX = 'table/'
-CALL_TIMEOUT_S = 1.0
 STORE_RETRY_S = 0.1
 
 
@@ -31,8 +31,8 @@
     ----------
     epoch : int
         Offset of the tenure's record; -1 before.
-    end : int
-        Offset at which the partition ends if no other coordinator wrote.
+    appender : appender.Appender
+        Writes where the partition ends if no other coordinator wrote.
     fleet : list of str
         Recorded instances; renewals without the store need their majority.
     predecessors : list of takeover.Predecessor
@@ -46,7 +46,7 @@
         self.name = settings.name
         self.address = f'{settings.address}:{settings.peer_port}'
         self.epoch = -1
-        self.end = 0
+        self.appender = appender.Appender(client, TOPIC, 0)
         self.fleet: list[str] = []
         self.next_fleet: list[str] = []
         self.predecessors: list[takeover.Predecessor] = []
@@ -61,6 +61,9 @@
             page = await self.client.newest(TOPIC, self._deadline())
             if isinstance(page, outcomes.Page):
                 self.predecessors = self._find_predecessors(page)
+                self.appender.end = page.end
+                # An append without an answer is not looked for: what stands
+                # there is read as the tenure of a predecessor.
                 outcome = await self.client.append(
                     TOPIC, self._tenure(), page.end, self._deadline()
                 )
@@ -68,7 +71,7 @@
                     break
             await asyncio.sleep(STORE_RETRY_S)
         self.epoch = outcome.offset
-        self.end = outcome.offset + 1
+        self.appender.end = outcome.offset + 1
         return self._tables(page)
 
     async def predecessors_ended(self) -> None:
@@ -159,41 +162,14 @@
         return tables
 
     async def _write(self, record: bytes) -> None:
-        while not await self._append(record):
-            await asyncio.sleep(STORE_RETRY_S)
-
-    async def _append(self, record: bytes) -> bool:
-        outcome = await self.client.append(
-            TOPIC, record, self.end, self._deadline()
-        )
-        if isinstance(outcome, outcomes.Appended):
-            self.end = outcome.offset + 1
-            return True
-        if isinstance(outcome, outcomes.Unavailable):
-            logs.info('table_not_written', reason=outcome.reason)
-            if not outcome.in_doubt:
-                return False
-        # Either an append of ours whose answer was lost, or another
-        # coordinator's tenure.
-        if await self._is_own(record):
-            self.end += 1
-            return True
-        if isinstance(outcome, outcomes.Conflict):
-            raise DeposedError
-        return False
-
-    async def _is_own(self, record: bytes) -> bool:
         while True:
-            page = await self.client.read(TOPIC, self.end, 0, self._deadline())
-            if isinstance(page, outcomes.Page):
-                break
-            if isinstance(page, outcomes.Expired):
-                return False
+            outcome = await self.appender.append(record)
+            if isinstance(outcome, appender.Written):
+                return
+            if isinstance(outcome, appender.Overtaken):
+                raise DeposedError
+            logs.info('table_not_written', reason=outcome.reason)
             await asyncio.sleep(STORE_RETRY_S)
-        if not page.records:
-            return False
-        first = page.records[0]
-        return store.keyed_record(first.key, first.value) == record
 
     def _deadline(self) -> float:
-        return asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+        return asyncio.get_running_loop().time() + appender.CALL_TIMEOUT_S
--- a/packages/knapweedhall-router/src/knapweedhall_router/logs.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/logs.py
@@ -10,9 +10,13 @@
 import loguru
 import msgspec
 
+from knapweedhall_events import catalogue
+
 # Lines per second and event; a failure storm must not take the processor
 # that requests need. What is left out is counted in the next line.
 LINES_PER_S = 20
+# The same for ordinary outcomes, which are only samples.
+SAMPLES_PER_S = {'request_answered': 2}
 Value = str | int | float | bool | None | list[str]
 
 
@@ -41,6 +45,14 @@
     left_out: int
 
 
+_writers: list[_Writer] = []
+
+
+def dropped() -> int:
+    """Return the lines that the reader of the log did not take in time."""
+    return sum(one.dropped for one in _writers)
+
+
 class _Events:
     """Writes events and bounds their number."""
 
@@ -56,7 +68,7 @@
         left_out = known.left_out if known else 0
         if known is None or known.second != second:
             known = _Allowance(second, 0, left_out)
-        if known.written >= LINES_PER_S:
+        if known.written >= SAMPLES_PER_S.get(event, LINES_PER_S):
             self.allowances[event] = known._replace(left_out=left_out + 1)
             return
         self.allowances[event] = _Allowance(second, known.written + 1, 0)
@@ -65,6 +77,7 @@
             'level': level,
             'process': self.process,
             'event': event,
+            'number': catalogue.BY_NAME[event].number,
             **fields,
         }
         if left_out:
@@ -100,4 +113,6 @@
     if descriptor is None:
         descriptor = sys.stdout.fileno()
     loguru.logger.remove()
-    loguru.logger.add(_Writer(descriptor), format='{message}', level='INFO')
+    writer = _Writer(descriptor)
+    _writers[:] = [writer]
+    loguru.logger.add(writer, format='{message}', level='INFO')
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -24,6 +24,16 @@
 # Others hold nothing; they join to be candidates.
 CANDIDATE_TIMEOUT_S = 3.0
 CANDIDATE_JOIN_S = 1.0
+# Instances with less than this leave the tenure to others while there is a
+# coordinator: it sends each change to all instances, and renews each grant
+# (at 89 instances a link of 5 Mbit/s was full for seconds).
+LEAST_CORES = 0.6
+LEAST_LINK_MBPS = 20.0
+# How long they wait for another coordinator.
+WEAK_WAIT_S = 4.0
+# Group without any meaning but for the store's answers: they tell whether
+# the store is down for all, and a join is its cheapest call.
+WATCH_GROUP = 'knapweedhall.watch'
 # A candidate that does not hear a coordinator may be the next one.
 ORPHAN_JOIN_S = 0.25
 CALL_TIMEOUT_S = 0.6
@@ -61,6 +71,11 @@
             settings.name, settings.address, settings.peer_port
         )
         least = settings.least_membership_s
+        self.weak = (
+            settings.cpu_share * settings.cores < LEAST_CORES
+            or settings.link_mbps < LEAST_LINK_MBPS
+        )
+        self.orphaned_at = clock.now()
         self.coordinator_timeout_s = max(COORDINATOR_TIMEOUT_S, least)
         self.candidate_timeout_s = max(CANDIDATE_TIMEOUT_S, least)
 
@@ -68,7 +83,10 @@
         """Stay in the group until cancelled."""
         while True:
             sent = clock.now()
-            await self._join(sent)
+            if self._is_candidate(sent):
+                await self._join(sent)
+            else:
+                await self._watch()
             # A lost coordinator may have handed over its place.
             await self.link.lost.wait(sent + self._period() - clock.now())
 
@@ -77,6 +95,28 @@
             return COORDINATOR_JOIN_S
         return CANDIDATE_JOIN_S if self.link.connected else ORPHAN_JOIN_S
 
+    def _is_candidate(self, now: float) -> bool:
+        """Return whether this instance may coordinate."""
+        if self.link.connected:
+            self.orphaned_at = now
+        if not self.weak or self.coordinator is not None:
+            return True
+        return now - self.orphaned_at > WEAK_WAIT_S
+
+    async def _watch(self) -> None:
+        """Ask the store for a sign of life."""
+        deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+        outcome = await self.client.join(
+            WATCH_GROUP,
+            self.member,
+            coordinator_link.TENURE_TOPIC,
+            self.candidate_timeout_s,
+            0,
+            deadline,
+        )
+        if not isinstance(outcome, outcomes.Unavailable):
+            self.state.store_answered_at = clock.now()
+
     async def _join(self, sent: float) -> None:
         timeout_s = self.candidate_timeout_s
         if self.coordinator is not None:
--- a/packages/knapweedhall-router/src/knapweedhall_router/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/messages.py
@@ -23,9 +23,18 @@
 
 
 class Hello(msgspec.Struct, tag='hello', array_like=True):
-    """First message of an instance."""
+    """First message of an instance.
+
+    Attributes
+    ----------
+    instance : str
+        Its name.
+    wanted : list of str
+        Topics whose records it can't read by itself.
+    """
 
     instance: str
+    wanted: list[str]
 
 
 class Takeover(msgspec.Struct, tag='takeover', array_like=True):
@@ -40,6 +49,34 @@
     epoch: int
 
 
+class Inspect(msgspec.Struct, tag='inspect', array_like=True):
+    """Asks the coordinator what it knows; sent by knapweedhallctl."""
+
+
+class Overview(msgspec.Struct, tag='overview', array_like=True):
+    """What the coordinator knows.
+
+    Attributes
+    ----------
+    coordinator : str
+        Name of its instance.
+    epoch : int
+        Number of its tenure.
+    blind : bool
+        Whether it can't reach the store.
+    versions : dict of str to int
+        Version of the configuration in force, by connected instance.
+    services : dict of str to list of Row
+        Owners of the keys of each divided service.
+    """
+
+    coordinator: str
+    epoch: int
+    blind: bool
+    versions: dict[str, int]
+    services: dict[str, list[Row]]
+
+
 class Report(msgspec.Struct, tag='report', array_like=True):
     """What an instance measured since its last report.
 
@@ -53,12 +90,15 @@
         Number of the last heartbeat that came before; -1 before the first.
     store_age_s : float
         Time since the store last answered the instance.
+    version : int
+        Version of the configuration that is in force there.
     """
 
     keys: dict[str, dict[int, int]]
     times: dict[str, tuple[int, float]]
     heartbeat: int
     store_age_s: float
+    version: int
 
 
 class Table(msgspec.Struct, tag='table', array_like=True):
@@ -86,8 +126,9 @@
     ----------
     number : int
         Counts the heartbeats of a tenure.
-    instances : list of str or None
-        Names of the connected instances; None if they are as before.
+    joined, left : list of str
+        Names of instances that connected or left since the last heartbeat;
+        the first one names all as joined.
     blind : bool
         Whether the coordinator can't reach the store, so that another one
         may have taken its place.
@@ -98,7 +139,8 @@
     """
 
     number: int
-    instances: list[str] | None
+    joined: list[str]
+    left: list[str]
     blind: bool
     ages: dict[str, float]
     outage_age_s: float
@@ -113,17 +155,26 @@
         Where they stand.
     listing : bool
         Whether they are all that there are.
-    records : list of tuple of str and bytes
-        Keys and values; a value is empty if its key was dropped.
+    records : list of tuple of int, str and bytes
+        Offsets, keys and values; a value is empty if its key was dropped.
     """
 
     topic: str
     listing: bool
-    records: list[tuple[str, bytes]]
+    records: list[tuple[int, str, bytes]]
 
 
 Message = (
-    Hello | Takeover | Yielded | Report | Table | Change | Fleet | Records
+    Hello
+    | Takeover
+    | Yielded
+    | Inspect
+    | Overview
+    | Report
+    | Table
+    | Change
+    | Fleet
+    | Records
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
@@ -2,21 +2,47 @@
 
 from __future__ import annotations
 
+import typing
+
 from aiohttp import web
 import aioprometheus
 from aioprometheus import renderer
 
-from knapweedhall_router import front
+from knapweedhall_router import logs
 from knapweedhall_router import state as state_module
 
+# Bounds of the latency histogram, seconds: around the sites' objectives of
+# 0.2 to 2.2 s and their time limits of up to 5.6 s.
+BOUNDS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 6.0]
+
+
+def request_seconds(
+    registry: aioprometheus.Registry,
+) -> aioprometheus.Histogram:
+    """Return the histogram of the time until callers get their answer."""
+    return aioprometheus.Histogram(
+        'knapweedhall_request_seconds',
+        'Time until a caller has its answer, by route and outcome',
+        buckets=BOUNDS_S,
+        registry=registry,
+    )
+
+
+class Traffic(typing.Protocol):
+    """What the listener for callers counts."""
+
+    running: int
+    outcomes: dict[str, int]
+    registry: aioprometheus.Registry
+
 
 class Metrics:
-    """Counters and gauges of one process."""
+    """Counters, gauges and histograms of one process."""
 
-    def __init__(self, state: state_module.State, front: front.Front) -> None:
+    def __init__(self, state: state_module.State, traffic: Traffic) -> None:
         self.state = state
-        self.front = front
-        self.registry = aioprometheus.Registry()
+        self.traffic = traffic
+        self.registry = traffic.registry
         self.requests = aioprometheus.Counter(
             'knapweedhall_requests_total',
             'Requests by outcome',
@@ -30,21 +56,24 @@
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer with all figures."""
-        for outcome, count in self.front.outcomes.items():
+        for outcome, count in self.traffic.outcomes.items():
             self.requests.set({'outcome': outcome}, count)
-        for name, value in self._figures().items():
+        for name, value in self.figures().items():
             self.gauges.set({'name': name}, value)
         content, headers = renderer.render(
             self.registry, request.headers.getall('Accept', [])
         )
         return web.Response(body=content, headers=headers)
 
-    def _figures(self) -> dict[str, float]:
-        configuration = self.state.configuration
+    def figures(self) -> dict[str, float]:
+        """Return the state by name."""
+        state = self.state
         return {
-            'running': self.front.running,
-            'configuration': configuration.version if configuration else 0,
-            'upstreams': len(self.state.directory.entries),
-            'instances': len(self.state.instances),
-            'ready': float(self.state.is_ready()),
+            'running': self.traffic.running,
+            'configuration': state.version(),
+            'upstreams': len(state.directory.entries),
+            'instances': len(state.instances),
+            'ready': float(state.is_ready()),
+            'coordinates': float(state.feed.relay is not None),
+            'log_lines_dropped': logs.dropped(),
         }
--- a/packages/knapweedhall-router/src/knapweedhall_router/peers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/peers.py
@@ -33,8 +33,14 @@
                 await self._yield(first.epoch, writer)
                 return
             coordinator = self.member.coordinator
-            if isinstance(first, messages.Hello) and coordinator is not None:
-                await coordinator.hub.attach(first.instance, reader, writer)
+            if coordinator is None:
+                return
+            if isinstance(first, messages.Hello):
+                await coordinator.hub.attach(
+                    first.instance, first.wanted, reader, writer
+                )
+            elif isinstance(first, messages.Inspect):
+                await self._answer(coordinator.overview(), writer)
         except (OSError, EOFError, TimeoutError, msgspec.MsgspecError) as e:
             logs.info('peer_rejected', reason=type(e).__name__)
         finally:
@@ -42,7 +48,12 @@
 
     async def _yield(self, epoch: int, writer: asyncio.StreamWriter) -> None:
         await self.member.yield_to(epoch)
-        writer.write(messages.encode(messages.Yielded(epoch)))
+        await self._answer(messages.Yielded(epoch), writer)
+
+    async def _answer(
+        self, message: messages.Message, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(messages.encode(message))
         async with asyncio.timeout(FIRST_MESSAGE_TIMEOUT_S):
             await writer.drain()
         # Aborted at once, the transport might drop the answer.
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/published.py
@@ -0,0 +1,86 @@
+"""Translates the operators' records into what the router works with."""
+
+from __future__ import annotations
+
+import typing
+
+from knapweedhall_records import bodies
+from knapweedhall_routing import model
+from knapweedhall_routing import planning
+
+TOPIC = 'keyed.knapweedhall.records'
+DOMAIN_MARK = 'domain/'
+INSTANCE_MARK = 'instance/'
+
+Records = typing.Mapping[str, bodies.Record]
+
+
+def configuration(records: Records) -> model.Configuration:
+    """Return the configuration that the records in force make.
+
+    Its version is the sum of theirs: each of them only grows, so that the
+    sum grows with each change and is the same at all readers.
+    """
+    services = [
+        (record.name, record.body)
+        for record in records.values()
+        if isinstance(record.body, bodies.Service)
+    ]
+    return model.Configuration(
+        sum(record.version for record in records.values()),
+        tuple(
+            _route(name, host, body)
+            for name, body in services
+            for host in body.hosts or (name,)
+        ),
+        {
+            name: model.Service(
+                name,
+                body.mode == 'divided',
+                body.limits.connections,
+                body.limits.cold_per_s,
+            )
+            for name, body in services
+        },
+        model.Limits(),
+    )
+
+
+def _route(name: str, host: str, body: bodies.Service) -> model.Route:
+    return model.Route(
+        name=f'{name}/{host}',
+        host=host,
+        prefix='/',
+        idempotent=False,
+        clusters=(model.Cluster(name, 1.0),),
+        timeout_s=body.default_timeout_ms / 1000,
+        objective_s=body.objective_ms / 1000,
+        max_attempts=body.max_attempts,
+        priority=body.priority,
+        idempotent_methods=body.idempotent_methods,
+    )
+
+
+def movements(records: Records) -> dict[str, planning.Rules]:
+    """Return the rules for moving keys, by service."""
+    return {
+        record.name: planning.Rules(
+            record.body.hot_key_share,
+            record.body.min_gain,
+            record.body.cooldown_ms / 1000,
+            record.body.max_moves,
+        )
+        for record in records.values()
+        if isinstance(record.body, bodies.Movement)
+    }
+
+
+def marked_out(records: Records, prefix: str) -> set[str]:
+    """Return the names with a prefix that are marked out of service."""
+    return {
+        record.name.removeprefix(prefix)
+        for record in records.values()
+        if isinstance(record.body, bodies.Mark)
+        and record.body.state == 'out'
+        and record.name.startswith(prefix)
+    }
--- a/packages/knapweedhall-router/src/knapweedhall_router/settings.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/settings.py
@@ -9,6 +9,8 @@
 
 from knapweedhall_routing import model
 
+SOURCES = ('platform', 'records')
+
 
 class Settings(typing.NamedTuple):
     """Checked settings.
@@ -19,6 +21,10 @@
         Name of the instance, where it runs, and its IP address.
     descriptors, memory_mb : int
         Limits of the process.
+    cpu_share, cores : float
+        Processor time per second, and how many times as fast as a core it is.
+    link_mbps : float
+        Bandwidth of the machine's link.
     front, ready : model.Address
         Listeners for callers and for the load balancer's check.
     peer_port, metrics_port : int
@@ -27,6 +33,9 @@
         IP address and port of the platform's store.
     least_membership_s : float
         Shortest membership timeout that the store accepts.
+    source : str
+        Whose configuration is in force: 'platform' for the operator of the
+        users' platform, 'records' for what knapweedhallctl publishes.
     retry_ratio, retry_window_s, retry_extra : float
         Budget of repeats over all instances: repeats per request, window in
         seconds, and repeats that are allowed besides.
@@ -40,12 +49,16 @@
     address: str
     descriptors: int
     memory_mb: int
+    cpu_share: float
+    cores: float
+    link_mbps: float
     front: model.Address
     ready: model.Address
     peer_port: int
     metrics_port: int
     store: str
     least_membership_s: float
+    source: str
     retry_ratio: float
     retry_window_s: float
     retry_extra: float
@@ -67,6 +80,12 @@
     return model.Address(host, int(port))
 
 
+def _source(text: str) -> str:
+    if text not in SOURCES:
+        raise ValueError(f'expected one of {", ".join(SOURCES)}')
+    return text
+
+
 # Section, option and reader of each setting, in the order of `Settings`.
 SCHEMA: tuple[tuple[str, str, typing.Callable[[str], typing.Any]], ...] = (
     ('instance', 'name', str),
@@ -74,12 +93,16 @@
     ('instance', 'address', str),
     ('instance', 'descriptors', int),
     ('instance', 'memory_mb', int),
+    ('instance', 'cpu_share', float),
+    ('instance', 'cores', float),
+    ('instance', 'link_mbps', float),
     ('listen', 'front', _address),
     ('listen', 'ready', _address),
     ('listen', 'peer_port', int),
     ('listen', 'metrics_port', int),
     ('store', 'address', str),
     ('store', 'least_membership_s', float),
+    ('store', 'source', _source),
     ('limits', 'retry_ratio', float),
     ('limits', 'retry_window_s', float),
     ('limits', 'retry_extra', float),
@@ -118,6 +141,9 @@
 RELOADED = (
     'descriptors',
     'memory_mb',
+    'cpu_share',
+    'cores',
+    'link_mbps',
     'retry_ratio',
     'retry_window_s',
     'retry_extra',
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -12,6 +12,7 @@
 from knapweedhall_routing import directory
 from knapweedhall_routing import health
 from knapweedhall_routing import model
+from knapweedhall_routing import planning
 from knapweedhall_routing import ranges
 from knapweedhall_routing import rates
 from knapweedhall_routing import routes
@@ -60,6 +61,10 @@
         By service.
     instances : tuple of str
         Names of the live instances, as the coordinator knows them.
+    movements : dict of str to planning.Rules
+        Operators' rules by service, where they differ from the defaults.
+    marked_out : bool
+        Whether operators took this instance out of service.
     key_counts : dict of str to dict of int to int
         Requests by service and bucket since the last report.
     times : dict of str to list of float
@@ -82,7 +87,9 @@
         self.cold_budgets: dict[str, budgets.ColdBudget] = {}
         self.key_counts: dict[str, dict[int, int]] = {}
         self.times: dict[str, list[float]] = {}
+        self.movements: dict[str, planning.Rules] = {}
         self.owners_changed = Signal()
+        self.marked_out = False
         self.stopping = False
         self.rng = random.Random(settings.name)
 
@@ -102,6 +109,10 @@
         )
         return True
 
+    def version(self) -> int:
+        """Return the version of the configuration in force; 0 for none."""
+        return self.configuration.version if self.configuration else 0
+
     def service(self, name: str) -> model.Service:
         """Return a service; one that is not configured has no limits."""
         found = None
@@ -116,6 +127,10 @@
         services = self.configuration.services.values()
         return [one.name for one in services if one.divided]
 
+    def movement(self, service: str) -> planning.Rules:
+        """Return the rules for moving a service's keys."""
+        return self.movements.get(service, planning.Rules())
+
     def owner_table(self, service: str) -> ranges.OwnerTable:
         """Return the table of a service's owners."""
         return self.owners.setdefault(service, ranges.OwnerTable())
@@ -170,7 +185,9 @@
 
     def is_ready(self) -> bool:
         """Return whether callers can be served."""
-        if self.stopping or self.configuration is None or not self.listed:
+        if self.stopping or self.marked_out:
+            return False
+        if self.configuration is None or not self.listed:
             return False
         return all(
             self.owner_table(service).rows
--- a/packages/knapweedhall-router/tests/test_settings.py
+++ b/packages/knapweedhall-router/tests/test_settings.py
@@ -16,6 +16,9 @@
 address = 127.0.0.1
 descriptors = 4100
 memory_mb = 300
+cpu_share = 0.86
+cores = 1
+link_mbps = 1000
 [listen]
 front = 127.0.0.1:8000
 ready = 127.0.0.1:8001
@@ -24,6 +27,7 @@
 [store]
 address = 127.0.0.1:8004
 least_membership_s = 1
+source = platform
 [limits]
 retry_ratio = 0.2
 retry_window_s = 10
@@ -70,3 +74,13 @@
         self.path.write_text('broken')
         running.reload()
         self.assertEqual(3.0, running.state.settings.drain_s)
+
+
+class ExampleTest(unittest.TestCase):
+    """The annotated example in the documentation."""
+
+    def test_example_has_each_setting(self) -> None:
+        """Guards against an example that the program refuses."""
+        root = pathlib.Path(__file__).resolve().parents[3]
+        found = settings.read(root / 'docs' / 'knapweedhall.ini')
+        self.assertIsInstance(found, settings.Settings)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
@@ -24,9 +24,6 @@
 # (3 s) it covers the sites' outages of up to 9 s. Each second more is one
 # more that the keys of a silent upstream wait after a silent coordinator.
 BLIND_RENEWAL_S = 6.0
-# After a move a range stays where it is for this time, as the rates that led
-# to the move need it to settle.
-SETTLE_S = 3.0
 FENCE_BITS = 24
 
 
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/model.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/model.py
@@ -51,7 +51,7 @@
     name, host, prefix : str
         Name, and what selects the route; the prefix ends with a slash.
     idempotent : bool
-        Whether a request may run more than once.
+        Whether each request may run more than once.
     clusters : tuple of Cluster
         Services that the requests go to, in proportion to their weights.
     timeout_s, objective_s : float
@@ -60,6 +60,8 @@
         Upstreams that one request may run on.
     priority : int
         0 is the most urgent.
+    idempotent_methods : tuple of str
+        HTTP methods whose requests may run more than once in any case.
     """
 
     name: str
@@ -71,6 +73,11 @@
     objective_s: float
     max_attempts: int
     priority: int
+    idempotent_methods: tuple[str, ...] = ()
+
+    def may_repeat(self, method: str) -> bool:
+        """Return whether a request with a method may run more than once."""
+        return self.idempotent or method in self.idempotent_methods
 
 
 class Service(typing.NamedTuple):
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/planning.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/planning.py
@@ -13,8 +13,6 @@
 OVERLOAD_FACTOR = 1.3
 # ... and this share of its capacity; below it requests hardly wait.
 OVERLOAD_SHARE = 0.45
-# A move must lower the higher of the two loads by this share of capacity.
-LEAST_GAIN = 0.06
 # Requests per second of a service below which its keys are spread evenly
 # instead of by load.
 IDLE_RATE = 2.0
@@ -23,9 +21,6 @@
 BASE_RATE = 0.0002
 # Ranges per upstream at most; each has to be renewed on its own.
 RANGES_PER_UPSTREAM = 12
-# Share of its upstream's capacity from which a single bucket is placed by
-# speed: no division of ranges can relieve its owner then.
-HOT_BUCKET_SHARE = 0.6
 # An upstream must be faster by this factor to take such a bucket over;
 # service times of one upstream vary by less between two plans.
 HOT_BUCKET_GAIN = 1.3
@@ -42,6 +37,31 @@
     target: str
 
 
+class Rules(typing.NamedTuple):
+    """Operators' rules for moving the keys of a service.
+
+    The defaults were compared on the days of docs/measurements/platform.md.
+
+    Attributes
+    ----------
+    hot_key_share : float
+        Share of its upstream's capacity from which a single bucket is placed
+        by speed: no division of ranges can relieve its owner then.
+    least_gain : float
+        Share of capacity by which a move must lower the higher load.
+    settle_s : float
+        Time for which a moved range stays where it is, seconds; the rates
+        that led to the move need it to settle.
+    most_moves : int
+        Moves that level the load and begin in one plan.
+    """
+
+    hot_key_share: float = 0.6
+    least_gain: float = 0.06
+    settle_s: float = 3.0
+    most_moves: int = 6
+
+
 class View(typing.NamedTuple):
     """What a plan is made from.
 
@@ -51,10 +71,13 @@
         Requests per second of each upstream that may be given keys.
     rates : rates.KeyRates
         Measured load.
+    rules : Rules
+        Rules of the service.
     """
 
     capacity: dict[str, float]
     rates: rates.KeyRates
+    rules: Rules = Rules()
 
 
 def _load(view: View, first: int, last: int) -> float:
@@ -136,7 +159,6 @@
     items: typing.Sequence[holdings.Holding],
     view: View,
     now: float,
-    most: int,
 ) -> list[Move]:
     """Return moves of single hot ranges from the busiest upstreams.
 
@@ -155,7 +177,7 @@
         least = max(least, OVERLOAD_SHARE)
     given_up: set[str] = set()
     moves: list[Move] = []
-    while len(moves) < most:
+    while len(moves) < view.rules.most_moves:
         sources = [name for name in loads if name not in given_up]
         if not sources or len(book.items) > RANGES_PER_UPSTREAM * len(loads):
             break
@@ -201,7 +223,7 @@
     fastest = max(view.capacity, key=lambda name: view.capacity[name])
     if view.capacity[fastest] < HOT_BUCKET_GAIN * view.capacity[source]:
         return None
-    least = HOT_BUCKET_SHARE * view.capacity[source]
+    least = view.rules.hot_key_share * view.capacity[source]
     for one in items:
         if not _may_leave(one, source, now):
             continue
@@ -250,7 +272,7 @@
     gain = loads[source] - after
     if idle or view.rates.total() <= IDLE_RATE:
         return Move(first, last, target) if gain > 0 else None
-    if gain < LEAST_GAIN:
+    if gain < view.rules.least_gain:
         return None
     return Move(first, last, target)
 
