Pass over listings of the past, and pass on what listings change

Cause: the store may list the past for seconds after it deleted its history. Besides, the coordinator passed a listing on as such, which the other instances passed over, so that changes which stand in a listing only would not have reached them.

Ruled out: the feed's delay (the request came 9.6 s after the drain).

Change: a listing that ends before what was read already is passed over, and in any read a record older than the known one of its key; what a listing does not name any more counts as dropped at its end. The coordinator passes on the differences.

--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -84,6 +84,8 @@
 upstream_gone | INFO | upstream | An upstream is certainly gone.
 upstream_unreadable | INFO | upstream reason | An entry can't be read and \
 names no upstream.
+store_stale | INFO | topic end | A listing is older than what was read \
+before, and is passed over.
 """,
     ),
     _Group(
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -190,9 +190,7 @@
             now - self.state.directory.outage_end,
         )
 
-    def pass_on(
-        self, topic: str, records: feed.Records, listing: bool
-    ) -> None:
+    def pass_on(self, topic: str, records: feed.Records) -> None:
         """Send records of the store to all instances."""
         now = clock.now()
         if now - self.state.directory.outage_end < OUTAGE_NEWS_S:
@@ -202,7 +200,7 @@
         self.hub.send(
             messages.Records(
                 topic,
-                listing,
+                False,
                 [(one.offset, one.key, one.value) for one in records],
             )
         )
--- a/packages/knapweedhall-router/src/knapweedhall_router/feed.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/feed.py
@@ -22,7 +22,7 @@
 
 Records = typing.Sequence[outcomes.Record]
 Handler = typing.Callable[[Records, bool], None]
-Relay = typing.Callable[[str, Records, bool], None]
+Relay = typing.Callable[[str, Records], None]
 
 
 class Feed:
@@ -85,40 +85,47 @@
             for one in self.newest[topic].values()
         ]
 
-    def fresh(self, topic: str, records: Records) -> list[outcomes.Record]:
-        """Return the records that are not older than what is known.
+    def is_stale(self, topic: str, end: int) -> bool:
+        """Return whether a listing is behind what was read before."""
+        return end < self.floors.get(topic, 0)
 
-        Records of the coordinator may arrive after a read of one's own that
-        covers later ones.
-        """
+    def fresh(self, topic: str, records: Records) -> list[outcomes.Record]:
+        """Return the records that are not older than what is known."""
         known = self.newest.get(topic, {})
-        floor = self.floors.get(topic, 0)
         return [
             one
             for one in records
-            if one.offset >= floor
-            and (one.key not in known or one.offset >= known[one.key].offset)
+            if one.key not in known or one.offset >= known[one.key].offset
+        ]
+
+    def dropped(
+        self, topic: str, records: Records, end: int
+    ) -> list[outcomes.Record]:
+        """Return the drops of the keys that a listing does not name."""
+        named = {one.key for one in records}
+        return [
+            outcomes.Record(end, key, b'')
+            for key, one in self.newest.get(topic, {}).items()
+            if one.value and key not in named
         ]
 
     def took(self, topic: str, records: Records, listing: bool) -> None:
-        """Keep the newest records of each key."""
+        """Keep the newest record of each key, also of dropped ones."""
+        if listing:
+            self.newest.setdefault(topic, {})
         known = self.newest.get(topic)
-        if known is None and not listing:
-            return
-        if known is None or listing:
-            known = self.newest[topic] = {}
-        for record in records:
-            known[record.key] = record
+        if known is not None:
+            known.update((record.key, record) for record in records)
 
     def was_read(self, topic: str, end: int, now: float) -> None:
         """Take note that this instance read a topic up to an offset."""
         self.read_at[topic] = now
         self.floors[topic] = end
 
-    def pass_on(self, topic: str, records: Records, listing: bool) -> None:
+    def pass_on(self, topic: str, records: Records) -> None:
         """Send changes to the other instances, if this one coordinates."""
-        if self.relay is not None and (records or listing):
-            self.relay(topic, records, listing)
+        if self.relay is not None and records:
+            self.relay(topic, records)
 
     def deliver(
         self,
@@ -130,12 +137,12 @@
         handler = self.handlers.get(topic)
         if handler is None or self.relay is not None:
             return
-        records = [outcomes.Record(*one) for one in found]
-        if not listing:
-            records = self.fresh(topic, records)
-        elif topic not in self.wanted(self.heard_at):
+        if listing and topic not in self.wanted(self.heard_at):
             # The own reads have caught up meanwhile.
             return
+        # Records may arrive after a read of one's own that covers them.
+        floor = 0 if listing else self.floors.get(topic, 0)
+        records = [outcomes.Record(*one) for one in found if one[0] >= floor]
         if records or listing:
             handler(records, listing)
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/followers.py
@@ -112,10 +112,11 @@
         self, records: typing.Sequence[outcomes.Record], listing: bool
     ) -> None:
         """Take over records that the store holds."""
-        changed = self.apply(records, listing)
         feed = self.state.feed
+        records = feed.fresh(self.topic, records)
+        changed = self.apply(records)
         feed.took(self.topic, records, listing)
-        feed.pass_on(self.topic, records if listing else changed, listing)
+        feed.pass_on(self.topic, changed)
 
     async def step(self, wait_ms: int) -> bool:
         """Read once; return whether the store answered."""
@@ -135,14 +136,24 @@
             logs.info('store_history_gone', topic=self.topic)
             self.next_offset = -1
             return True
-        listing = self.next_offset < 0
-        self.next_offset = outcome.end
-        now = clock.now()
-        self.state.store_answered_at = now
-        self.take(outcome.records, listing)
-        self.state.feed.was_read(self.topic, outcome.end, now)
+        self._take_page(outcome)
         return True
 
+    def _take_page(self, page: outcomes.Page) -> None:
+        feed, now = self.state.feed, clock.now()
+        self.state.store_answered_at = now
+        listing = self.next_offset < 0
+        if listing and feed.is_stale(self.topic, page.end):
+            # A store that forgot its history lists the past for seconds.
+            logs.info('store_stale', topic=self.topic, end=page.end)
+            return
+        records = list(page.records)
+        if listing:
+            records += feed.dropped(self.topic, records, page.end)
+        self.next_offset = page.end
+        self.take(records, listing)
+        feed.was_read(self.topic, page.end, now)
+
     async def _read(self, wait_ms: int) -> outcomes.ReadOutcome:
         deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
         if self.next_offset < 0:
@@ -152,12 +163,9 @@
         )
 
     def apply(
-        self, records: typing.Sequence[outcomes.Record], listing: bool
+        self, records: typing.Sequence[outcomes.Record]
     ) -> list[outcomes.Record]:
-        """Take over records and return those that say anything new.
-
-        A listing names each key there is.
-        """
+        """Take over records and return those that say anything new."""
         raise NotImplementedError
 
 
@@ -178,11 +186,11 @@
         return 0.0
 
     def apply(
-        self, records: typing.Sequence[outcomes.Record], listing: bool
+        self, records: typing.Sequence[outcomes.Record]
     ) -> list[outcomes.Record]:
         """Take over the operator's records."""
         directory = self.state.directory
-        evacuated = set() if listing else set(directory.evacuated)
+        evacuated = set(directory.evacuated)
         for record in records:
             if record.key == names.CONFIGURATION_KEY and record.value:
                 self._configure(record)
@@ -234,7 +242,7 @@
         return 0.0
 
     def apply(
-        self, records: typing.Sequence[outcomes.Record], listing: bool
+        self, records: typing.Sequence[outcomes.Record]
     ) -> list[outcomes.Record]:
         """Take over the operators' records."""
         for record in records:
@@ -302,7 +310,7 @@
             self.state.forget(name)
 
     def apply(
-        self, records: typing.Sequence[outcomes.Record], listing: bool
+        self, records: typing.Sequence[outcomes.Record]
     ) -> list[outcomes.Record]:
         """Take over the entries of upstreams."""
         now = clock.now()
@@ -316,8 +324,6 @@
                     changed.append(record)
             elif directory.remove(name, now):
                 changed.append(record)
-        if listing:
-            directory.keep_only(newest, now)
         self.state.listed = True
         return changed
 
--- a/packages/knapweedhall-router/tests/test_feed.py
+++ b/packages/knapweedhall-router/tests/test_feed.py
@@ -44,7 +44,7 @@
 
     def test_coordinator_reads_by_itself(self) -> None:
         """Guards against a coordinator that relies on its own heartbeat."""
-        self.feed.relay = lambda topic, records, listing: None
+        self.feed.relay = lambda topic, records: None
         self.feed.told({TOPIC: 0.0}, 100.0)
         self.assertLess(self.feed.fed_until(TOPIC), 100.0)
         self.feed.deliver(TOPIC, [(5, 'c', b'3')], False)
@@ -57,8 +57,10 @@
             [(3, 'a', b''), (0, 'b', b'2'), (0, 'c', b'3')],
             self.feed.listing(TOPIC),
         )
-        self.feed.took(TOPIC, [record('d', b'4')], True)
-        self.assertEqual([(0, 'd', b'4')], self.feed.listing(TOPIC))
+        listing = [record('b', b'2')]
+        self.assertEqual(
+            [record('c', b'', 9)], self.feed.dropped(TOPIC, listing, 9)
+        )
 
     def test_older_records_change_nothing(self) -> None:
         """Guards against a record that was overtaken by an own read."""
@@ -83,9 +85,8 @@
 
     def test_passes_changes_on(self) -> None:
         """Guards against messages without content."""
-        sent: list[bool] = []
-        self.feed.relay = lambda topic, records, listing: sent.append(listing)
-        self.feed.pass_on(TOPIC, [], False)
-        self.feed.pass_on(TOPIC, [record('a', b'1')], False)
-        self.feed.pass_on(TOPIC, [], True)
-        self.assertEqual([False, True], sent)
+        sent: list[int] = []
+        self.feed.relay = lambda topic, records: sent.append(len(records))
+        self.feed.pass_on(TOPIC, [])
+        self.feed.pass_on(TOPIC, [record('a', b'1')])
+        self.assertEqual([1], sent)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/directory.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/directory.py
@@ -85,11 +85,6 @@
         self.expire(now)
         return True
 
-    def keep_only(self, names: typing.Collection[str], now: float) -> None:
-        """Remove all entries that a full listing does not name."""
-        for name in set(self.entries) - set(names):
-            self.remove(name, now)
-
     def expire(self, now: float) -> list[str]:
         """Drop entries whose absence is certain; return their names."""
         gone = [
