--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -34,6 +34,11 @@
 # without an answer (3.5 s), after renewals without the store (6 s), and the
 # takeover itself.
 RECOVER_S = 15.0
+# The soak's own ticks, and how late one comes if the machine itself stood
+# still: seeds 4 and 29 met 9.6 s in which no process of either run did
+# anything, which callers saw as requests without an answer.
+TICK_S = 0.1
+STANDSTILL_S = 0.8
 # A request whose instance is harmed so long before or after is not judged as
 # cut: the harm reaches it late.
 NEAR_S = 0.3
@@ -89,14 +94,15 @@
     async def _harm_and_judge(self) -> list[judge.Violation]:
         stop = asyncio.Event()
         traffic = asyncio.create_task(self.stage.callers.run(RATE, stop))
-        watch = asyncio.create_task(self._restart())
+        watch = asyncio.gather(self._restart(), self._watch_machine())
         series = faults.series(self.rng, self.plan.faults, self.plan.length_s)
         await self._play(series)
         missing = await self.stage.until_served(RECOVER_S)
         stop.set()
         await traffic
         watch.cancel()
-        await asyncio.gather(watch, return_exceptions=True)
+        with contextlib.suppress(asyncio.CancelledError):
+            await watch
         told = self.stage.callers.told
         evidence = judge.read(self.folder, self.running.upstreams)
         broken = judge.judge(told, evidence)
@@ -217,6 +223,17 @@
                     self.started[name].append(now)
                     node.child.start()
 
+    async def _watch_machine(self) -> None:
+        """Take note of times in which the whole machine stood still."""
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(TICK_S)
+            now = time.monotonic()
+            if now - before > STANDSTILL_S:
+                self._log(f'standstill of {now - before:.1f} s')
+                for name in self.running.routers:
+                    self.harmed[name].append((before, now))
+
     def _cut(
         self, told: typing.Sequence[callers.Told], found: judge.Evidence
     ) -> list[judge.Violation]:
