Divide the coordinator and the tests of whole routers

Change: what moves a range is a module of its own (moves.py); the tests are divided by what they are about, with their common base beside them. No behaviour and no check is changed; the tests are the same, moved.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import typing
 
 from knapweedhall_adapter import orders as order_client
-from knapweedhall_adapter import outcomes
 from knapweedhall_adapter import store
 from knapweedhall_router import clock
 from knapweedhall_router import feed
@@ -14,11 +14,11 @@
 from knapweedhall_router import ledger as ledger_module
 from knapweedhall_router import logs
 from knapweedhall_router import messages
+from knapweedhall_router import moves
 from knapweedhall_router import orders
 from knapweedhall_router import state as state_module
 from knapweedhall_router import takeover
 from knapweedhall_routing import holdings
-from knapweedhall_routing import model
 from knapweedhall_routing import planning
 from knapweedhall_routing import quorum
 from knapweedhall_routing import rates
@@ -37,8 +37,6 @@
 # Time after an outage for which it is told with each record: longer than the
 # memory of outages in `directory`.
 OUTAGE_NEWS_S = 5.0
-# Pause before a release without an answer is tried again.
-RELEASE_RETRY_S = 0.5
 
 
 class Service:
@@ -89,7 +87,7 @@
         self.times = rates.ServiceTimes()
         self.hub = hub_module.Hub(self.greeting, self.report, self.heartbeat)
         self.tasks: set[asyncio.Task[None]] = set()
-        self.release_after: dict[str, float] = {}
+        self.mover = self._new_mover()
 
     def is_blind(self) -> bool:
         """Return whether another coordinator may have taken over."""
@@ -129,11 +127,15 @@
                 task.cancel()
             logs.info('tenure_ended', epoch=self.ledger.epoch)
 
+    def _new_mover(self) -> moves.Mover:
+        return moves.Mover(self.ledger, self.orders, self.state, self.is_blind)
+
     async def _take_over(self) -> None:
         found = await self.ledger.begin()
         self.orders = orders.Orders(
             self.order_client, holdings.Fences(self.ledger.epoch)
         )
+        self.mover = self._new_mover()
         now = clock.now()
         for name, rows in found.items():
             self.services[name] = Service(name)
@@ -349,12 +351,12 @@
             if not one.moving
             and not one.in_flight
             and self._is_orphan(one, now)
-            and self.release_after.get(one.upstream, 0.0) <= now
+            and self.mover.may_release(one.upstream, now)
         ]
-        moves = planning.place_orphans(items, view, orphans)
-        if not moves:
-            moves = planning.level(items, view, now)
-        for move in moves:
+        planned = planning.place_orphans(items, view, orphans)
+        if not planned:
+            planned = planning.level(items, view, now)
+        for move in planned:
             self._begin(service, move, now)
 
     def _is_orphan(self, one: holdings.Holding, now: float) -> bool:
@@ -403,65 +405,5 @@
             return
         one.moving, one.target = True, target.name
         self._announce(service, [one])
-        self._start(self._move(service, one, target))
-
-    async def _move(
-        self,
-        service: Service,
-        one: holdings.Holding,
-        target: model.Upstream,
-    ) -> None:
-        source = one.upstream
-        handover = ''
-        keys = model.KeyRange(one.first, one.last)
-        if not await self.orders.prove(target, keys):
-            one.moving, one.target = False, ''
-            self._announce(service, [one])
-            return
-        if not one.is_free(clock.now()):
-            released = await self.orders.release(one)
-            if isinstance(released, outcomes.NoAnswer):
-                self._keep(one)
-                self.release_after[source] = clock.now() + RELEASE_RETRY_S
-                return
-            handover = released.handover
-            # Grants that were never answered may still be carried out.
-            pause = one.unanswered_until - clock.now()
-            if pause > 0:
-                await asyncio.sleep(pause)
-        if self.is_blind():
-            self._keep(one)
-            return
-        one.upstream, one.address = target.name, target.address
-        one.born_ms = target.born_ms
-        one.confirmed = one.inherited = False
-        one.handover = handover
-        one.fence = self.orders.fences.next()
-        one.held_until = one.unanswered_until = 0.0
-        rules = self.state.movement(service.ranges.service)
-        one.settled_at = clock.now() + rules.settle_s
-        await self.ledger.write(service.ranges)
-        if self.is_blind():
-            self._keep(one)
-            return
-        accepted = await self.orders.grant(service.ranges, one)
-        one.moving, one.target = False, ''
-        if accepted:
-            self._announce(service, [one])
-        logs.info(
-            'keys_moved',
-            service=service.ranges.service,
-            first=one.first,
-            last=one.last,
-            source=source,
-            target=target.name,
-            fence=one.fence,
-            accepted=accepted,
-        )
-
-    def _keep(self, one: holdings.Holding) -> None:
-        """Leave a range to its holder, which may or may not hold it."""
-        one.moving, one.target = False, ''
-        one.confirmed = one.inherited = False
-        one.fence = 0
-        one.renew_at = 0.0
+        announce = functools.partial(self._announce, service)
+        self._start(self.mover.move(service.ranges, one, target, announce))
--- a/packages/knapweedhall-router/tests/test_fleet.py
+++ b/packages/knapweedhall-router/tests/test_fleet.py
@@ -1,74 +1,22 @@
-"""Tests of whole routers against stand-ins of the platform."""
+"""Tests of requests through whole routers and stand-ins."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import time
-import unittest
 
-import aiohttp
 from aiohttp import web
 
-from knapweedhall_router import application
 from knapweedhall_standins import backend
 from tests import fleet
+from tests import fleet_case
 
 FORWARD_S = 2.5
 # A key is served again within this time of a loss (users' target).
 SERVED_AGAIN_S = 2.0
 
 
-class FleetTest(unittest.IsolatedAsyncioTestCase):
-    """Base of the tests."""
-
-    routers = 2
-
-    async def asyncSetUp(self) -> None:
-        """Start a fleet."""
-        self.fleet = fleet.Fleet()
-        self.addAsyncCleanup(self.fleet.stop)
-        await self.fleet.start(self.routers)
-
-    def statuses(self, replies: list[fleet.Reply]) -> dict[int, int]:
-        """Return how often each status came."""
-        found: dict[int, int] = {}
-        for reply in replies:
-            found[reply.status] = found.get(reply.status, 0) + 1
-        return found
-
-    def leader(self) -> application.Application:
-        """Return the router that coordinates."""
-        holder = self.fleet.store.groups['knapweedhall'].holder
-        return next(
-            one
-            for one in self.fleet.routers
-            if holder.startswith(f'{one.settings.name}@')
-        )
-
-    def assert_one_owner(self) -> None:
-        """Check that no key has two holders."""
-        for key in range(0, 65536, 64):
-            holders = [one for one in self.fleet.backends if one.holds(key)]
-            self.assertLessEqual(len(holders), 1, key)
-
-    def has_recorded(self, routers: list[application.Application]) -> bool:
-        """Return whether the store names the instances of the fleet."""
-        newest = self.fleet.store.partition('keyed.knapweedhall').newest
-        record = newest.get('tenure')
-        if record is None:
-            return False
-        named = json.loads(record.value)['fleet']
-        return named == sorted(one.settings.name for one in routers)
-
-    def is_spread(self, without: int) -> bool:
-        """Return whether the first upstreams own nothing."""
-        gone = {one.name for one in self.fleet.backends[:without]}
-        table = self.fleet.routers[0].state.owner_table('views')
-        return not gone & {row.upstream for row in table.rows}
-
-
-class ServingTest(FleetTest):
+class ServingTest(fleet_case.FleetTest):
     """A quiet fleet."""
 
     async def test_requests_of_all_kinds(self) -> None:
@@ -130,7 +78,7 @@
         self.assertEqual({200}, set(self.statuses(replies)))
 
 
-class AnswerTest(FleetTest):
+class AnswerTest(fleet_case.FleetTest):
     """Answers of upstreams that are late, extra or broken."""
 
     routers = 1
@@ -200,7 +148,7 @@
         self.assertEqual((200, b'POST /order/1 2'), reply[:2])
 
 
-class RepeatTest(FleetTest):
+class RepeatTest(fleet_case.FleetTest):
     """Requests for keys whose owner does not answer them at once."""
 
     routers = 1
@@ -261,257 +209,7 @@
         self.assertEqual(2, len(owner.runs))
 
 
-class OwnershipTest(FleetTest):
-    """Keys whose owner changes."""
-
-    routers = 3
-
-    async def test_upstream_leaves_and_another_joins(self) -> None:
-        """Guards against requests that are lost while keys move."""
-        leaving = self.fleet.backends[0]
-        traffic = asyncio.create_task(self.fleet.ask_all(FORWARD_S))
-        await asyncio.sleep(0.3)
-        leaving.drain()
-        await self.fleet.add_backend('views', True)
-        replies = await traffic
-        self.assertEqual({200}, set(self.statuses(replies)))
-        self.assertFalse(any(leaving.holds(key) for key in range(0, 65536, 9)))
-        last = max((run.at for run in leaving.runs), default=0.0)
-        self.assertLess(last, time.monotonic() - 0.2)
-        self.assert_one_owner()
-
-    async def test_crashed_upstream(self) -> None:
-        """Guards against keys that stay without an owner."""
-        await self.fleet.backends[0].crash()
-        # The last grant (2.96 s after its sending), at most 0.5 s old, and a
-        # plan; grants that could not connect do not count.
-        await self.fleet.until(lambda: self.is_spread(1), 4.2)
-        await self.fleet.until(self.fleet.is_serving, 1.0)
-        replies = await self.fleet.ask_all(0.5)
-        self.assertEqual({200}, set(self.statuses(replies)))
-
-    async def test_lost_coordinator(self) -> None:
-        """Guards against grants that end before the next coordinator."""
-        await self.fleet.kill(self.leader())
-        replies = await self.fleet.ask_all(4.0)
-        self.assertEqual({200}, set(self.statuses(replies)))
-        self.assert_one_owner()
-
-    async def test_coordinator_and_upstream_end_together(self) -> None:
-        """Guards against keys that wait for a coordinator that has ended.
-
-        The process that is started again at the former coordinator's
-        address answers that its tenure is over.
-        """
-        leader = self.leader()
-        await self.fleet.kill(leader)
-        await self.fleet.backends[0].crash()
-        self.fleet.start_router(leader.settings)
-        begun = time.monotonic()
-        await asyncio.sleep(2.0)
-        await self.fleet.until(
-            lambda: self.fleet.is_serving() and self.is_spread(1), 9.0
-        )
-        self.assertLess(time.monotonic() - begun, 7.5)
-        self.assert_one_owner()
-
-    async def test_all_instances_end_at_once(self) -> None:
-        """Guards against instances that are never told who owns the keys.
-
-        The store still names the former coordinator, so that all connect to
-        it before it has read the assignment. Without a move nothing else was
-        sent to them (first site, scale-1: no key was served after the end of
-        all processes).
-        """
-        found = self.fleet
-        restarted = [router.settings for router in found.routers]
-        for router in list(found.routers):
-            await found.kill(router)
-        found.store.faults.delays['/log-newest'] = 0.2
-        for settings in restarted:
-            found.start_router(settings)
-        await found.until(found.is_serving, 4.0)
-        replies = await found.ask_all(0.5)
-        self.assertEqual({200}, set(self.statuses(replies)))
-        self.assert_one_owner()
-
-    async def test_coordinator_is_turned_away(self) -> None:
-        """Guards against a coordinator that goes on beside the next one.
-
-        The store turns away the coordinator alone, which reaches everything
-        else. It is to be replaced without a gap, and sends no grants once
-        another one has taken over.
-        """
-        found = self.fleet
-        await found.until(lambda: self.has_recorded(found.routers), 3.0)
-        former = self.leader()
-        found.store.faults.refused = [former.settings.address]
-        replies = await found.ask_all(4.0)
-        self.assertEqual({200}, set(self.statuses(replies)))
-        self.assertIsNot(former, self.leader())
-        self.assert_one_owner()
-
-    async def test_store_is_down(self) -> None:
-        """Guards against an outage of the store that becomes ours."""
-        self.fleet.store.faults.down = True
-        replies = await self.fleet.ask_all(5.0)
-        self.fleet.store.faults.down = False
-        self.assertEqual({200}, set(self.statuses(replies)))
-        self.assert_one_owner()
-
-    async def test_coordinator_stops_while_the_store_is_down(self) -> None:
-        """Guards against keys that lapse as nobody can take over.
-
-        The store is down for longer than a grant lasts, and the coordinator
-        is told to stop meanwhile.
-        """
-        self.fleet.store.faults.down = True
-        await asyncio.sleep(0.5)
-        leader = self.leader()
-        leader.stop.set()
-        self.fleet.routers.remove(leader)
-        replies = await self.fleet.ask_all(5.5)
-        self.fleet.store.faults.down = False
-        self.assertEqual({200}, set(self.statuses(replies)))
-        self.assert_one_owner()
-
-    async def test_lost_answer_of_the_store(self) -> None:
-        """Guards against a coordinator that deposes itself."""
-        self.fleet.store.faults.lose_answers = 2
-        self.fleet.backends[0].drain()
-        replies = await self.fleet.ask_all(FORWARD_S + SERVED_AGAIN_S)
-        refused = [one for one in replies if one.status != 200]
-        # Until the store says whether the assignment stands nobody may be
-        # given the keys, so a request for them is refused and may return.
-        for one in refused:
-            self.assertEqual(503, one.status)
-            self.assertTrue(one.retry_after)
-        if refused:
-            span = refused[-1].asked_at - refused[0].asked_at
-            self.assertLess(span, SERVED_AGAIN_S)
-        self.assertLess(len(refused), len(replies) / 3)
-        self.assertEqual(200, replies[-1].status)
-        self.assertTrue(self.is_spread(1))
-        self.assert_one_owner()
-
-    async def test_store_forgets_its_history(self) -> None:
-        """Guards against a follower that stays behind for ever."""
-        for partition in self.fleet.store.partitions.values():
-            partition.forget()
-        self.fleet.backends[0].drain()
-        self.fleet.configure([self.fleet.route('n', '/n/', 'safe', 'orders')])
-        await asyncio.sleep(5.0)
-        reply = await self.fleet.ask(self.fleet.routers[0], '/n/')
-        self.assertEqual(200, reply.status)
-
-
-class TakeoverTest(FleetTest):
-    """Coordinators that never return."""
-
-    routers = 5
-
-    async def test_upstream_is_lost_with_the_coordinator(self) -> None:
-        """Guards against keys that wait for a coordinator that is gone.
-
-        Four of five instances are connected to the next one, so the former
-        one can't renew grants; without that the wait is 9.5 s.
-        """
-        found = self.fleet
-        await found.until(lambda: self.has_recorded(found.routers), 3.0)
-        await found.kill(self.leader())
-        await found.backends[0].crash()
-        begun = time.monotonic()
-        await found.until(lambda: self.is_spread(1), 9.0)
-        await found.until(found.is_serving, 1.0)
-        self.assertLess(time.monotonic() - begun, 7.5)
-        self.assert_one_owner()
-
-
-class WeakTest(unittest.IsolatedAsyncioTestCase):
-    """Instances with a small link."""
-
-    async def test_weak_instance_coordinates_only_alone(self) -> None:
-        """Guards against a coordinator whose link is full for seconds."""
-        found = fleet.Fleet()
-        self.addAsyncCleanup(found.stop)
-        await found.store.start()
-        found.session = aiohttp.ClientSession()
-        await found.add_backend('views', True)
-        await found.add_backend('orders', False)
-        found.configure()
-        weak = found.start_router(found.new_settings()._replace(link_mbps=5.0))
-        await asyncio.sleep(1.0)
-        strong = found.add_router()
-        await found.until(found.is_serving)
-        holder = found.store.groups['knapweedhall'].holder
-        self.assertTrue(holder.startswith(f'{strong.settings.name}@'))
-        await found.kill(strong)
-        await found.until(
-            lambda: found.store.groups['knapweedhall'].holder.startswith(
-                f'{weak.settings.name}@'
-            ),
-            8.0,
-        )
-
-
-class FeedTest(FleetTest):
-    """Records that the coordinator reads for all."""
-
-    routers = 5
-
-    async def test_one_instance_reads(self) -> None:
-        """Guards against calls of the store that grow with the fleet.
-
-        The coordinator reads two topics 2.5 times a second; five instances
-        that read by themselves made 10 reads a second.
-        """
-        await asyncio.sleep(1.0)
-        before = self.fleet.store.calls['/log-read']
-        await asyncio.sleep(2.0)
-        reads = self.fleet.store.calls['/log-read'] - before
-        self.assertLessEqual(reads, 12)
-
-    async def test_changes_reach_all_instances(self) -> None:
-        """Guards against an instance that is left with an old list."""
-        await asyncio.sleep(1.0)
-        added = await self.fleet.add_backend('orders', False)
-        gone = self.fleet.backends[-2]
-        self.fleet.store.put('keyed.servers', gone.name, None)
-        self.fleet.configure([self.fleet.route('n', '/n/', 'safe', 'orders')])
-
-        def know(router: application.Application) -> bool:
-            known = router.state.directory.entries
-            configuration = router.state.configuration
-            assert configuration is not None
-            return (
-                added.name in known
-                and gone.name not in known
-                and configuration.version == self.fleet.version
-            )
-
-        await self.fleet.until(
-            lambda: all(know(router) for router in self.fleet.routers), 1.0
-        )
-
-    async def test_lost_coordinator_hides_no_drain(self) -> None:
-        """Guards against an instance that relies on a silent coordinator.
-
-        An upstream gets nothing later than 2 s after it announced that it
-        leaves, also if the coordinator ends at the same moment.
-        """
-        await asyncio.sleep(1.0)
-        leaving = self.fleet.backends[-1]
-        await self.fleet.kill(self.leader())
-        leaving.drain()
-        left_at = time.monotonic()
-        while time.monotonic() < left_at + 3.0:
-            for router in self.fleet.routers:
-                await self.fleet.ask(router, '/order/1', body=b'{}')
-        late = [run for run in leaving.runs if run.at > left_at + 2.0]
-        self.assertEqual([], late)
-
-
-class ShutdownTest(FleetTest):
+class ShutdownTest(fleet_case.FleetTest):
     """Planned stops."""
 
     async def test_no_request_is_cut(self) -> None:
