--- a/packages/knapweedhall-router/tests/fleet_case.py
+++ b/packages/knapweedhall-router/tests/fleet_case.py
@@ -5,14 +5,9 @@
 import json
 import unittest
 
-
 from knapweedhall_router import application
 from tests import fleet
 
-FORWARD_S = 2.5
-# A key is served again within this time of a loss (users' target).
-SERVED_AGAIN_S = 2.0
-
 
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Base of the tests."""
--- a/packages/knapweedhall-router/tests/test_fleet.py
+++ b/packages/knapweedhall-router/tests/test_fleet.py
@@ -11,10 +11,6 @@
 from tests import fleet
 from tests import fleet_case
 
-FORWARD_S = 2.5
-# A key is served again within this time of a loss (users' target).
-SERVED_AGAIN_S = 2.0
-
 
 class ServingTest(fleet_case.FleetTest):
     """A quiet fleet."""
--- a/packages/knapweedhall-router/tests/test_fleet_store.py
+++ b/packages/knapweedhall-router/tests/test_fleet_store.py
@@ -12,10 +12,6 @@
 from tests import fleet
 from tests import fleet_case
 
-FORWARD_S = 2.5
-# A key is served again within this time of a loss (users' target).
-SERVED_AGAIN_S = 2.0
-
 
 class WeakTest(unittest.IsolatedAsyncioTestCase):
     """Instances with a small link."""
