Pause after a listing of the past

Cause: found by reading the last change: a listing that is passed over is asked for again at once by the follower of the configuration, whose reads usually wait at the store; that is hundreds of calls a second for as long as the store is behind. Change: a pause of 0.25 s. Measured: test_pause_after_a_listing_of_the_past, which fails without it.

--- a/packages/knapweedhall-router/src/knapweedhall_router/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/followers.py
@@ -54,6 +54,8 @@
         Where to read from; -1 to list the topic.
     failing : bool
         Whether the last call failed.
+    stale : bool
+        Whether the last listing was behind what was read before.
     """
 
     topic = ''
@@ -65,6 +67,7 @@
         self.state = state
         self.next_offset = -1
         self.failing = False
+        self.stale = False
         state.feed.handlers[self.topic] = self.take
 
     async def run(self) -> None:
@@ -76,10 +79,13 @@
                 self._rely()
                 await asyncio.sleep(min(fed_s, FED_CHECK_S))
                 continue
-            if await self.step(self.wait_ms(now)):
-                pause = self.pause_s() - (clock.now() - now)
-            else:
+            if not await self.step(self.wait_ms(now)):
                 pause = self._retry_s(now)
+            elif self.stale:
+                # A waiting read would not wait.
+                pause = RETRY_S
+            else:
+                pause = self.pause_s() - (clock.now() - now)
             self.housekeeping()
             await asyncio.sleep(max(0.0, pause))
 
@@ -143,7 +149,8 @@
         feed, now = self.state.feed, clock.now()
         self.state.store_answered_at = now
         listing = self.next_offset < 0
-        if listing and feed.is_stale(self.topic, page.end):
+        self.stale = listing and feed.is_stale(self.topic, page.end)
+        if self.stale:
             # A store that forgot its history lists the past for seconds.
             logs.info('store_stale', topic=self.topic, end=page.end)
             return
--- a/packages/knapweedhall-router/tests/test_followers.py
+++ b/packages/knapweedhall-router/tests/test_followers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import typing
 import unittest
@@ -78,6 +79,19 @@
         await self.step(outcomes.Page(12, (entry('ready', 3),)))
         self.assertTrue(self.is_draining())
 
+    async def test_pause_after_a_listing_of_the_past(self) -> None:
+        """Guards against hundreds of calls a second until it catches up."""
+        follower = followers.OperatorFollower(
+            typing.cast(typing.Any, self.client), self.state
+        )
+        past = outcomes.Page(6, ())
+        self.client.outcomes = [outcomes.Page(9, ()), outcomes.Expired()]
+        self.client.outcomes += [past] * 100
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.6)
+        task.cancel()
+        self.assertGreater(len(self.client.outcomes), 95)
+
     async def test_changes_of_a_listing_are_passed_on(self) -> None:
         """Guards against instances that rely on a feed with a gap.
 
