Renew without a gap when the store is down for all

Cause: a coordinator that lost the store did not renew until the instances' last answered call was 1.6 s old. They call the store once a second, and a waiting read that was answered late counted as a call at that moment: 1.9 s without renewals (logged in a fleet of three: blind at 1.0, renewing again at 2.75 s of an outage). A stop of the coordinator begins the gap earlier, and grants of 2.5 s ended: test_coordinator_stops_while_the_store_is_down failed each time since the holds are shorter.

Ruled out: load (it fails alone as well); longer grants, which would hide it.

Change: instances learn from the heartbeat that the coordinator is blind and call the store at once and each 0.25 s; an answered call counts from its sending; 0.7 s without one is an outage. A stopping coordinator that can't give its tenure back stays and renews until the store answers, at most 0.85 of the grace time.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -30,6 +30,8 @@
 # Part of the grace time after which the process ends in any case.
 GRACE_SHARE = 0.85
 POLL_S = 0.05
+# Pause between attempts to give the tenure back while the store is down.
+LEAVE_RETRY_S = 0.3
 # Turns of the event loop from the last byte of a request to its handler.
 SETTLE_S = 0.03
 # After the listener is closed requests may still arrive on connections that
@@ -118,9 +120,14 @@
         stop_at = clock.now() + self.settings.grace_s * GRACE_SHARE
         joining.cancel()
         await asyncio.gather(joining, return_exceptions=True)
-        if not await member.leave():
+        left = await member.leave()
+        if not left:
             logs.warning('tenure_kept', reason='the store does not answer')
         await self._drain(servers[0], callers, stop_at)
+        while member.coordinator and not left and clock.now() < stop_at:
+            # Nobody can take over yet, and this instance renews the grants.
+            await asyncio.sleep(LEAVE_RETRY_S)
+            left = await member.leave()
 
     def reload(self) -> None:
         """Read the settings again; keep the old ones if they have faults."""
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -51,6 +51,10 @@
     ----------
     connected : bool
         Whether a coordinator is heard.
+    blind : bool
+        Whether it can't reach the store.
+    alarm : state.Signal
+        Wakes the membership when the coordinator is lost or turns blind.
     """
 
     def __init__(
@@ -59,7 +63,7 @@
         self.client = client
         self.state = state
         self.connected = False
-        self.lost = state_module.Signal()
+        self.alarm = state_module.Signal()
         self.heard_at = 0.0
         self.blind = False
         self.heartbeat = -1
@@ -90,7 +94,7 @@
                     reason=type(error).__name__,
                 )
             self.connected = False
-            self.lost.notify()
+            self.alarm.notify()
             lasted_s = clock.now() - followed_at
             self.pause_s = min(2 * self.pause_s, MAX_PAUSE_S)
             if lasted_s > STEADY_S:
@@ -178,6 +182,8 @@
     def _take_heartbeat(self, message: messages.Fleet) -> None:
         now = clock.now()
         self.connected = True
+        if message.blind and not self.blind:
+            self.alarm.notify()
         self.blind = message.blind
         self.heartbeat = message.number
         self.state.feed.told(message.ages, now)
--- a/packages/knapweedhall-router/src/knapweedhall_router/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/followers.py
@@ -126,6 +126,7 @@
 
     async def step(self, wait_ms: int) -> bool:
         """Read once; return whether the store answered."""
+        begun = clock.now()
         outcome = await self._read(wait_ms)
         if isinstance(outcome, outcomes.Unavailable):
             if not self.failing:
@@ -138,6 +139,8 @@
         if self.failing:
             logs.info('store_regained', topic=self.topic)
         self.failing = False
+        state = self.state
+        state.store_answered_at = max(state.store_answered_at, begun)
         if isinstance(outcome, outcomes.Expired):
             logs.info('store_history_gone', topic=self.topic)
             self.next_offset = -1
@@ -147,7 +150,6 @@
 
     def _take_page(self, page: outcomes.Page) -> None:
         feed, now = self.state.feed, clock.now()
-        self.state.store_answered_at = now
         listing = self.next_offset < 0
         self.stale = listing and feed.is_stale(self.topic, page.end)
         if self.stale:
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -86,14 +86,17 @@
             if self._is_candidate(sent):
                 await self._join(sent)
             else:
-                await self._watch()
-            # A lost coordinator may have handed over its place.
-            await self.link.lost.wait(sent + self._period() - clock.now())
+                await self._watch(sent)
+            # A lost coordinator may have handed over its place; a blind one
+            # asks whether the store is down for others too.
+            await self.link.alarm.wait(sent + self._period() - clock.now())
 
     def _period(self) -> float:
         if self.coordinator is not None:
             return COORDINATOR_JOIN_S
-        return CANDIDATE_JOIN_S if self.link.connected else ORPHAN_JOIN_S
+        if self.link.connected and not self.link.blind:
+            return CANDIDATE_JOIN_S
+        return ORPHAN_JOIN_S
 
     def _is_candidate(self, now: float) -> bool:
         """Return whether this instance may coordinate."""
@@ -103,7 +106,7 @@
             return True
         return now - self.orphaned_at > WEAK_WAIT_S
 
-    async def _watch(self) -> None:
+    async def _watch(self, sent: float) -> None:
         """Ask the store for a sign of life."""
         deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
         outcome = await self.client.join(
@@ -115,7 +118,7 @@
             deadline,
         )
         if not isinstance(outcome, outcomes.Unavailable):
-            self.state.store_answered_at = clock.now()
+            self.state.store_answered_at = sent
 
     async def _join(self, sent: float) -> None:
         timeout_s = self.candidate_timeout_s
@@ -135,7 +138,7 @@
             if self.coordinator and self.coordinator.is_over():
                 await self._stop()
             return
-        self.state.store_answered_at = clock.now()
+        self.state.store_answered_at = sent
         self.generation = outcome.generation
         if not outcome.held:
             await self._stop()
--- a/packages/knapweedhall-router/src/knapweedhall_router/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/messages.py
@@ -89,7 +89,7 @@
     heartbeat : int
         Number of the last heartbeat that came before; -1 before the first.
     store_age_s : float
-        Time since the store last answered the instance.
+        Time since the instance sent the last call that the store answered.
     version : int
         Version of the configuration that is in force there.
     """
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -54,7 +54,7 @@
     listed : bool
         Whether the list of upstreams was read once.
     store_answered_at : float
-        When the store last answered a call of this instance, seconds.
+        When the last call was sent that the store answered, seconds.
     feed : feed.Feed
         Records of the store, and who reads them.
     owners : dict of str to ranges.OwnerTable
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/quorum.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/quorum.py
@@ -13,9 +13,10 @@
 # Age up to which a report shows that an instance is still connected; reports
 # and heartbeats come each 0.3 s.
 EVIDENCE_S = 1.0
-# Time without an answer of the store after which an instance takes part in
-# an outage; instances call it each second, and its slow answers take 0.3 s.
-STORE_SILENCE_S = 1.6
+# Time since the last call of the store that was answered after which an
+# instance takes part in an outage. While the coordinator is blind instances
+# call it each 0.25 s, and its slow answers take 0.3 s.
+STORE_SILENCE_S = 0.7
 
 
 class Report(typing.NamedTuple):
@@ -27,7 +28,8 @@
         When the heartbeat was sent that the report answers, seconds of the
         coordinator's clock. A report that a partition held back is old by it.
     store_age_s : float
-        Time since the store last answered the instance, seconds.
+        Time since the instance sent the last call that the store answered,
+        seconds.
     """
 
     as_of: float
