Call the stand-in store from an address of its own in tests

Cause: test_configuration_without_a_wake_up failed once in its set-up: of two routers only one logged that it started, and the fleet waited 8 s for the other, whose error nobody saw. Since the store tells instances apart, their calls leave from the address of their listeners, and an outgoing connection may take the port that was chosen for a listener; the log shows the missing start, not the error itself. Change: calls leave from another loopback address, and a router that ended by an error fails the test with that error at once. No check is loosened.

--- a/packages/knapweedhall-router/tests/fleet.py
+++ b/packages/knapweedhall-router/tests/fleet.py
@@ -59,6 +59,11 @@
         return [int(probe.getsockname()[1]) for probe in probes]
 
 
+def source_address(chosen: settings.Settings) -> str:
+    """Return the address that a router calls the store from."""
+    return chosen.address.replace('127.0.', '127.1.', 1)
+
+
 class Fleet:
     """Starts and stops the parts of a deployment."""
 
@@ -183,9 +188,10 @@
         )
 
     async def _serve(self, router: application.Application) -> None:
-        # The store tells instances apart by their addresses.
+        # The store tells instances apart by their addresses. A connection
+        # from the router's own one may take the port of a listener.
         connector = aiohttp.TCPConnector(
-            local_addr=(router.settings.address, 0)
+            local_addr=(source_address(router.settings), 0)
         )
         timeout = aiohttp.ClientTimeout(total=None)
         async with aiohttp.ClientSession(
@@ -225,6 +231,10 @@
         """
         async with asyncio.timeout(seconds):
             while not condition():
+                for task in self.tasks.values():
+                    if task.done() and not task.cancelled():
+                        # A router that ended by an error never serves.
+                        task.result()
                 await asyncio.sleep(0.02)
 
     async def ask(
--- a/packages/knapweedhall-router/tests/test_fleet_keys.py
+++ b/packages/knapweedhall-router/tests/test_fleet_keys.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from tests import fleet
 from tests import fleet_case
 
 FORWARD_S = 2.5
@@ -96,7 +97,7 @@
         found = self.fleet
         await found.until(lambda: self.has_recorded(found.routers), 3.0)
         former = self.leader()
-        found.store.faults.refused = [former.settings.address]
+        found.store.faults.refused = [fleet.source_address(former.settings)]
         replies = await found.ask_all(4.0)
         self.assertEqual({200}, set(self.statuses(replies)))
         self.assertIsNot(former, self.leader())
