--- a/packages/knapweedhall-bench/src/knapweedhall_bench/sabotage.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/sabotage.py
@@ -4,7 +4,9 @@
 
 import sys
 
-from knapweedhall_router import dispatch
+from aiohttp import web
+
+from knapweedhall_router import front
 from knapweedhall_router import main
 from knapweedhall_router import orders
 from knapweedhall_router import state
@@ -32,9 +34,19 @@
 
 def without_not_run_rule() -> None:
     """Say of each failed request that it has not run."""
-    dispatch.Failure.__post_init__ = (  # type: ignore[attr-defined]
-        lambda self: object.__setattr__(self, 'status', 503)
-    )
+    ordinary = front.Front._refuse
+
+    def refuse(
+        self: front.Front,
+        request: web.BaseRequest,
+        status: int,
+        reason: str,
+        retry_after_s: float | None,
+    ) -> web.Response:
+        told = 503 if status in (502, 504) else status
+        return ordinary(self, request, told, reason, retry_after_s)
+
+    front.Front._refuse = refuse  # type: ignore[method-assign]
 
 
 def without_version_check() -> None:
