Let the stand-in store list the past in the soak

Change: a fault that lists the state of 3 s ago, and a variant without all guards against old records.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
@@ -18,6 +18,7 @@
     'forget',
     'slow',
     'deaf',
+    'past',
 )
 LINK_MODES = tuple(mode for mode in proxy.Mode if mode is not proxy.Mode.PASS)
 SHORTEST_S, LONGEST_S = 0.2, 6.0
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/sabotage.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/sabotage.py
@@ -6,6 +6,11 @@
 
 from aiohttp import web
 
+from knapweedhall_adapter import outcomes
+from knapweedhall_records import bodies
+from knapweedhall_records import codec
+from knapweedhall_router import feed
+from knapweedhall_router import followers
 from knapweedhall_router import front
 from knapweedhall_router import main
 from knapweedhall_router import orders
@@ -50,14 +55,28 @@
 
 
 def without_version_check() -> None:
-    """Take over any configuration that is read."""
+    """Take over any record and configuration that is read."""
     ordinary = state.State.configure
+    feed.Feed.is_stale = (  # type: ignore[method-assign]
+        lambda self, topic, end: False
+    )
+    feed.Feed.fresh = (  # type: ignore[method-assign]
+        lambda self, topic, records: list(records)
+    )
+
+    def take(self: followers.RecordFollower, record: outcomes.Record) -> None:
+        found = codec.decode(record.value)
+        if isinstance(found, bodies.Record):
+            self.records[record.key] = found
 
     def configure(self: state.State, new: model.Configuration) -> bool:
         self.configuration = None
         return ordinary(self, new)
 
     state.State.configure = configure  # type: ignore[method-assign]
+    followers.RecordFollower._take_record = (  # type: ignore[method-assign]
+        take
+    )
 
 
 SAFEGUARDS = {
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -39,6 +39,8 @@
 # anything, which callers saw as requests without an answer.
 TICK_S = 0.1
 STANDSTILL_S = 0.8
+# Age of listings of the past, as the platform's pages have it.
+PAST_S = 3.0
 # A request whose instance is harmed so long before or after is not judged as
 # cut: the harm reaches it late.
 NEAR_S = 0.3
@@ -205,6 +207,12 @@
             self.wrong.delays = {
                 path: 0.3 for path in ('/log-append', '/log-join', '/log-read')
             }
+        elif fault.kind == 'past':
+            # A store that has deleted its history may list the past.
+            self.wrong.past_s = PAST_S
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                # While the store is down nothing is forgotten.
+                await self.running.forget()
         else:
             self.wrong.deaf = True
         await self.running.set_faults(self.wrong)
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/faults.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/faults.py
@@ -16,6 +16,8 @@
         IP addresses whose calls are refused without effect.
     deaf : bool
         Whether waiting reads are not woken by changes.
+    past_s : float
+        Age of what listings show, seconds.
     lose_answers : int
         Appends that take effect and are then answered by a reset.
     late_appends : int
@@ -30,6 +32,7 @@
     down: bool = False
     refused: list[str] = []
     deaf: bool = False
+    past_s: float = 0.0
     lose_answers: int = 0
     late_appends: int = 0
     late_s: float = 2.0
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
@@ -143,16 +143,17 @@
 
     async def _newest(self, request: web.BaseRequest) -> web.Response:
         partition = self.partition(request.query['topic'])
+        found = partition.listing(time.monotonic() - self.faults.past_s)
         items = [
             {
                 'key': record.key,
                 'value': base64.b64encode(record.value).decode(),
                 'offset': record.offset,
             }
-            for record in partition.newest.values()
+            for record in found.newest.values()
         ]
         return web.json_response(
-            {'items': items, 'hasMore': False, 'endOffset': partition.end}
+            {'items': items, 'hasMore': False, 'endOffset': found.end}
         )
 
     async def _join(self, request: web.BaseRequest) -> web.Response:
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/store_engine.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/store_engine.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
+import time
 import typing
 
 
@@ -15,11 +17,26 @@
     value: bytes
 
 
+class Listing(typing.NamedTuple):
+    """What a listing showed from a time on."""
+
+    at: float
+    newest: dict[str, Record]
+    end: int
+
+
+# Listings of the past that are kept.
+KEPT_LISTINGS = 400
+
+
 class Partition:
     """Records of one partition; offsets never restart."""
 
     def __init__(self) -> None:
         self.first = 0
+        self.listings: collections.deque[Listing] = collections.deque(
+            [Listing(float('-inf'), {}, 0)], KEPT_LISTINGS
+        )
         self.records: list[Record] = []
         self.newest: dict[str, Record] = {}
         self.changed = asyncio.Event()
@@ -37,6 +54,9 @@
             self.newest[key] = record
         else:
             self.newest.pop(key, None)
+        self.listings.append(
+            Listing(time.monotonic(), dict(self.newest), self.end)
+        )
         self.changed.set()
         self.changed = asyncio.Event()
         return record.offset
@@ -47,6 +67,15 @@
             return None
         return self.records[offset - self.first :]
 
+    def listing(self, at: float) -> Listing:
+        """Return what a listing showed at a time."""
+        found = self.listings[0]
+        for one in self.listings:
+            if one.at > at:
+                break
+            found = one
+        return found
+
     def forget(self) -> None:
         """Delete the history; the newest record of each key stays."""
         self.first = self.end
--- a/packages/knapweedhall-standins/tests/test_store.py
+++ b/packages/knapweedhall-standins/tests/test_store.py
@@ -49,6 +49,18 @@
         await asyncio.sleep(0.3)
         self.assertEqual(1, self.store.partition(TOPIC).end)
 
+    async def test_listing_of_the_past(self) -> None:
+        """Guards against a stand-in that is always up to date."""
+        await self.append(0)
+        self.store.faults.past_s = 0.2
+        deadline = asyncio.get_running_loop().time() + 2.0
+        page = await self.client.newest(TOPIC, deadline)
+        self.assertEqual(outcomes.Page(0, ()), page)
+        await asyncio.sleep(0.3)
+        page = await self.client.newest(TOPIC, deadline)
+        assert isinstance(page, outcomes.Page)
+        self.assertEqual(1, page.end)
+
     async def test_silent_entry_is_dropped(self) -> None:
         """Guards against a crashed upstream that stays listed."""
         found = store_process.StoreProcess()
