Wait for grants that may have reached an upstream's new incarnation

Cause: an upstream that starts again under its id holds nothing of before, so the coordinator took its ranges as free at once. Besides, a range was never granted to the new incarnation of its own holder: the keys of a service with one upstream stayed unowned.

Late tokens: the new incarnation has seen none.

Change: such a range is released or waited for like any other, and may go to the new incarnation of its holder.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -365,8 +365,8 @@
         if entry is None:
             return True
         if one.born_ms and entry.born_ms != one.born_ms:
-            # Another incarnation holds nothing.
-            one.held_until = one.unanswered_until = 0.0
+            # It holds nothing of before, but a grant that was meant for the
+            # incarnation before may have reached it, or may do so yet.
             return True
         if not self.state.directory.is_usable(entry):
             return True
@@ -401,7 +401,9 @@
         except ValueError:
             return
         target = self.state.directory.entries.get(move.target)
-        if target is None or one.upstream == move.target or one.in_flight:
+        if target is None or one.in_flight:
+            return
+        if one.upstream == target.name and one.born_ms == target.born_ms:
             return
         one.moving, one.target = True, target.name
         self._announce(service, [one])
--- a/packages/knapweedhall-router/tests/test_fleet_keys.py
+++ b/packages/knapweedhall-router/tests/test_fleet_keys.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from knapweedhall_standins import backend
 from tests import fleet
 from tests import fleet_case
 
@@ -42,6 +43,36 @@
         replies = await self.fleet.ask_all(0.5)
         self.assertEqual({200}, set(self.statuses(replies)))
 
+    async def test_upstream_restarts_under_its_name(self) -> None:
+        """Guards against keys that nobody is granted any more.
+
+        The only upstream of the service returns as another incarnation,
+        which holds nothing.
+        """
+        for one in self.fleet.backends[1:3]:
+            one.drain()
+        await self.fleet.until(lambda: self.owners() == {self.first()}, 4.0)
+        before = self.fleet.backends[0]
+        host, _, port = before.address.rpartition(':')
+        await before.crash()
+        after = backend.Backend(self.fleet.store, 'views', True)
+        after.name = before.name
+        self.fleet.backends[0] = after
+        await asyncio.sleep(0.1)
+        await after.start(host, int(port))
+        await self.fleet.until(
+            lambda: all(after.holds(key) for key in range(0, 65536, 99)), 6.0
+        )
+
+    def first(self) -> str:
+        """Return the name of the first upstream."""
+        return self.fleet.backends[0].name
+
+    def owners(self) -> set[str]:
+        """Return who owns keys, as the first router knows it."""
+        table = self.fleet.routers[0].state.owner_table('views')
+        return {row.upstream for row in table.rows}
+
     async def test_lost_coordinator(self) -> None:
         """Guards against grants that end before the next coordinator."""
         await self.fleet.kill(self.leader())
