Start without stated limits of the machine

Cause: processor share, cores and bandwidth are settings since weak instances leave the tenure to others; a platform that leaves one of them empty would keep the router from starting, which no reason calls for. Found by reading. Change: absent or empty they mean an ordinary machine. Measured: test_limits_that_are_not_stated, which fails without the change.

--- a/packages/knapweedhall-router/src/knapweedhall_router/settings.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/settings.py
@@ -111,6 +111,15 @@
 )
 
 
+# What an absent or empty option means: a machine without stated limits is
+# taken as an ordinary one.
+DEFAULTS = {
+    ('instance', 'cpu_share'): '1',
+    ('instance', 'cores'): '1',
+    ('instance', 'link_mbps'): '1000',
+}
+
+
 def read(path: pathlib.Path) -> Settings | Faults:
     """Read and check a settings file."""
     parser = configparser.ConfigParser(interpolation=None)
@@ -122,6 +131,7 @@
     faults = []
     for section, option, convert in SCHEMA:
         text = parser.get(section, option, fallback='').strip()
+        text = text or DEFAULTS.get((section, option), '')
         if not text:
             faults.append(f'[{section}] {option} is missing; add it')
             continue
--- a/packages/knapweedhall-router/tests/test_settings.py
+++ b/packages/knapweedhall-router/tests/test_settings.py
@@ -76,6 +76,20 @@
         self.assertEqual(3.0, running.state.settings.drain_s)
 
 
+class DefaultTest(unittest.TestCase):
+    """Options that a platform may leave empty."""
+
+    def test_limits_that_are_not_stated(self) -> None:
+        """Guards against a router that does not start for want of a limit."""
+        text = TEXT.replace('link_mbps = 1000', 'link_mbps =')
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'node.ini'
+            path.write_text(text.replace('cpu_share = 0.86', ''))
+            found = settings.read(path)
+        assert isinstance(found, settings.Settings)
+        self.assertEqual((1.0, 1000.0), (found.cpu_share, found.link_mbps))
+
+
 class ExampleTest(unittest.TestCase):
     """The annotated example in the documentation."""
 
