Grant keys to their last holder again once it answers

Reading for what leaves keys unowned for so long: a range whose holder was silent until its grants had ended is not renewed, and a plan that finds the holder the idlest upstream again was dropped, as source and target are the same; so each plan after it. It is the same for a service with one upstream.

Change: such a move is carried out: a proof that it answers, the assignment in the store, a grant under a new token.

Measured: test_upstream_was_silent fails before.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -401,10 +401,9 @@
         except ValueError:
             return
         target = self.state.directory.entries.get(move.target)
+        # A range whose grants have ended may go to its last holder again.
         if target is None or one.in_flight:
             return
-        if one.upstream == target.name and one.born_ms == target.born_ms:
-            return
         one.moving, one.target = True, target.name
         self._announce(service, [one])
         announce = functools.partial(self._announce, service)
--- a/packages/knapweedhall-router/tests/test_fleet_keys.py
+++ b/packages/knapweedhall-router/tests/test_fleet_keys.py
@@ -64,6 +64,24 @@
             lambda: all(after.holds(key) for key in range(0, 65536, 99)), 6.0
         )
 
+    async def test_upstream_was_silent(self) -> None:
+        """Guards against keys that are planned for their last holder only.
+
+        It did not answer until its grants had ended; nobody else can take
+        the keys.
+        """
+        for one in self.fleet.backends[1:3]:
+            one.drain()
+        await self.fleet.until(lambda: self.owners() == {self.first()}, 4.0)
+        silent = self.fleet.backends[0]
+        host, _, port = silent.address.rpartition(':')
+        await silent.crash()
+        await asyncio.sleep(4.5)
+        await silent.start(host, int(port))
+        await self.fleet.until(
+            lambda: all(silent.holds(key) for key in range(0, 65536, 99)), 6.0
+        )
+
     def first(self) -> str:
         """Return the name of the first upstream."""
         return self.fleet.backends[0].name
