Prefer upstreams that an idle connection leads to

Ruled out: a fixed subset of upstreams per instance, which must be chosen anew as instances and upstreams come and go; a longer FRESH_S, as what is lost on a forgotten connection can't be repeated.

Change: the choice compares four random upstreams and four with an idle connection, and takes the latter while its load is alike.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import math
 import select
 import socket
 import struct
@@ -28,10 +29,6 @@
 # Idle time after which a connection is not used again when the upstream
 # states no Keep-Alive; half of the shortest timeout of the sites (10 s).
 IDLE_S = 5.0
-# Idle time up to which a connection carries a request that must not run
-# twice: an upstream that forgot an idle connection resets what comes next,
-# and nobody knows whether it ran.
-FRESH_S = 1.0
 # Part of a stated Keep-Alive timeout for which a connection is reused.
 KEEP_ALIVE_SHARE = 0.8
 # Closes with a reset: what is still in the buffers is not delivered.
@@ -43,16 +40,17 @@
 
     Attributes
     ----------
-    idle_since, usable_until : float
-        When its last exchange ended, and when it is too long idle to be used
-        again, seconds.
+    idle_since : float
+        When its last exchange ended, seconds; inf for a new one.
+    usable_until : float
+        When it is too long idle to be used again, seconds.
     was_reset : bool
         Whether it ended by a reset instead of an end of stream.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
-        self.idle_since = 0.0
+        self.idle_since = math.inf
         self.usable_until = 0.0
         self.keep_alive_s = IDLE_S
         self.was_reset = False
@@ -111,18 +109,25 @@
         self.idle: collections.deque[Connection] = collections.deque()
         self.used_at = clock.now()
 
-    def take(self, idempotent: bool) -> Connection | None:
+    def has_idle(self, longest_idle_s: float, now: float) -> bool:
+        """Return whether `take` will most likely return a connection."""
+        if not self.idle:
+            return False
+        last = self.idle[-1]
+        recent = now - last.idle_since <= longest_idle_s
+        return recent and now <= last.usable_until
+
+    def take(self, longest_idle_s: float) -> Connection | None:
         """Return the idle connection that was used last, or None.
 
         Parameters
         ----------
-        idempotent : bool
-            Whether the request may be sent again if the connection turns out
-            to be stale.
+        longest_idle_s : float
+            Time for which it may have been idle.
         """
         self.used_at = now = clock.now()
         while self.idle:
-            if not idempotent and now - self.idle[-1].idle_since > FRESH_S:
+            if now - self.idle[-1].idle_since > longest_idle_s:
                 return None
             connection = self.idle.pop()
             if connection.is_reusable(now):
@@ -193,6 +198,10 @@
             found = self.pools[address] = Pool(address)
         return found
 
+    def find(self, address: model.Address) -> Pool | None:
+        """Return the pool of an address that was connected to, or None."""
+        return self.pools.get(address)
+
     def expire(self) -> None:
         """Close what was idle for too long and drop empty pools."""
         now = clock.now()
--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -113,7 +113,7 @@
         if isinstance(target, Failure):
             return self._final(call, target)
         pool = self.pools.get(target.address)
-        connection = pool.take(call.idempotent)
+        connection = pool.take(self._longest_idle_s(call))
         if connection is None:
             try:
                 connection = await pool.connect(call.end)
@@ -121,6 +121,10 @@
                 return self._not_connected(call, target, error)
         return await self._exchange(call, target, pool, connection)
 
+    def _longest_idle_s(self, call: calls.Call) -> float:
+        trust = self.state.idle_trust(call.service)
+        return trust.limit_s(call.idempotent, clock.now())
+
     def _final(self, call: calls.Call, failure: Failure) -> Failure:
         """Return a failure that is true for the whole call."""
         if call.ran_on and not call.idempotent:
@@ -175,8 +179,28 @@
             if not ran_before:
                 call.ran_on.discard(target.name)
             return self._not_run(call, target, outcome)
+        self._check_idling(call, target, sent, connection.idle_since)
         return self._broken(call, target, outcome, ran_before)
 
+    def _check_idling(
+        self,
+        call: calls.Call,
+        target: model.Upstream,
+        sent: float,
+        idle_since: float,
+    ) -> None:
+        """Trust idle connections less after one that was forgotten."""
+        now = clock.now()
+        idle_s = sent - idle_since
+        trust = self.state.idle_trust(call.service)
+        if trust.broke(idle_s, now - sent, now):
+            logs.info(
+                'idle_connection_forgotten',
+                request=call.request_id,
+                upstream=target.name,
+                idle_s=round(idle_s, 3),
+            )
+
     def _answered(
         self,
         call: calls.Call,
@@ -299,11 +323,9 @@
             for one in fresh
             if self.state.admit_cold(one.name, call.service, now)
         ]
+        longest_idle_s = self._longest_idle_s(call)
         found = choice.choose(
-            [
-                choice.Candidate(one, self.state.health(one.name, one.slots))
-                for one in pool
-            ],
+            [self._candidate(one, longest_idle_s, now) for one in pool],
             now,
             choice.Preference(
                 self.state.settings.failure_domain,
@@ -316,6 +338,14 @@
             return self._turn_away(call, 'no-upstream')
         return self._admit(call, found.upstream, False)
 
+    def _candidate(
+        self, upstream: model.Upstream, longest_idle_s: float, now: float
+    ) -> choice.Candidate:
+        found = self.state.health(upstream.name, upstream.slots)
+        pool = self.pools.find(upstream.address)
+        connected = pool is not None and pool.has_idle(longest_idle_s, now)
+        return choice.Candidate(upstream, found, connected)
+
     def _admit(
         self, call: calls.Call, target: model.Upstream, cold: bool
     ) -> model.Upstream | Failure:
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -11,6 +11,7 @@
 from knapweedhall_routing import budgets
 from knapweedhall_routing import directory
 from knapweedhall_routing import health
+from knapweedhall_routing import idling
 from knapweedhall_routing import model
 from knapweedhall_routing import planning
 from knapweedhall_routing import ranges
@@ -85,6 +86,7 @@
         self.instances: tuple[str, ...] = (settings.name,)
         self.retry_budgets: dict[str, budgets.RetryBudget] = {}
         self.cold_budgets: dict[str, budgets.ColdBudget] = {}
+        self.idle_trusts: dict[str, idling.IdleTrust] = {}
         self.key_counts: dict[str, dict[int, int]] = {}
         self.times: dict[str, list[float]] = {}
         self.movements: dict[str, planning.Rules] = {}
@@ -153,6 +155,10 @@
         found.instances = len(self.instances)
         return found
 
+    def idle_trust(self, service: str) -> idling.IdleTrust:
+        """Return how far idle connections to a service are trusted."""
+        return self.idle_trusts.setdefault(service, idling.IdleTrust())
+
     def admit_cold(self, upstream: str, service: str, now: float) -> bool:
         """Take a request from the budget of a cold upstream."""
         per_s = budgets.cold_share(
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/choice.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/choice.py
@@ -8,9 +8,14 @@
 from knapweedhall_routing import health as health_module
 from knapweedhall_routing import model
 
-# Upstreams compared for one request. All instances that pick the best of all
-# by the same stale reports would send their bursts to the same one.
+# Upstreams compared for one request, and those besides that an idle connection
+# leads to. All instances that pick the best of all by the same stale reports
+# would send their bursts to the same one.
 COMPARED = 4
+# Expected time of an upstream without an idle connection counts this much
+# more: a new one takes a round trip, may hold a slot, and is reset by an
+# upstream that has too many of them.
+CONNECT_FACTOR = 1.15
 # Expected time of an upstream in another failure domain counts this much
 # more, as bytes between failure domains are priced.
 REMOTE_FACTOR = 1.1
@@ -26,10 +31,17 @@
 
 
 class Candidate(typing.NamedTuple):
-    """An upstream and what was measured of it."""
+    """An upstream and what was measured of it.
+
+    Attributes
+    ----------
+    connected : bool
+        Whether an idle connection can take the request.
+    """
 
     upstream: model.Upstream
     health: health_module.Health
+    connected: bool = False
 
 
 class Preference(typing.NamedTuple):
@@ -57,6 +69,8 @@
     cost *= 1 + FAILURE_WEIGHT * found.failure_share(now)
     if candidate.upstream.failure_domain != own_domain:
         cost *= REMOTE_FACTOR
+    if not candidate.connected:
+        cost *= CONNECT_FACTOR
     if found.is_silent(now):
         cost *= SILENT_WEIGHT
     return cost
@@ -79,9 +93,15 @@
         pool = _near(pool, now, preference) or pool
     if not pool:
         return None
-    if len(pool) > COMPARED:
-        pool = rng.sample(pool, COMPARED)
-    return min(pool, key=lambda one: score(one, now, preference.domain))
+    compared = _sample(pool, rng)
+    compared += _sample([one for one in pool if one.connected], rng)
+    return min(compared, key=lambda one: score(one, now, preference.domain))
+
+
+def _sample(
+    pool: typing.Sequence[Candidate], rng: random.Random
+) -> list[Candidate]:
+    return rng.sample(pool, min(COMPARED, len(pool)))
 
 
 def _near(
--- a/packages/knapweedhall-routing/tests/test_choice.py
+++ b/packages/knapweedhall-routing/tests/test_choice.py
@@ -57,6 +57,24 @@
         self.pool[0].health.sent(1, 0.0)
         self.assertLess(self.picks(now=2.0)['a0'], 10)
 
+    def test_kept_connection_is_used_again(self) -> None:
+        """Guards against a new connection for each request.
+
+        Instances that each send a few requests per second to many upstreams
+        would never find a connection that is still fresh.
+        """
+        self.pool = [candidate(f'a{n}') for n in range(50)]
+        self.pool[7] = self.pool[7]._replace(connected=True)
+        self.assertGreater(self.picks()['a7'], 290)
+
+    def test_kept_connection_does_not_bind_under_load(self) -> None:
+        """Guards against a queue at an upstream while others are idle."""
+        self.pool = [candidate(f'a{n}') for n in range(50)]
+        self.pool[7] = self.pool[7]._replace(connected=True)
+        for number in range(SLOTS + 1):
+            self.pool[7].health.sent(number, 0.9)
+        self.assertEqual(0, self.picks()['a7'])
+
     def test_large_body_stays_near_while_there_is_time(self) -> None:
         """Guards against uploads that cross failure domains for nothing."""
         far = sum(
