Take an upstream without answers for as fast as its service

Few upstreams took most of them: 122, 106, 71 and 65 requests of 43 to 58 instances each, among them ones that had just joined. An instance expected 0.1 s of an upstream it had no answer of, and 0.5 s of all others, so each instance sent its next requests to the same new upstream; and the same 0.1 s made an owner look silent after 0.6 s of ordinary work (427 refusals "silent-owner").

Ruled out: a share of requests for new upstreams, as joins are not the only case; the coordinator's service times, which would cost 2 KB/s more.

Change: an instance keeps the usual service time of each service, and it counts as one answer of each upstream. Reports to the coordinator still carry what was measured.

Tests: test_health.FewAnswersTest.

--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -135,7 +135,7 @@
         self, call: calls.Call, target: model.Upstream, error: Exception
     ) -> Repeat | Failure:
         now = clock.now()
-        self.state.health(target.name).refused_connection(now)
+        self.state.health(target).refused_connection(now)
         call.turned_away(target.name, now)
         logs.info(
             'connection_failed',
@@ -156,7 +156,7 @@
         pool: connections.Pool,
         connection: connections.Connection,
     ) -> Result | Repeat:
-        found = self.state.health(target.name, target.slots)
+        found = self.state.health(target)
         sent = clock.now()
         call.sends += 1
         call.last_upstream = target.name
@@ -209,13 +209,13 @@
         sent: float,
     ) -> Result | Repeat:
         now = clock.now()
-        found = self.state.health(target.name, target.slots)
+        found = self.state.health(target)
         report = decoding.load_report(outcome.headers.get(names.LOAD))
         failed = outcome.status >= 500
         found.judged(failed, now)
         if not failed:
             found.answered(now - sent, report, now)
-            self.state.count_time(target.name, found.service_s)
+            self.state.count_time(target.name, found.measured_s)
             return outcome
         logs.info(
             'upstream_failed',
@@ -253,7 +253,7 @@
         outcome: exchange.NotRun,
     ) -> Repeat | Failure:
         now = clock.now()
-        found = self.state.health(target.name, target.slots)
+        found = self.state.health(target)
         report = decoding.load_report(outcome.headers.get(names.LOAD))
         if report is not None:
             found.reported(report, now)
@@ -299,7 +299,7 @@
                 call.ran_on.discard(target.name)
             call.sends -= 1
             return Repeat(self._final(call, Failure(503, outcome.reason, 0.1)))
-        self.state.health(target.name).judged(True, now)
+        self.state.health(target).judged(True, now)
         failure = Failure(502, outcome.reason)
         if not call.idempotent or not self._runs_left(call):
             return failure
@@ -341,7 +341,7 @@
     def _candidate(
         self, upstream: model.Upstream, longest_idle_s: float, now: float
     ) -> choice.Candidate:
-        found = self.state.health(upstream.name, upstream.slots)
+        found = self.state.health(upstream)
         pool = self.pools.find(upstream.address)
         connected = pool is not None and pool.has_idle(longest_idle_s, now)
         return choice.Candidate(upstream, found, connected)
@@ -350,7 +350,7 @@
         self, call: calls.Call, target: model.Upstream, cold: bool
     ) -> model.Upstream | Failure:
         now = clock.now()
-        found = self.state.health(target.name, target.slots)
+        found = self.state.health(target)
         service = self.state.service(call.service)
         prospect = admission.Prospect(
             now,
@@ -410,7 +410,7 @@
         entry = self.state.directory.entries.get(row.upstream)
         if entry is None:
             return Failure(503, 'unlisted-owner', 0.1)
-        if self.state.health(entry.name, entry.slots).is_silent(now):
+        if self.state.health(entry).is_silent(now):
             # Requests that are under way tell when it answers again.
             return self._turn_away(call, 'silent-owner')
         cold = entry.cold_until > now and not self.state.admit_cold(
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -84,6 +84,7 @@
         self.owners: dict[str, ranges.OwnerTable] = {}
         self.healths: dict[str, health.Health] = {}
         self.instances: tuple[str, ...] = (settings.name,)
+        self.typical: dict[str, health.Typical] = {}
         self.retry_budgets: dict[str, budgets.RetryBudget] = {}
         self.cold_budgets: dict[str, budgets.ColdBudget] = {}
         self.idle_trusts: dict[str, idling.IdleTrust] = {}
@@ -137,11 +138,15 @@
         """Return the table of a service's owners."""
         return self.owners.setdefault(service, ranges.OwnerTable())
 
-    def health(self, upstream: str, slots: int = 4) -> health.Health:
+    def health(self, upstream: model.Upstream) -> health.Health:
         """Return the measurements of an upstream."""
-        found = self.healths.get(upstream)
+        found = self.healths.get(upstream.name)
         if found is None:
-            found = self.healths[upstream] = health.Health(slots)
+            typical = self.typical.setdefault(
+                upstream.service, health.Typical()
+            )
+            found = health.Health(upstream.slots, typical)
+            self.healths[upstream.name] = found
         return found
 
     def retry_budget(self, service: str) -> budgets.RetryBudget:
--- a/packages/knapweedhall-router/tests/test_connections.py
+++ b/packages/knapweedhall-router/tests/test_connections.py
@@ -53,7 +53,3 @@
         await asyncio.sleep(2 * IDLE_S)
         self.assertFalse(self.pool.has_idle(LONG_S, clock.now()))
         self.assertIsNone(self.pool.take(LONG_S))
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
@@ -22,13 +22,38 @@
 # Pause after a connection attempt that failed, doubled up to the maximum.
 BLOCK_MIN_S = 0.3
 BLOCK_MAX_S = 2.0
-# Service time before any answer, seconds.
+# Service time before any answer of the service, seconds.
 INITIAL_SERVICE_S = 0.1
+# Weight of the service's usual time against the answers of one upstream: an
+# instance among many has few answers of each.
+TYPICAL_SAMPLES = 1
+# Weight of a new sample in the service's usual time.
+TYPICAL_SMOOTHING = 0.05
 # An upstream that answers nothing for so many service times, while requests
 # are outstanding, is taken as silent.
 SILENT_FACTOR = 6.0
 
 
+class Typical:
+    """Usual service time of a service's upstreams, as one instance sees it.
+
+    Attributes
+    ----------
+    service_s : float
+        Smoothed time that work takes once it has a slot, seconds.
+    """
+
+    def __init__(self) -> None:
+        self.service_s = INITIAL_SERVICE_S
+        self.samples = 0
+
+    def add(self, service_s: float) -> None:
+        """Add the time of one answer."""
+        self.samples += 1
+        weight = max(TYPICAL_SMOOTHING, 1 / self.samples)
+        self.service_s += weight * (service_s - self.service_s)
+
+
 class Health:
     """Own measurements of one upstream.
 
@@ -36,17 +61,20 @@
     ----------
     outstanding : int
         Own requests under way.
-    service_s : float
+    typical : Typical
+        Usual time of all upstreams of the service.
+    measured_s : float
         Smoothed time that work takes once it has a slot, seconds.
     failures : float
         Share of recent answers that failed, 0 to 1.
     """
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, typical: Typical | None = None) -> None:
         self.slots = max(1, slots)
+        self.typical = typical or Typical()
         self.outstanding = 0
         self.oldest_sent: dict[int, float] = {}
-        self.service_s = INITIAL_SERVICE_S
+        self.measured_s = INITIAL_SERVICE_S
         self.samples = 0
         self.failures = 0.0
         self.failures_at = 0.0
@@ -80,7 +108,15 @@
             self.reported(report, now)
         self.samples += 1
         weight = max(SMOOTHING, 1 / self.samples)
-        self.service_s += weight * (service - self.service_s)
+        self.measured_s += weight * (service - self.measured_s)
+        self.typical.add(service)
+
+    @property
+    def service_s(self) -> float:
+        """Expected time of work in seconds, from few or no answers too."""
+        known = self.samples / (self.samples + TYPICAL_SAMPLES)
+        usual = self.typical.service_s
+        return usual + known * (self.measured_s - usual)
 
     def reported(self, report: model.LoadReport, now: float) -> None:
         """Take note of the load that an upstream states."""
--- a/packages/knapweedhall-routing/tests/test_health.py
+++ b/packages/knapweedhall-routing/tests/test_health.py
@@ -34,3 +34,36 @@
         self.health.reported(model.LoadReport(0, 0, SLOTS, 3.0), self.now)
         later = self.health.wait_s(self.now + 1.5)
         self.assertLess(later, 1.1 * usual)
+
+
+class FewAnswersTest(unittest.TestCase):
+    """An instance among many has few answers of each upstream."""
+
+    def setUp(self) -> None:
+        """Measure several upstreams of one service that work slowly."""
+        self.typical = health.Typical()
+        for _ in range(8):
+            self.answer(health.Health(SLOTS, self.typical), 8 * WORK_S)
+        self.health = health.Health(SLOTS, self.typical)
+
+    def answer(self, found: health.Health, work_s: float) -> None:
+        """Answer one request of an upstream without other load."""
+        found.answered(work_s, model.LoadReport(0, 0, SLOTS, 1.0), 0.0)
+
+    def test_unmeasured_upstream_is_not_taken_for_fast(self) -> None:
+        """Guards against a preference for upstreams never used before."""
+        self.assertAlmostEqual(8 * WORK_S, self.health.wait_s(0.0))
+
+    def test_first_work_is_not_taken_for_silence(self) -> None:
+        """Guards against refusals while an owner works as it usually does."""
+        self.health.sent(1, 0.0)
+        self.assertFalse(self.health.is_silent(1.5 * 8 * WORK_S))
+        self.assertTrue(self.health.is_silent(10 * 8 * WORK_S))
+
+    def test_one_slow_answer_says_little(self) -> None:
+        """Guards against shunning an upstream for one large request."""
+        self.answer(self.health, 24 * WORK_S)
+        self.assertLess(self.health.service_s, 17 * WORK_S)
+        for _ in range(40):
+            self.answer(self.health, 24 * WORK_S)
+        self.assertGreater(self.health.service_s, 22 * WORK_S)
--- a/packages/knapweedhall-routing/tests/test_idling.py
+++ b/packages/knapweedhall-routing/tests/test_idling.py
@@ -48,7 +48,3 @@
         self.assertFalse(self.trust.broke(FORGOTTEN_S, 0.3, 1.0))
         self.assertFalse(self.trust.broke(0.0, RESET_S, 1.0))
         self.assertEqual(float('inf'), self.trust.limit_s(True, 1.1))
-
-
-if __name__ == '__main__':
-    unittest.main()
