Book orders that another process refused as not carried out

Ruled out: taking the 421 as proof that the earlier holder has ended, which would free the keys a second earlier but rests on addresses that are never forwarded.

Change: the outcome of an order says whether it is in doubt, instead of whether a byte was sent; a 421 leaves no doubt, and the hold before it stands.

--- a/packages/knapweedhall-router/src/knapweedhall_router/orders.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/orders.py
@@ -125,7 +125,9 @@
             deadline,
         )
         accepted = isinstance(outcome, outcomes.Granted)
-        arrived = not isinstance(outcome, outcomes.NoAnswer) or outcome.sent
+        arrived = True
+        if isinstance(outcome, outcomes.NoAnswer):
+            arrived = outcome.in_doubt
         for part in ranges.within(keys.first, keys.last, fence):
             part.in_flight = max(0, part.in_flight - 1)
             if accepted:
--- /dev/null
+++ b/packages/knapweedhall-router/tests/test_orders.py
@@ -0,0 +1,49 @@
+"""Tests of what a coordinator books after an order."""
+
+from __future__ import annotations
+
+import typing
+import unittest
+
+from knapweedhall_adapter import outcomes
+from knapweedhall_router import clock
+from knapweedhall_router import orders
+from knapweedhall_routing import holdings
+from knapweedhall_routing import model
+
+
+class _Client:
+    """Stands in for upstreams that all give one answer."""
+
+    def __init__(self, outcome: outcomes.GrantOutcome) -> None:
+        self.outcome = outcome
+
+    async def grant(self, *order: typing.Any) -> outcomes.GrantOutcome:
+        """Return the answer."""
+        return self.outcome
+
+
+class GrantTest(unittest.IsolatedAsyncioTestCase):
+    """Renewals of a grant that ends soon."""
+
+    async def _renew(self, outcome: outcomes.GrantOutcome) -> float:
+        """Return for how long the range is bound to its holder."""
+        ranges = holdings.Holdings('s')
+        one = ranges.items[0]
+        one.upstream = 'u'
+        one.address = model.Address('127.0.0.1', 9)
+        one.held_until = clock.now() + 0.1
+        client = typing.cast(typing.Any, _Client(outcome))
+        found = orders.Orders(client, holdings.Fences(0))
+        await found.grant(ranges, one)
+        return max(one.held_until, one.unanswered_until) - clock.now()
+
+    async def test_refused_renewal_binds_no_longer(self) -> None:
+        """Guards against keys that stay with a process which is gone."""
+        gone = outcomes.NoAnswer('status 421', in_doubt=False)
+        self.assertLess(await self._renew(gone), 0.2)
+
+    async def test_renewal_in_doubt_binds(self) -> None:
+        """Guards against two owners after a grant without an answer."""
+        lost = outcomes.NoAnswer('TimeoutError')
+        self.assertGreater(await self._renew(lost), holdings.HOLD_S)
