Divide ranges by a usual upstream's capacity

Ranges of an upstream that leaves were divided into parts of 0.15 of the capacity of the slowest upstream, and that one took seconds for each request. Beyond 12 ranges per upstream nothing is levelled either.

Ruled out: repeated division of the same range (parts are below the limit, so they stay whole unless the limit sinks).

Change: parts by the median capacity, and no more ranges than 12 per upstream.

Tests: two in test_planning, both fail before (24 and 50 ranges).

--- a/packages/knapweedhall-routing/src/knapweedhall_routing/planning.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/planning.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import statistics
 import typing
 
 from knapweedhall_routing import holdings
@@ -24,7 +25,7 @@
 # An upstream must be faster by this factor to take such a bucket over;
 # service times of one upstream vary by less between two plans.
 HOT_BUCKET_GAIN = 1.3
-# Parts of an upstream's load in which the ranges of one that leaves are
+# Parts of a usual upstream's load in which the ranges of one that leaves are
 # spread over the others.
 SPREAD_PART = 0.15
 
@@ -116,13 +117,18 @@
         return []
     loads = _loads(items, view)
     chunks = []
-    least = min(view.capacity.values())
+    # By the slowest upstream, one that hardly works would shatter all ranges
+    # that go anywhere.
+    part = SPREAD_PART * statistics.median(view.capacity.values())
+    room = RANGES_PER_UPSTREAM * len(view.capacity) - len(items)
     for one in orphans:
         load = _load(view, one.first, one.last)
-        parts = int(load / (least * SPREAD_PART)) + 1
+        parts = max(1, min(int(load / part) + 1, room))
         if one.last - one.first + 1 == model.KEY_COUNT:
             parts = max(parts, len(view.capacity))
-        chunks += _divide(one, min(parts, 4 * len(view.capacity)), view)
+        found = _divide(one, min(parts, 4 * len(view.capacity)), view)
+        room -= len(found) - 1
+        chunks += found
     moves = []
     for load, first, last in sorted(chunks, reverse=True):
         target = min(
--- a/packages/knapweedhall-routing/tests/test_planning.py
+++ b/packages/knapweedhall-routing/tests/test_planning.py
@@ -176,6 +176,33 @@
         result = loads(self.book, found)
         self.assertLess(max(result.values()), 1.2 * CAPACITY)
 
+    def test_slow_upstream_does_not_shatter_ranges(self) -> None:
+        """Guards against more ranges than can be renewed.
+
+        An upstream that takes seconds for each request made parts of 24 keys
+        of all ranges that left others: the coordinator sent 500 releases per
+        second, and the day was given up after 574 s of processor time.
+        """
+        found = traffic(random.Random(4), 6.0, 160.0, 0.0)
+        capacity = {f'u{number}': CAPACITY for number in range(1, 8)}
+        capacity['u7'] = CAPACITY / 200
+        orphans = [one for one in self.book.items if one.upstream == 'u0']
+        moves = planning.place_orphans(
+            self.book.items, planning.View(capacity, found), orphans
+        )
+        self.assertGreater(len(moves), 2)
+        self.assertLess(len(moves), 8)
+
+    def test_ranges_of_many_upstreams_that_leave_are_limited(self) -> None:
+        """Guards against more ranges than can be renewed."""
+        found = traffic(random.Random(5), 6.0, 160.0, 0.0)
+        narrow = planning.View({'u7': 1.0, 'u6': 1.0}, found)
+        orphans = [one for one in self.book.items if one.upstream < 'u6']
+        for move in planning.place_orphans(self.book.items, narrow, orphans):
+            self.book.cut(move.first, move.last)
+        limit = planning.RANGES_PER_UPSTREAM * len(narrow.capacity)
+        self.assertLessEqual(len(self.book.items), limit)
+
     def test_joined_upstreams_share_keys_without_traffic(self) -> None:
         """Guards against a first assignment that later ones never join.
 
