Wait for moving keys as long as work takes

Ruled out: lost owners; their keys keep the name of the owner until they are free, so hardly any row without a name belongs to one.

Change: keys without an owner are taken as moving for 0.6 of the objective, 0.5 s at least.

Test: test_admission.

--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -378,7 +378,9 @@
             now = clock.now()
             row = self.state.owner_table(call.service).find(call.key)
             if row is None or not row.upstream:
-                if row is None or now - row.since > admission.MOVE_S:
+                if row is None or now > admission.move_end(
+                    row.since, call.route.objective_s
+                ):
                     # Its owner is lost; the wait would outlast the caller.
                     return self._turn_away(call, 'no-owner')
             else:
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/admission.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/admission.py
@@ -11,8 +11,8 @@
 # Part of the latency objective that a request waits for the owner of its
 # keys to change; a move takes about one request's work.
 HOLD_SHARE = 0.6
-# Longest move of keys: release when the work has ended, write, grant. Keys
-# without an owner for longer have lost it.
+# Longest move of keys where work is short: release, write, grant. Keys without
+# an owner for longer have lost it.
 MOVE_S = 0.5
 # Part of the remaining time that callers honour in Retry-After (platform
 # protocol, Answers).
@@ -68,6 +68,15 @@
     cold: bool
 
 
+def move_end(since: float, objective_s: float) -> float:
+    """Return until when keys without an owner are taken as moving.
+
+    A release waits for the end of running work, which takes the longer the
+    longer callers are prepared to wait.
+    """
+    return since + max(MOVE_S, HOLD_SHARE * objective_s)
+
+
 def judge(prospect: Prospect, rng: random.Random) -> Send | Refuse:
     """Decide whether a request is sent or refused at once.
 
--- a/packages/knapweedhall-routing/tests/test_admission.py
+++ b/packages/knapweedhall-routing/tests/test_admission.py
@@ -32,6 +32,17 @@
                 found = self.judge(**changes)
                 self.assertIsInstance(found, admission.Refuse)
 
+    def test_move_lasts_as_long_as_work_does(self) -> None:
+        """Guards against refusals shortly before the end of a move.
+
+        With 0.5 s for all, most refusals for keys that moved came from 0.5 s
+        to 1 s after the begin of a move which ended in that time.
+        """
+        work_s = 0.9
+        self.assertGreater(admission.move_end(10.0, 1.6), 10.0 + work_s)
+        self.assertEqual(10.5, admission.move_end(10.0, 0.2))
+        self.assertLess(admission.move_end(10.0, 1.6), 10.0 + 1.6)
+
     def test_returns_are_spread_and_in_time(self) -> None:
         """Guards against callers that all return at once, or too late."""
         rng = random.Random(2)
