Ask a silent upstream for its ranges less often

Each range was released again 0.5 s after a time-out of 1.5 s.

Ruled out: no release to an upstream that left a grant unanswered, as one that is only slow to end its work would keep its ranges for 3 s.

Change: 1.5 s between two releases to one upstream.

--- a/packages/knapweedhall-router/src/knapweedhall_router/moves.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/moves.py
@@ -14,8 +14,9 @@
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
 
-# Pause before a release without an answer is tried again.
-RELEASE_RETRY_S = 0.5
+# Pause before a release without an answer is tried again. With its time-out it
+# lasts as long as a hold: a silent upstream is asked once or twice per range.
+RELEASE_RETRY_S = 1.5
 
 Announce = typing.Callable[[typing.Iterable[holdings.Holding]], None]
 
