End a tenure whose lease has ended before the store renews it

A failure domain was cut off for six seconds with the coordinator in it; another instance coordinated meanwhile; after the cut the store named the first one again, whose tenure object still stood and went on, as each answer "held" prolonged its lease. Its fresh grants had the old epoch.

Ruled out: a late delivery of grants from before the cut (they reset with their time-out of 0.6 s); the ranges freed by Gone, as that outcome needs an answer from the same address.

Change: an answer "held" that comes after the end of the lease ends the tenure and begins another one, with a new epoch.

--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -143,13 +143,24 @@
             await self._stop()
             return
         leased_until = sent + self.coordinator_timeout_s - LEASE_MARGIN_S
-        if self.task is not None and self.task.done():
+        if self._is_interrupted():
             await self._stop()
         if self.coordinator is None:
             self._start(leased_until)
         else:
             self.coordinator.leased_until = leased_until
 
+    def _is_interrupted(self) -> bool:
+        """Return whether the present tenure can't go on with its token.
+
+        Once its lease has ended, the store may have given the tenure to
+        another instance and taken it back; grants under the old tokens would
+        be below those of that instance.
+        """
+        if self.coordinator is None or self.task is None:
+            return False
+        return self.task.done() or self.coordinator.is_blind()
+
     def _start(self, leased_until: float) -> None:
         self.coordinator = coordinator_module.Coordinator(
             self.client, self.orders, self.state, leased_until
