--- a/packages/knapweedhall-router/src/knapweedhall_router/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/messages.py
@@ -16,7 +16,7 @@
 from knapweedhall_routing import ranges
 
 _LENGTH = struct.Struct('>I')
-# A table of 65,536 keys in ranges of 2 keys is below this, bytes.
+# A table of 65,536 keys in ranges of 4 keys is below this, bytes.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
 Row = tuple[int, int, str, str, int]
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/rates.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/rates.py
@@ -11,7 +11,7 @@
 
 # Keys counted together; ranges are split between buckets only. Eight busy
 # neighbours exceed any upstream on the sites' days with hot keys.
-BUCKET_KEYS = 2
+BUCKET_KEYS = 4
 BUCKETS = model.KEY_COUNT // BUCKET_KEYS
 # Time constant of the rates: long enough for some dozens of requests per
 # upstream.
