Let a process end when its link ends at the same moment

A coordinator that stops closes its own connection to itself; the task group of the link ended by that error, and a cancellation that arrived while it waited for its tasks was dropped with the error. The process would have ended by a kill only.

Ruled out: the listener and the tenure, which had ended (refused connections, "tenure_ended").

Change: the link ends if its task is being cancelled, whatever error it met.

Test: test_stop_while_the_connection_ends, fails before.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -99,6 +99,11 @@
                     coordinator=member,
                     reason=type(error).__name__,
                 )
+                task = asyncio.current_task()
+                if task is not None and task.cancelling():
+                    # A task group that ends by an error drops a cancellation
+                    # that arrives while it waits for its tasks.
+                    raise asyncio.CancelledError from error
             if not self.connected and self.hint == member:
                 self.hint = ''
             self.connected = False
--- a/packages/knapweedhall-router/tests/test_coordinator_link.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_link.py
@@ -120,3 +120,26 @@
         own = coordinator_link.own_member(self.other.state.settings)
         self.other.link.hint = own
         self.assertEqual('', self.other.link.redirect().coordinator)
+
+    async def test_stop_while_the_connection_ends(self) -> None:
+        """Guards against a process that never ends after SIGTERM.
+
+        A coordinator that stops closes its own connection to itself; in one
+        run of the tests the cancellation that followed was lost.
+        """
+
+        async def report(writer: asyncio.StreamWriter) -> None:
+            try:
+                await asyncio.Event().wait()
+            finally:
+                await asyncio.sleep(0.1)
+
+        self.caller.link._report = report  # type: ignore[method-assign]
+        self.caller.link.hint = self.present.member
+        await self._find()
+        for link in self.present.hub.links:
+            link.writer.transport.abort()
+        await asyncio.sleep(0.05)
+        self.following.cancel()
+        done, _ = await asyncio.wait([self.following], timeout=1.0)
+        self.assertEqual({self.following}, done)
