Publish one host at a time in the soak

Four operators published during an outage of the store; each began with the same list of hosts, so versions 3 to 6, which came into force one after the other when the store was back, had one new host each, and each withdrew the host before. The routers did as told (version and number of routes in their logs).

Ruled out: a listing of the past or an older feed; versions only rose at all five routers.

Change: a host is published when the one before is.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/scene.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/scene.py
@@ -48,6 +48,7 @@
         self.callers = callers.Callers(self.targets, rng, (DIVIDED,))
         self.author = draft.Author('operator', time.time_ns() // 1000)
         self.published = 0
+        self.publishing = asyncio.Lock()
 
     def targets(self) -> list[callers.Target]:
         """Return where callers may send requests."""
@@ -99,10 +100,12 @@
 
     async def add_host(self, host: str) -> None:
         """Publish one more host of the service without keys."""
-        names = [one for one in self.hosts if one != DIVIDED]
-        if await self.publish_service(CHOICE, 'choice', [*names, host]):
-            self.hosts.append(host)
-            self.accepted_at[host] = time.monotonic()
+        # Two that begin with the same hosts would each withdraw the other's.
+        async with self.publishing:
+            names = [one for one in self.hosts if one != DIVIDED]
+            if await self.publish_service(CHOICE, 'choice', [*names, host]):
+                self.hosts.append(host)
+                self.accepted_at[host] = time.monotonic()
 
     async def until_served(self, limit_s: float = SERVE_LIMIT_S) -> str:
         """Wait until each router serves all probed keys.
