Begin no move of keys while the store is quiet

A move takes the keys from their holder, and grants them once the new holder stands in the store. The coordinator learns of an outage when its lease ends, 1.1 s after the last answer; moves that began in that time had released their keys and waited for the store until its return.

Change: no plan, and no release, if the store has answered nothing for 0.45 s; its answers come each 0.3 s.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -35,6 +35,9 @@
 # Time for which the connected instances must be the same before they are
 # recorded, so that a restart of all makes a few records.
 FLEET_CALM_S = 0.5
+# Time without an answer of the store after which no move begins: its keys have
+# no owner until the store takes the new one. Joins and reads come each 0.3 s.
+STORE_QUIET_S = 0.45
 # Time after an outage for which it is told with each record: longer than the
 # memory of outages in `directory`.
 OUTAGE_NEWS_S = 5.0
@@ -94,6 +97,11 @@
         """Return whether another coordinator may have taken over."""
         return clock.now() >= self.leased_until
 
+    def is_store_quiet(self) -> bool:
+        """Return whether an outage of the store may have begun."""
+        age_s = clock.now() - self.state.store_answered_at
+        return age_s > STORE_QUIET_S
+
     def is_over(self) -> bool:
         """Return whether nothing may be sent any more."""
         blind_until = self.leased_until + holdings.BLIND_RENEWAL_S
@@ -129,7 +137,13 @@
             logs.info('tenure_ended', epoch=self.ledger.epoch)
 
     def _new_mover(self) -> moves.Mover:
-        return moves.Mover(self.ledger, self.orders, self.state, self.is_blind)
+        return moves.Mover(
+            self.ledger,
+            self.orders,
+            self.state,
+            self.is_blind,
+            self.is_store_quiet,
+        )
 
     async def _take_over(self) -> None:
         found = await self.ledger.begin()
@@ -328,7 +342,9 @@
     async def _plan(self) -> None:
         while True:
             await asyncio.sleep(PLAN_S)
-            if self.is_blind() or not self.state.listed:
+            if self.is_store_quiet() or not self.state.listed:
+                continue
+            if self.is_blind():
                 continue
             now = clock.now()
             self.times.keep_only(self.state.directory.entries)
--- a/packages/knapweedhall-router/src/knapweedhall_router/moves.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/moves.py
@@ -31,6 +31,8 @@
         knows.
     is_blind : callable
         Tells whether another coordinator may have taken over.
+    is_store_quiet : callable
+        Tells whether an outage of the store may have begun.
     """
 
     def __init__(
@@ -39,11 +41,13 @@
         orders: orders_module.Orders,
         state: state_module.State,
         is_blind: typing.Callable[[], bool],
+        is_store_quiet: typing.Callable[[], bool],
     ) -> None:
         self.ledger = ledger
         self.orders = orders
         self.state = state
         self.is_blind = is_blind
+        self.is_store_quiet = is_store_quiet
         self.release_after: dict[str, float] = {}
 
     def may_release(self, upstream: str, now: float) -> bool:
@@ -72,7 +76,8 @@
         """
         source = one.upstream
         keys = model.KeyRange(one.first, one.last)
-        if not await self.orders.prove(target, keys):
+        proved = await self.orders.prove(target, keys)
+        if not proved or self.is_store_quiet():
             one.moving, one.target = False, ''
             announce([one])
             return
--- a/packages/knapweedhall-router/tests/test_orders.py
+++ b/packages/knapweedhall-router/tests/test_orders.py
@@ -62,6 +62,7 @@
             orders.Orders(client, holdings.Fences(0)),
             typing.cast(typing.Any, None),
             lambda: False,
+            lambda: False,
         )
         begun = clock.now()
         self.assertEqual('', await found._free(one))
