Let the soak show the version check

A coordinator reads from where it is; only one that begins to read takes a listing, and it has to be older than a record that is in force. The fault "past" now publishes a host, waits until it is in force, lets the store forget its history and list the past, and stops the coordinator.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/scene.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/scene.py
@@ -10,17 +10,20 @@
 
 import aiohttp
 
+from knapweedhall_adapter import outcomes
 from knapweedhall_adapter import store
 from knapweedhall_bench import callers
 from knapweedhall_bench import deployment
 from knapweedhall_ctl import draft
 from knapweedhall_ctl import exit_codes
 from knapweedhall_ctl import publish
+from knapweedhall_router import coordinator_link
 
 DIVIDED = 'ledger'
 CHOICE = 'orders'
 SERVE_LIMIT_S = 20.0
 PUBLISH_LIMIT_S = 30.0
+ASK_LIMIT_S = 1.0
 PROBE_PAUSE_S = 0.2
 # Keys that are asked for to see whether all are served.
 PROBES = 32
@@ -107,6 +110,19 @@
                 self.hosts.append(host)
                 self.accepted_at[host] = time.monotonic()
 
+    async def coordinator(self) -> str:
+        """Return the name of the coordinating instance, '' if unknown."""
+        deadline = asyncio.get_running_loop().time() + ASK_LIMIT_S
+        client = store.StoreClient(
+            self.running.session, self.running.store.address
+        )
+        found = await client.holder(
+            coordinator_link.GROUP, coordinator_link.TENURE_TOPIC, deadline
+        )
+        if isinstance(found, outcomes.Unavailable):
+            return ''
+        return found.partition('@')[0]
+
     async def until_served(self, limit_s: float = SERVE_LIMIT_S) -> str:
         """Wait until each router serves all probed keys.
 
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -41,6 +41,9 @@
 STANDSTILL_S = 0.8
 # Age of listings of the past, as the platform's pages have it.
 PAST_S = 3.0
+# Time after which a record is in force everywhere, at its longest when the
+# store pushes nothing.
+IN_FORCE_S = 0.8
 # A request whose instance is harmed so long before or after is not judged as
 # cut: the harm reaches it late.
 NEAR_S = 0.3
@@ -208,7 +211,11 @@
                 path: 0.3 for path in ('/log-append', '/log-join', '/log-read')
             }
         elif fault.kind == 'past':
-            # A store that has deleted its history may list the past.
+            # A store that has deleted its history may list the past. Only a
+            # record that is younger, and a coordinator that begins to read,
+            # show who believes it.
+            await self.stage.add_host(f'host-{self.stage.published}')
+            await asyncio.sleep(IN_FORCE_S)
             self.wrong.past_s = PAST_S
             with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                 # While the store is down nothing is forgotten.
@@ -216,10 +223,17 @@
         else:
             self.wrong.deaf = True
         await self.running.set_faults(self.wrong)
+        if fault.kind == 'past':
+            await self._change_coordinator()
         await asyncio.sleep(lasts_s)
         self.wrong = store_faults.StoreFaults()
         await self.running.set_faults(self.wrong)
 
+    async def _change_coordinator(self) -> None:
+        name = await self.stage.coordinator()
+        if name in self.running.routers:
+            await self._stop_router(name, self.running.routers[name])
+
     async def _restart(self) -> None:
         """Start routers again that ended, as the platform does."""
         while True:
