Log each failed request, and measure what a line costs

Change: request_failed has 500 lines a second, above what an instance can answer; other events stay at 20 and count what is left out.

Test: test_no_failed_request_is_left_out.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/costs.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/costs.py
@@ -1,11 +1,14 @@
-"""Measures what a coordinator's work costs, for docs/CAPACITY.md."""
+"""Measures what single steps of a router cost, for docs/CAPACITY.md."""
 
 from __future__ import annotations
 
+import os
 import random
 import time
 import typing
+from unittest import mock
 
+from knapweedhall_router import logs
 from knapweedhall_router import messages
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
@@ -16,6 +19,8 @@
 UPSTREAMS = (20, 100, 400)
 RANGES_PER_UPSTREAM = 4
 CAPACITY_PER_S = 40.0
+# Log lines in one measurement.
+LOGGED = 2000
 
 
 def seconds(work: typing.Callable[[], object]) -> float:
@@ -71,6 +76,38 @@
     ]
 
 
+def log_lines() -> list[tuple[str, float]]:
+    """Return costs of the log of one request, in ms of processor time."""
+    logs.configure('costs', os.open(os.devnull, os.O_WRONLY))
+
+    def written() -> None:
+        _answered(LOGGED)
+
+    found = []
+    for name, limit in (
+        ('log line of a request, written', 10**9),
+        ('log line of a request, left out', 0),
+    ):
+        with mock.patch.dict(logs.OUTCOMES_PER_S, request_answered=limit):
+            found.append((name, seconds(written) * 1000 / LOGGED))
+    return found
+
+
+def _answered(count: int) -> None:
+    for _ in range(count):
+        logs.info(
+            'request_answered',
+            request='4f0c2a77d1b93e58',
+            route='views',
+            service='troupeau-view',
+            key=20719,
+            upstreams=['i-7f3a91c2'],
+            status=200,
+            waited_ms=202.4,
+            configuration=20,
+        )
+
+
 def sizes() -> list[tuple[str, int]]:
     """Return bytes of messages on the wire."""
     beat = messages.Fleet(9, [], [], False, {'keyed.servers': 0.2}, 99.0)
@@ -91,6 +128,8 @@
     for upstreams in UPSTREAMS:
         for name, cost_ms in report(upstreams):
             print(f'{upstreams:4} upstreams  {name:20} {cost_ms:8.2f} ms')
+    for name, cost_ms in log_lines():
+        print(f'{name:37} {cost_ms:10.4f} ms')
     for name, size in sizes():
         print(f'{name:25} {size:5} bytes')
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/logs.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/logs.py
@@ -12,11 +12,12 @@
 
 from knapweedhall_events import catalogue
 
-# Lines per second and event; a failure storm must not take the processor
-# that requests need. What is left out is counted in the next line.
+# Lines per second and event; a storm must not take the processor that requests
+# need. What is left out is counted in the next line.
 LINES_PER_S = 20
-# The same for ordinary outcomes, which are only samples.
-SAMPLES_PER_S = {'request_answered': 2}
+# The same for the outcome of a request: ordinary ones are samples, and of
+# failed ones none is left out below what an instance can answer in a second.
+OUTCOMES_PER_S = {'request_answered': 2, 'request_failed': 500}
 Value = str | int | float | bool | None | list[str]
 
 
@@ -68,7 +69,7 @@
         left_out = known.left_out if known else 0
         if known is None or known.second != second:
             known = _Allowance(second, 0, left_out)
-        if known.written >= SAMPLES_PER_S.get(event, LINES_PER_S):
+        if known.written >= OUTCOMES_PER_S.get(event, LINES_PER_S):
             self.allowances[event] = known._replace(left_out=left_out + 1)
             return
         self.allowances[event] = _Allowance(second, known.written + 1, 0)
--- a/packages/knapweedhall-router/tests/test_logs.py
+++ b/packages/knapweedhall-router/tests/test_logs.py
@@ -38,6 +38,15 @@
         for line in lines:
             self.assertEqual('upstream_gone', json.loads(line)['event'])
 
+    def test_no_failed_request_is_left_out(self) -> None:
+        """Guards against an id whose cause nobody finds afterwards."""
+        count = 120
+        for number in range(count):
+            logs.info('request_failed', request=f'q{number}')
+        lines = os.read(self.reader, 10**6).decode().splitlines()
+        found = [json.loads(line)['request'] for line in lines]
+        self.assertEqual([f'q{number}' for number in range(count)], found)
+
     def test_storm_is_bounded_and_counted(self) -> None:
         """Guards against failures that take the processor of requests."""
         for _ in range(500):
--- a/tools/write_catalogue.py
+++ b/tools/write_catalogue.py
@@ -12,7 +12,8 @@
 Each line on a router's standard output is one JSON object: `at` (time of day,
 seconds), `level`, `process`, `event` (its name) and the fields below. A field
 `left_out` counts the events of the same kind that were not written, as a kind
-has 20 lines a second at most. `knapweedhallctl timeline` merges the logs of
+has 20 lines a second at most (`request_failed` 500, as no failure is a sample,
+and `request_answered` 2). `knapweedhallctl timeline` merges the logs of
 all processes. `make catalogue` writes this page.
 
 | number | name | level | fields | meaning |
