Divide the dispatcher and the coordinator

No change of behaviour. targets.Targets finds the upstream of a call or why there is none; dispatch.Dispatcher sends and repeats. service.Service, what a coordinator keeps of one divided service, has a module of its own and makes the messages about its owners. dispatch.py had 430 lines and has 290, coordinator.py 425 and 400.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -17,6 +17,7 @@
 from knapweedhall_router import messages
 from knapweedhall_router import moves
 from knapweedhall_router import orders
+from knapweedhall_router import service as service_module
 from knapweedhall_router import state as state_module
 from knapweedhall_router import takeover
 from knapweedhall_routing import holdings
@@ -27,9 +28,6 @@
 # Period of renewals, and of plans; a plan sums the rates of all keys.
 TICK_S = 0.1
 PLAN_S = 0.25
-# The first assignment of a service waits until no upstream was listed for
-# this time, or it would give all keys to the first few.
-FIRST_PLAN_CALM_S = 1.2
 # Share of its cold budget that an upstream's keys may bring.
 COLD_USE = 0.8
 # Time for which the connected instances must be the same before they are
@@ -43,26 +41,6 @@
 OUTAGE_NEWS_S = 5.0
 
 
-class Service:
-    """What a coordinator keeps of one divided service."""
-
-    def __init__(self, name: str) -> None:
-        self.ranges = holdings.Holdings(name)
-        self.rates = rates.KeyRates()
-        self.number = 0
-        self.listed = 0
-        self.calm_at = 0.0
-
-    def is_settled(self, listed: int, now: float) -> bool:
-        """Return whether keys can be assigned for the first time."""
-        if any(one.upstream for one in self.ranges.items):
-            return True
-        if listed != self.listed:
-            self.listed = listed
-            self.calm_at = now + FIRST_PLAN_CALM_S
-        return listed > 0 and now >= self.calm_at
-
-
 class Coordinator:
     """Grants keys to upstreams and tells instances who owns them.
 
@@ -87,7 +65,7 @@
         self.state = state
         self.leased_until = leased_until
         self.orders = orders.Orders(order_client, holdings.Fences(0))
-        self.services: dict[str, Service] = {}
+        self.services: dict[str, service_module.Service] = {}
         self.times = rates.ServiceTimes()
         self.hub = hub_module.Hub(self.greeting, self.report, self.heartbeat)
         self.tasks: set[asyncio.Task[None]] = set()
@@ -153,7 +131,7 @@
         self.mover = self._new_mover()
         now = clock.now()
         for name, rows in found.items():
-            self.services[name] = Service(name)
+            self.services[name] = service_module.Service(name)
             self.services[name].ranges.restore(rows, now)
         # Instances may have connected while the store was asked.
         for table in self.tables():
@@ -237,15 +215,8 @@
 
     def tables(self) -> list[messages.Table]:
         """Return all tables of owners."""
-        return [
-            messages.Table(
-                name,
-                self.ledger.epoch,
-                service.number,
-                [messages.to_row(row) for row in service.ranges.rows()],
-            )
-            for name, service in self.services.items()
-        ]
+        epoch = self.ledger.epoch
+        return [one.table(epoch) for one in self.services.values()]
 
     def report(self, report: messages.Report) -> None:
         """Take over what an instance measured."""
@@ -256,17 +227,11 @@
             self.times.add(upstream, count, service_s)
 
     def _announce(
-        self, service: Service, changed: typing.Iterable[holdings.Holding]
+        self,
+        service: service_module.Service,
+        changed: typing.Iterable[holdings.Holding],
     ) -> None:
-        service.number += 1
-        self.hub.send(
-            messages.Change(
-                service.ranges.service,
-                self.ledger.epoch,
-                service.number,
-                [messages.to_row(one.row()) for one in changed],
-            )
-        )
+        self.hub.send(service.change(self.ledger.epoch, changed))
 
     # Renewals
 
@@ -279,7 +244,9 @@
                 self._renew_service(service, now)
             await asyncio.sleep(TICK_S)
 
-    def _renew_service(self, service: Service, now: float) -> None:
+    def _renew_service(
+        self, service: service_module.Service, now: float
+    ) -> None:
         service.ranges.merge(now)
         due: dict[str, list[holdings.Holding]] = {}
         for one in service.ranges.items:
@@ -302,7 +269,7 @@
         )
 
     async def _renew_all(
-        self, service: Service, found: list[holdings.Holding]
+        self, service: service_module.Service, found: list[holdings.Holding]
     ) -> None:
         for one in found:
             # The check and the write that follows it belong together, as the
@@ -354,12 +321,14 @@
                 self._plan_service(self.services[name], now)
 
     def _add(self, name: str) -> None:
-        self.services[name] = Service(name)
+        self.services[name] = service_module.Service(name)
         for table in self.tables():
             if table.service == name:
                 self.hub.send(table)
 
-    def _plan_service(self, service: Service, now: float) -> None:
+    def _plan_service(
+        self, service: service_module.Service, now: float
+    ) -> None:
         service.rates.decay(now)
         items = service.ranges.items
         view = self._view(service, now)
@@ -392,7 +361,9 @@
             return True
         return one.is_free(now)
 
-    def _view(self, service: Service, now: float) -> planning.View:
+    def _view(
+        self, service: service_module.Service, now: float
+    ) -> planning.View:
         name = service.ranges.service
         usable = [
             one
@@ -414,7 +385,7 @@
     # Moves
 
     def _begin(
-        self, service: Service, move: planning.Move, now: float
+        self, service: service_module.Service, move: planning.Move, now: float
     ) -> None:
         try:
             one = service.ranges.cut(move.first, move.last)
--- a/packages/knapweedhall-router/src/knapweedhall_router/front.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/front.py
@@ -15,6 +15,7 @@
 from knapweedhall_router import logs
 from knapweedhall_router import metrics
 from knapweedhall_router import state as state_module
+from knapweedhall_router import targets
 
 # Bodies in memory, as a part of the process's memory limit.
 BODY_MEMORY_SHARE = 0.3
@@ -103,8 +104,8 @@
                 reason=f'{type(error).__name__}: {error}',
             )
             status = 502 if call.ran_on else 503
-            result = dispatch.Failure(status, 'internal-error')
-        if isinstance(result, dispatch.Failure):
+            result = targets.Failure(status, 'internal-error')
+        if isinstance(result, targets.Failure):
             self._log_failure(call, result)
             return self._refuse(
                 request, result.status, result.reason, result.retry_after_s
@@ -168,9 +169,7 @@
     def _count(self, outcome: str) -> None:
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
 
-    def _log_failure(
-        self, call: calls.Call, failure: dispatch.Failure
-    ) -> None:
+    def _log_failure(self, call: calls.Call, failure: targets.Failure) -> None:
         table = self.state.owner_table(call.service)
         row = table.find(call.key) if call.key is not None else None
         now = clock.now()
