Lose what a silent link holds up when its sender resets

The link to ledger-8 was silent from 3005.99 to 3011.04. Grants of 3006 timed out after 0.6 s and reset their connections; their keys went to others at 3010.44 under higher tokens; at 3011.04 the proxy delivered the old grants.

Ruled out: a shorter wait of the product than its grants need: the keys moved 3.4 s after the last of these grants was sent, within the bound for all grants that arrive at all.

Change: the proxy drops held bytes of a connection that was reset.

--- a/packages/knapweedhall-standins/src/knapweedhall_standins/proxy.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/proxy.py
@@ -127,6 +127,11 @@
                 await asyncio.sleep(self.delay_s)
             while self._holds(requests):
                 await self.changed.wait()
+            reset = reader.exception()
+            if reset is not None:
+                # Bytes that a partition holds up are lost if their sender
+                # resets the connection.
+                raise reset
             writer.write(data)
             await writer.drain()
 
