Give free keys on without the pause between releases

A release that was not answered pauses further ones to that upstream, for 1.5 s since, and the pause held up its ranges also when the last grant had ended and no release was needed any more.

Ruled out: the hold, which ends 2.95 s after the last grant that left.

Change: the pause counts for ranges that may still be held.

Tests: test_coordinator.PauseTest, the first fails before.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -340,7 +340,7 @@
             if not one.moving
             and not one.in_flight
             and self._is_orphan(one, now)
-            and self.mover.may_release(one.upstream, now)
+            and (one.is_free(now) or self.mover.may_release(one.upstream, now))
         ]
         planned = planning.place_orphans(items, view, orphans)
         if not planned:
