Report a store that does not answer in one place

Cause: show, owners and status each caught the same error and made the same report of it.

Change: the command line does it for all commands. test_status_without_a_ coordinator called the command's function, which no longer answers this; it now runs the whole command line and looks at what is printed besides the exit code.

--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/main.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/main.py
@@ -5,6 +5,7 @@
 import argparse
 import sys
 
+from knapweedhall_ctl import connection
 from knapweedhall_ctl import mark
 from knapweedhall_ctl import owners
 from knapweedhall_ctl import publish
@@ -39,7 +40,11 @@
 def main(words: list[str] | None = None) -> int:
     """Run one command; return the exit code."""
     arguments = build_parser().parse_args(words)
-    return report.show(arguments.run(arguments), arguments.json)
+    try:
+        found = arguments.run(arguments)
+    except connection.Unanswered as error:
+        found = report.unavailable(str(error))
+    return report.show(found, arguments.json)
 
 
 if __name__ == '__main__':
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/owners.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/owners.py
@@ -43,10 +43,7 @@
     keys = _parse(arguments.keys)
     if isinstance(keys, errors.Refusal):
         return report.rejected(keys)
-    try:
-        rows = asyncio.run(_assignment(arguments))
-    except connection.Unanswered as error:
-        return report.unavailable(str(error))
+    rows = asyncio.run(_assignment(arguments))
     chosen = [
         row
         for row in rows
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/show.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/show.py
@@ -32,10 +32,7 @@
 
 def run(arguments: argparse.Namespace) -> report.Report:
     """Print the records that the arguments name, or all."""
-    try:
-        found = asyncio.run(_records(arguments))
-    except connection.Unanswered as error:
-        return report.unavailable(str(error))
+    found = asyncio.run(_records(arguments))
     chosen = [
         record
         for record in found
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/status.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/status.py
@@ -25,10 +25,7 @@
 
 def run(arguments: argparse.Namespace) -> report.Report:
     """Ask the coordinator; 1 if instances differ in their configuration."""
-    try:
-        found = asyncio.run(_overview(arguments))
-    except connection.Unanswered as error:
-        return report.unavailable(str(error))
+    found = asyncio.run(_overview(arguments))
     unowned = {
         service: sum(row[1] - row[0] + 1 for row in rows if not row[2])
         for service, rows in found.services.items()
--- a/packages/knapweedhall-ctl/tests/test_publish.py
+++ b/packages/knapweedhall-ctl/tests/test_publish.py
@@ -23,7 +23,6 @@
 from knapweedhall_ctl import publish
 from knapweedhall_ctl import report
 from knapweedhall_ctl import show
-from knapweedhall_ctl import status
 from knapweedhall_router import ledger
 from knapweedhall_router import published
 from knapweedhall_standins import store
@@ -204,8 +203,11 @@
 
     async def test_status_without_a_coordinator(self) -> None:
         """Guards against a command that hangs or raises."""
-        found = await asyncio.to_thread(status.run, self.arguments())
-        self.assertEqual(exit_codes.PLATFORM_UNAVAILABLE, found.exit_code)
+        words = ['status', '--store', self.arguments().store]
+        with unittest.mock.patch('builtins.print') as printed:
+            exit_code = await asyncio.to_thread(main.main, words)
+        self.assertEqual(exit_codes.PLATFORM_UNAVAILABLE, exit_code)
+        self.assertIn('names no coordinator', str(printed.call_args))
         self.store.faults.down = True
         with self.assertRaises(connection.Unanswered):
             await connection.overview(self.client)
