Give renewals and the lease modules of their own

Change: lease.Lease says whether the tenure lasts and whether the store is quiet, for the coordinator, the mover, the renewals and the membership; renewals.Renewer decides and sends what is due. No change of behaviour.

The stub in test_membership has a real lease now instead of its own copy of the rule.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -12,11 +12,13 @@
 from knapweedhall_router import coordinator_link
 from knapweedhall_router import feed
 from knapweedhall_router import hub as hub_module
+from knapweedhall_router import lease as lease_module
 from knapweedhall_router import ledger as ledger_module
 from knapweedhall_router import logs
 from knapweedhall_router import messages
 from knapweedhall_router import moves
 from knapweedhall_router import orders
+from knapweedhall_router import renewals
 from knapweedhall_router import service as service_module
 from knapweedhall_router import state as state_module
 from knapweedhall_router import takeover
@@ -33,9 +35,6 @@
 # Time for which the connected instances must be the same before they are
 # recorded, so that a restart of all makes a few records.
 FLEET_CALM_S = 0.5
-# Time without an answer of the store after which no move begins: its keys have
-# no owner until the store takes the new one. Joins and reads come each 0.3 s.
-STORE_QUIET_S = 0.45
 # Time after an outage for which it is told with each record: longer than the
 # memory of outages in `directory`.
 OUTAGE_NEWS_S = 5.0
@@ -48,9 +47,8 @@
     ----------
     ledger : ledger.Ledger
         The tenure and the assignments in the store.
-    leased_until : float
-        End of the membership that the tenure rests on, on `clock.now`;
-        moved by the membership task.
+    lease : lease.Lease
+        How long the tenure lasts.
     """
 
     def __init__(
@@ -61,35 +59,29 @@
         leased_until: float,
     ) -> None:
         self.ledger = ledger_module.Ledger(client, state.settings)
-        self.order_client = order_client
         self.state = state
-        self.leased_until = leased_until
+        self.lease = lease_module.Lease(state, leased_until)
         self.orders = orders.Orders(order_client, holdings.Fences(0))
         self.services: dict[str, service_module.Service] = {}
         self.times = rates.ServiceTimes()
         self.hub = hub_module.Hub(self.greeting, self.report, self.heartbeat)
         self.tasks: set[asyncio.Task[None]] = set()
-        self.mover = self._new_mover()
-
-    def is_blind(self) -> bool:
-        """Return whether another coordinator may have taken over."""
-        return clock.now() >= self.leased_until
-
-    def is_store_quiet(self) -> bool:
-        """Return whether an outage of the store may have begun."""
-        age_s = clock.now() - self.state.store_answered_at
-        return age_s > STORE_QUIET_S
+        self.mover = moves.Mover(
+            self.ledger, self.orders, self.state, self.lease
+        )
+        self.renewer = renewals.Renewer(
+            self.orders, self.state, self.lease, self.may_renew
+        )
 
     def is_over(self) -> bool:
         """Return whether nothing may be sent any more."""
-        blind_until = self.leased_until + holdings.BLIND_RENEWAL_S
-        return clock.now() >= blind_until or self.orders.fenced
+        return self.lease.is_over() or self.orders.fenced
 
     def may_renew(self) -> bool:
         """Return whether grants that exist may still be renewed."""
         if self.is_over():
             return False
-        if not self.is_blind():
+        if not self.lease.is_blind():
             return True
         reports, now = self.hub.reports(), clock.now()
         return all(
@@ -114,21 +106,9 @@
                 task.cancel()
             logs.info('tenure_ended', epoch=self.ledger.epoch)
 
-    def _new_mover(self) -> moves.Mover:
-        return moves.Mover(
-            self.ledger,
-            self.orders,
-            self.state,
-            self.is_blind,
-            self.is_store_quiet,
-        )
-
     async def _take_over(self) -> None:
         found = await self.ledger.begin()
-        self.orders = orders.Orders(
-            self.order_client, holdings.Fences(self.ledger.epoch)
-        )
-        self.mover = self._new_mover()
+        self.orders.fences = holdings.Fences(self.ledger.epoch)
         now = clock.now()
         for name, rows in found.items():
             self.services[name] = service_module.Service(name)
@@ -156,7 +136,7 @@
         while True:
             await asyncio.sleep(FLEET_CALM_S)
             found = self.hub.instances()
-            if found != known or self.is_blind():
+            if found != known or self.lease.is_blind():
                 known = found
             elif found != self.ledger.fleet:
                 await self.ledger.record_fleet(found)
@@ -183,7 +163,7 @@
             number,
             joined,
             left,
-            self.is_blind(),
+            self.lease.is_blind(),
             self.state.feed.ages(now),
             now - self.state.directory.outage_end,
         )
@@ -208,7 +188,7 @@
         return messages.Overview(
             self.state.settings.name,
             self.ledger.epoch,
-            self.is_blind(),
+            self.lease.is_blind(),
             self.hub.versions(),
             {table.service: table.rows for table in self.tables()},
         )
@@ -241,53 +221,13 @@
             if self.orders.fenced:
                 raise ledger_module.DeposedError
             for service in self.services.values():
-                self._renew_service(service, now)
+                announce = functools.partial(self._announce, service)
+                for due in self.renewer.due(service.ranges, now):
+                    self._start(
+                        self.renewer.renew(service.ranges, due, announce)
+                    )
             await asyncio.sleep(TICK_S)
 
-    def _renew_service(
-        self, service: service_module.Service, now: float
-    ) -> None:
-        service.ranges.merge(now)
-        due: dict[str, list[holdings.Holding]] = {}
-        for one in service.ranges.items:
-            if one.upstream and not one.moving and not one.in_flight:
-                if one.renew_at <= now and self._may_hold(one):
-                    due.setdefault(one.upstream, []).append(one)
-        for found in due.values():
-            self._start(self._renew_all(service, found))
-
-    def _may_hold(self, one: holdings.Holding) -> bool:
-        """Return whether a grant may be sent to the range's holder."""
-        if not one.confirmed and self.is_blind():
-            # A new token would be a new grant.
-            return False
-        if self.orders.is_given_up(one.upstream, clock.now()):
-            return False
-        entry = self.state.directory.entries.get(one.upstream)
-        return entry is not None and (
-            not one.born_ms or entry.born_ms == one.born_ms
-        )
-
-    async def _renew_all(
-        self, service: service_module.Service, found: list[holdings.Holding]
-    ) -> None:
-        for one in found:
-            # The check and the write that follows it belong together, as the
-            # process may have been paused before.
-            if not self.may_renew() or one.moving:
-                return
-            if one not in service.ranges.items or one.in_flight:
-                continue
-            fresh = not one.confirmed and not one.inherited
-            accepted = await self.orders.grant(service.ranges, one)
-            if accepted and fresh:
-                self._announce(service, [one])
-            if not accepted:
-                # The others would wait for the same upstream.
-                for other in found:
-                    other.renew_at = max(other.renew_at, one.renew_at)
-                return
-
     def _start(
         self, work: typing.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
@@ -309,9 +249,9 @@
     async def _plan(self) -> None:
         while True:
             await asyncio.sleep(PLAN_S)
-            if self.is_store_quiet() or not self.state.listed:
+            if self.lease.is_blind() or self.lease.is_store_quiet():
                 continue
-            if self.is_blind():
+            if not self.state.listed:
                 continue
             now = clock.now()
             self.times.keep_only(self.state.directory.entries)
@@ -321,10 +261,8 @@
                 self._plan_service(self.services[name], now)
 
     def _add(self, name: str) -> None:
-        self.services[name] = service_module.Service(name)
-        for table in self.tables():
-            if table.service == name:
-                self.hub.send(table)
+        added = self.services[name] = service_module.Service(name)
+        self.hub.send(added.table(self.ledger.epoch))
 
     def _plan_service(
         self, service: service_module.Service, now: float
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -148,7 +148,7 @@
         if self.coordinator is None:
             self._start(leased_until)
         else:
-            self.coordinator.leased_until = leased_until
+            self.coordinator.lease.until = leased_until
 
     def _is_interrupted(self) -> bool:
         """Return whether the present tenure can't go on with its token.
@@ -159,7 +159,7 @@
         """
         if self.coordinator is None or self.task is None:
             return False
-        return self.task.done() or self.coordinator.is_blind()
+        return self.task.done() or self.coordinator.lease.is_blind()
 
     def _start(self, leased_until: float) -> None:
         self.coordinator = coordinator_module.Coordinator(
--- a/packages/knapweedhall-router/src/knapweedhall_router/moves.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/moves.py
@@ -7,6 +7,7 @@
 
 from knapweedhall_adapter import outcomes
 from knapweedhall_router import clock
+from knapweedhall_router import lease as lease_module
 from knapweedhall_router import ledger as ledger_module
 from knapweedhall_router import logs
 from knapweedhall_router import orders as orders_module
@@ -26,13 +27,9 @@
 
     Parameters
     ----------
-    ledger, orders, state
+    ledger, orders, state, lease
         Assignments in the store, orders to upstreams, what the instance
-        knows.
-    is_blind : callable
-        Tells whether another coordinator may have taken over.
-    is_store_quiet : callable
-        Tells whether an outage of the store may have begun.
+        knows, how long the tenure lasts.
     """
 
     def __init__(
@@ -40,14 +37,12 @@
         ledger: ledger_module.Ledger,
         orders: orders_module.Orders,
         state: state_module.State,
-        is_blind: typing.Callable[[], bool],
-        is_store_quiet: typing.Callable[[], bool],
+        lease: lease_module.Lease,
     ) -> None:
         self.ledger = ledger
         self.orders = orders
         self.state = state
-        self.is_blind = is_blind
-        self.is_store_quiet = is_store_quiet
+        self.lease = lease
         self.release_after: dict[str, float] = {}
 
     def may_release(self, upstream: str, now: float) -> bool:
@@ -77,17 +72,17 @@
         source = one.upstream
         keys = model.KeyRange(one.first, one.last)
         proved = await self.orders.prove(target, keys)
-        if not proved or self.is_store_quiet():
+        if not proved or self.lease.is_store_quiet():
             one.moving, one.target = False, ''
             announce([one])
             return
         handover = await self._free(one)
-        if handover is None or self.is_blind():
+        if handover is None or self.lease.is_blind():
             self._keep(one)
             return
         self._assign(ranges.service, one, target, handover)
         await self.ledger.write(ranges)
-        if self.is_blind():
+        if self.lease.is_blind():
             self._keep(one)
             return
         accepted = await self.orders.grant(ranges, one)
--- a/packages/knapweedhall-router/tests/test_membership.py
+++ b/packages/knapweedhall-router/tests/test_membership.py
@@ -11,6 +11,7 @@
 from knapweedhall_router import clock
 from knapweedhall_router import coordinator
 from knapweedhall_router import coordinator_link
+from knapweedhall_router import lease
 from knapweedhall_router import membership
 from knapweedhall_router import state as state_module
 from tests import fleet
@@ -31,11 +32,7 @@
     """Stands in for a coordinator."""
 
     def __init__(self, *parts: typing.Any) -> None:
-        self.leased_until = parts[-1]
-
-    def is_blind(self) -> bool:
-        """Return whether the lease has ended."""
-        return clock.now() >= self.leased_until
+        self.lease = lease.Lease(*parts[-2:])
 
     async def run(self) -> None:
         """Coordinate until cancelled."""
@@ -75,7 +72,7 @@
         store named the first again; its grants came under the old tokens.
         """
         assert self.tenure is not None
-        self.tenure.leased_until = clock.now() - 0.1
+        self.tenure.lease.until = clock.now() - 0.1
         await self.member._join(clock.now())
         self.assertIsNotNone(self.member.coordinator)
         self.assertIsNot(self.tenure, self.member.coordinator)
--- a/packages/knapweedhall-router/tests/test_moves.py
+++ b/packages/knapweedhall-router/tests/test_moves.py
@@ -6,10 +6,14 @@
 import unittest
 
 from knapweedhall_adapter import outcomes
+from knapweedhall_router import clock
+from knapweedhall_router import lease
 from knapweedhall_router import moves
 from knapweedhall_router import orders
+from knapweedhall_router import state as state_module
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
+from tests import fleet
 
 
 class _Upstreams:
@@ -27,6 +31,12 @@
 class OutageTest(unittest.IsolatedAsyncioTestCase):
     """Moves that would meet an outage of the store."""
 
+    def lease(self) -> lease.Lease:
+        """Return the lease of a tenure that no call confirms any more."""
+        state = state_module.State(fleet.Fleet().new_settings())
+        state.store_answered_at = clock.now() - 2 * lease.STORE_QUIET_S
+        return lease.Lease(state, clock.now() + 60.0)
+
     async def test_quiet_store_ends_a_move_before_the_release(self) -> None:
         """Guards against keys without an owner for a whole outage.
 
@@ -41,8 +51,7 @@
                 typing.cast(typing.Any, upstreams), holdings.Fences(0)
             ),
             typing.cast(typing.Any, None),
-            lambda: False,
-            lambda: True,
+            self.lease(),
         )
         ranges = holdings.Holdings('s')
         one = ranges.items[0]
--- a/packages/knapweedhall-router/tests/test_orders.py
+++ b/packages/knapweedhall-router/tests/test_orders.py
@@ -61,8 +61,7 @@
             typing.cast(typing.Any, None),
             orders.Orders(client, holdings.Fences(0)),
             typing.cast(typing.Any, None),
-            lambda: False,
-            lambda: False,
+            typing.cast(typing.Any, None),
         )
         begun = clock.now()
         self.assertEqual('', await found._free(one))
