Close a watched connection when its caller leaves

Cause: found by reading. Since a new connection is watched for 4 ms; a caller that left in that time cancelled the watch, and the connection stayed open and unused until its upstream closed it, counted all the while.

Change: the watch closes the connection when it is cancelled.

Measured: test_connections, the new test fails before; the six tests pass.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -171,12 +171,19 @@
             self.idle.popleft().close()
         connection = await self._open(deadline)
         if watched or clock.now() < self.full_until:
-            await asyncio.sleep(SETTLE_S)
-            if not connection.is_connected():
-                self.refused()
-                raise ConnectionResetError('reset before use')
+            await self._watch(connection)
         return connection
 
+    async def _watch(self, connection: Connection) -> None:
+        try:
+            await asyncio.sleep(SETTLE_S)
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        if not connection.is_connected():
+            self.refused()
+            raise ConnectionResetError('reset before use')
+
     def refused(self) -> None:
         """Take note that the upstream has too many connections."""
         self.full_until = clock.now() + FULL_S
--- a/packages/knapweedhall-router/tests/test_connections.py
+++ b/packages/knapweedhall-router/tests/test_connections.py
@@ -106,6 +106,23 @@
             await self.pool.connect(clock.now() + 1, MOST, True)
         self.assertFalse(self.pool.has_idle(LONG_S, clock.now()))
 
+    async def test_caller_that_leaves_meanwhile_leaves_no_connection(
+        self,
+    ) -> None:
+        """Guards against connections that nobody uses and nobody closes.
+
+        They count towards the number that the upstream accepts.
+        """
+        watching = asyncio.create_task(
+            self.pool.connect(clock.now() + 1, MOST, True)
+        )
+        while not self.pool.open:
+            await asyncio.sleep(0)
+        watching.cancel()
+        await asyncio.wait([watching])
+        await asyncio.sleep(0.01)
+        self.assertEqual(set(), self.pool.open)
+
     async def test_all_are_watched_after_a_reset(self) -> None:
         """Guards against repeats at an upstream that is full."""
         for _ in range(2):
