Note broken connections in one place, and mend some names

Cause: a broken exchange was looked at twice, once for a new connection and once for an idle one, each with its own use of the value for "new"; and an exchange that sent nothing counted too. turn_away and turned_away, of a caller and by an upstream, stood side by side; "shatter" and "fade" are not the terms of the field.

Change: one method, for requests that were sent; Connection.is_new. refuse, fragment, forward decay, prior, POLL_S.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -94,6 +94,10 @@
                 )
         self.abort()
 
+    def is_new(self) -> bool:
+        """Return whether it has carried no exchange yet."""
+        return self.idle_since == math.inf
+
     def is_reusable(self, now: float) -> bool:
         """Return whether the idle connection can take another request.
 
@@ -189,9 +193,9 @@
         self.full_until = clock.now() + FULL_S
         self.close()
 
-    def broke(self, connection: Connection, after_s: float) -> None:
-        """Take note of a connection that broke after a request was sent."""
-        if connection.idle_since == math.inf and after_s < FULL_WITHIN_S:
+    def broke_at_once(self, after_s: float) -> None:
+        """Take note of a new connection that broke on its first request."""
+        if after_s < FULL_WITHIN_S:
             self.refused()
 
     async def _open(self, deadline: float) -> Connection:
--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -119,9 +119,7 @@
             upstream=target.name,
             reason=type(error).__name__,
         )
-        failure = self._final(
-            call, self.targets.turn_away(call, 'not-connected')
-        )
+        failure = self._final(call, self.targets.refuse(call, 'not-connected'))
         if self.targets.is_divided(call):
             # Nobody else owns the key; the coordinator finds out as well.
             return failure
@@ -157,20 +155,28 @@
             if not ran_before:
                 call.ran_on.discard(target.name)
             return self._not_run(call, target, outcome)
-        after_s = clock.now() - sent
-        pool.broke(connection, after_s)
-        idle_s = sent - connection.idle_since
-        self._check_idling(call, target, idle_s, after_s)
+        if outcome.sent:
+            self._note_reset(call, target, pool, connection, sent)
         return self._broken(call, target, outcome, ran_before)
 
-    def _check_idling(
+    def _note_reset(
         self,
         call: calls.Call,
         target: model.Upstream,
-        idle_s: float,
-        after_s: float,
+        pool: connections.Pool,
+        connection: connections.Connection,
+        sent: float,
     ) -> None:
-        """Trust idle connections less after one that was forgotten."""
+        """Take note of what a broken connection says of others.
+
+        A new one tells that its upstream has too many, an idle one that
+        upstreams of the service forget them.
+        """
+        after_s = clock.now() - sent
+        if connection.is_new():
+            pool.broke_at_once(after_s)
+            return
+        idle_s = sent - connection.idle_since
         trust = self.state.idle_trust(call.service)
         if trust.broke(idle_s, after_s, clock.now()):
             logs.info(
--- a/packages/knapweedhall-router/src/knapweedhall_router/takeover.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/takeover.py
@@ -15,8 +15,8 @@
 
 ASK_TIMEOUT_S = 0.5
 ASK_AGAIN_S = 0.3
-# Period of looking for a majority; the keys of unreachable upstreams wait.
-LOOK_S = 0.1
+# Period of the check for a majority; the keys of unreachable upstreams wait.
+POLL_S = 0.1
 
 
 ConnectedAt = typing.Callable[[], typing.Mapping[str, float]]
@@ -138,7 +138,7 @@
         while clock.now() < give_up_at:
             if quorum.has_left(one.fleet, connected_at(), clock.now()):
                 return 'left'
-            await asyncio.wait([asking], timeout=LOOK_S)
+            await asyncio.wait([asking], timeout=POLL_S)
             if asking.done():
                 return 'answered'
         return 'expired'
--- a/packages/knapweedhall-router/src/knapweedhall_router/targets.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/targets.py
@@ -98,7 +98,7 @@
             self.state.rng,
         )
         if found is None:
-            return self.turn_away(call, 'no-upstream')
+            return self.refuse(call, 'no-upstream')
         return self._admit(call, found.upstream, False)
 
     def _candidate(
@@ -142,7 +142,7 @@
                     row.since, call.route.objective_s
                 ):
                     # Its owner is lost; the wait would outlast the caller.
-                    return self.turn_away(call, 'no-owner')
+                    return self.refuse(call, 'no-owner')
             else:
                 # An owner that refused is asked again once it was named
                 # anew, as its grant had only ended meanwhile.
@@ -150,9 +150,9 @@
                     if self._may_send(row.upstream, now):
                         return self._admit_owner(call, row, now)
             if not await self.state.owners_changed.wait(hold_until - now):
-                return self.turn_away(call, 'no-new-owner')
+                return self.refuse(call, 'no-new-owner')
 
-    def turn_away(self, call: calls.Call, reason: str) -> Failure:
+    def refuse(self, call: calls.Call, reason: str) -> Failure:
         """Return a refusal whose caller comes back as late as possible."""
         left = call.end - clock.now()
         after = admission.retry_after(left, left, self.state.rng)
@@ -175,7 +175,7 @@
             return Failure(503, 'unlisted-owner', 0.1)
         if self.state.health(entry).is_silent(now):
             # Requests that are under way tell when it answers again.
-            return self.turn_away(call, 'silent-owner')
+            return self.refuse(call, 'silent-owner')
         cold = entry.cold_until > now and not self.state.admit_cold(
             entry.name, call.service, now
         )
--- a/packages/knapweedhall-router/tests/test_connections.py
+++ b/packages/knapweedhall-router/tests/test_connections.py
@@ -128,6 +128,7 @@
         for _ in range(2):
             await self.pool.connect(clock.now() + 1, MOST, False)
         fresh = await self.pool.connect(clock.now() + 1, MOST, False)
-        self.pool.broke(fresh, 0.002)
+        self.assertTrue(fresh.is_new())
+        self.pool.broke_at_once(0.002)
         with self.assertRaises(ConnectionResetError):
             await self.pool.connect(clock.now() + 1, MOST, False)
--- a/packages/knapweedhall-router/tests/test_takeover.py
+++ b/packages/knapweedhall-router/tests/test_takeover.py
@@ -65,4 +65,4 @@
         )
         waited_s = clock.now() - begun
         self.assertGreater(waited_s, majority_in_s)
-        self.assertLess(waited_s, majority_in_s + 2 * takeover.LOOK_S)
+        self.assertLess(waited_s, majority_in_s + 2 * takeover.POLL_S)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
@@ -24,8 +24,8 @@
 BLOCK_MAX_S = 2.0
 # Service time before any answer of the service, seconds.
 INITIAL_SERVICE_S = 0.1
-# Weight of the service's usual time against the answers of one upstream: an
-# instance among many has few answers of each.
+# Weight of the service's usual time as the prior of an upstream's, in answers;
+# an instance among many has few answers of each.
 TYPICAL_SAMPLES = 1
 # Weight of a new sample in the service's usual time.
 TYPICAL_SMOOTHING = 0.05
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/planning.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/planning.py
@@ -117,8 +117,8 @@
         return []
     loads = _loads(items, view)
     chunks = []
-    # By the slowest upstream, one that hardly works would shatter all ranges
-    # that go anywhere.
+    # Parts by the slowest upstream would fragment all ranges as soon as one
+    # hardly works.
     part = SPREAD_PART * statistics.median(view.capacity.values())
     room = RANGES_PER_UPSTREAM * len(view.capacity) - len(items)
     for one in orphans:
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/rates.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/rates.py
@@ -44,8 +44,8 @@
 class KeyRates:
     """Smoothed requests per second of each bucket of one service.
 
-    Counts fade with time. They are kept multiplied by a weight that grows as
-    they should fade, so that time passes without work for each bucket.
+    Counts decay exponentially. They are kept with forward decay, multiplied by
+    a weight that grows with time, so that no bucket is touched as time passes.
 
     Attributes
     ----------
@@ -78,7 +78,7 @@
                 self.recent[bucket] += count * fast
 
     def decay(self, now: float) -> None:
-        """Let old requests fade and prepare the sums of ranges."""
+        """Let old requests decay and prepare the sums of ranges."""
         period = max(0.0, now - self.decayed_at)
         self.decayed_at = max(now, self.decayed_at)
         if self.decayed_at - self.begun_at > LONGEST_GROWTH_S:
--- a/packages/knapweedhall-routing/tests/test_planning.py
+++ b/packages/knapweedhall-routing/tests/test_planning.py
@@ -176,7 +176,7 @@
         result = loads(self.book, found)
         self.assertLess(max(result.values()), 1.2 * CAPACITY)
 
-    def test_slow_upstream_does_not_shatter_ranges(self) -> None:
+    def test_slow_upstream_does_not_fragment_ranges(self) -> None:
         """Guards against more ranges than can be renewed.
 
         An upstream that takes seconds for each request made parts of 24 keys
