--- a/packages/knapweedhall-bench/src/knapweedhall_bench/scene.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/scene.py
@@ -37,8 +37,6 @@
     ----------
     hosts : list of str
         Hosts that callers use; grows with the operator's records.
-    accepted_at : dict of str to float
-        When a host's record was accepted, monotonic clock.
     """
 
     def __init__(
@@ -47,7 +45,6 @@
         self.running = running
         self.rng = rng
         self.hosts = [DIVIDED, CHOICE]
-        self.accepted_at: dict[str, float] = {}
         self.callers = callers.Callers(self.targets, rng, (DIVIDED,))
         self.author = draft.Author('operator', time.time_ns() // 1000)
         self.published = 0
@@ -90,11 +87,8 @@
         fields = {'kind': 'service', 'schema': 2, 'name': name, 'body': body}
         self.published += 1
         deadline = asyncio.get_running_loop().time() + PUBLISH_LIMIT_S
-        client = store.StoreClient(
-            self.running.session, self.running.store.address
-        )
         found = await publish.publish(
-            client,
+            self._client(),
             fields,
             self.author._replace(number=self.published),
             deadline,
@@ -108,21 +102,21 @@
             names = [one for one in self.hosts if one != DIVIDED]
             if await self.publish_service(CHOICE, 'choice', [*names, host]):
                 self.hosts.append(host)
-                self.accepted_at[host] = time.monotonic()
 
     async def coordinator(self) -> str:
         """Return the name of the coordinating instance, '' if unknown."""
         deadline = asyncio.get_running_loop().time() + ASK_LIMIT_S
-        client = store.StoreClient(
-            self.running.session, self.running.store.address
-        )
-        found = await client.holder(
+        found = await self._client().holder(
             coordinator_link.GROUP, coordinator_link.TENURE_TOPIC, deadline
         )
         if isinstance(found, outcomes.Unavailable):
             return ''
         return found.partition('@')[0]
 
+    def _client(self) -> store.StoreClient:
+        address = self.running.store.address
+        return store.StoreClient(self.running.session, address)
+
     async def until_served(self, limit_s: float = SERVE_LIMIT_S) -> str:
         """Wait until each router serves all probed keys.
 
