--- a/packages/knapweedhall-router/src/knapweedhall_router/orders.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/orders.py
@@ -150,7 +150,7 @@
     @_book.register
     def _(self, outcome: outcomes.Gone, sent: _Sent) -> None:
         sent.ranges.holder_gone(sent.order, sent.upstream, sent.address)
-        _log('holder_gone', sent.upstream, sent.order)
+        _log_gone(sent.upstream, sent.order)
 
     @_book.register
     def _(self, outcome: outcomes.NoAnswer, sent: _Sent) -> None:
@@ -158,8 +158,13 @@
         in_doubt = outcome.in_doubt
         sent.ranges.not_granted(sent.order, in_doubt, now + RETRY_S)
         self._unanswered(sent.upstream, now)
-        reason = outcome.reason
-        _log('grant_unanswered', sent.upstream, sent.order, reason=reason)
+        logs.info(
+            'grant_unanswered',
+            upstream=sent.upstream,
+            first=sent.order.first,
+            last=sent.order.last,
+            reason=outcome.reason,
+        )
 
     async def release(self, one: holdings.Holding) -> outcomes.ReleaseOutcome:
         """Take a range back from its holder."""
@@ -175,19 +180,21 @@
             deadline,
         )
         if isinstance(outcome, outcomes.Gone):
-            _log('holder_gone', one.upstream, one)
+            _log_gone(one.upstream, one)
         elif isinstance(outcome, outcomes.NoAnswer):
-            reason = outcome.reason
-            _log('release_unanswered', one.upstream, one, reason=reason)
+            logs.info(
+                'release_unanswered',
+                upstream=one.upstream,
+                first=one.first,
+                last=one.last,
+                reason=outcome.reason,
+            )
         return outcome
 
 
-def _log(
-    event: str,
-    upstream: str,
-    keys: holdings.SentGrant | holdings.Holding,
-    **fields: str,
+def _log_gone(
+    upstream: str, keys: holdings.SentGrant | holdings.Holding
 ) -> None:
     logs.info(
-        event, upstream=upstream, first=keys.first, last=keys.last, **fields
+        'holder_gone', upstream=upstream, first=keys.first, last=keys.last
     )
