Count the time of a grant from its arrival in the stand-in

The platform's pages say that a grant may be applied seconds later, and that its time still counts from the arrival of the call. Nothing of the product is concerned.

Ruled out: the proxy, which had delivered them at once; the product's wait.

Change: the stand-in asks the kernel when the bytes came (TCP_INFO), and a grant that has ended by then holds nothing. It still holds what has not ended, also if its sender has left, so a product that gives keys on too early is found as before.

Test: test_time_of_a_grant_counts_from_its_arrival, fails before.

--- a/packages/knapweedhall-standins/src/knapweedhall_standins/backend.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/backend.py
@@ -6,12 +6,18 @@
 import dataclasses
 import itertools
 import json
+import socket
+import struct
 import time
 import typing
 
 from aiohttp import web
+from aiohttp import web_protocol
 
 _numbers = itertools.count(1)
+# Head of struct tcp_info (linux/tcp.h): 8 bytes and 12 numbers, of which the
+# last is the age of the data that came last.
+_TCP_INFO = struct.Struct('8x11I I')
 REASONS = {200: 'OK', 500: 'Failed', 504: 'Timeout'}
 UPSTREAM_TOPIC = 'keyed.servers'
 
@@ -54,6 +60,40 @@
     return f'{method} {target} {body_bytes}'.encode()
 
 
+class _Connection(web_protocol.RequestHandler):
+    """A connection that knows when its last bytes came.
+
+    A process that was paused reads them later, and its sender may have left
+    by then; the kernel of Linux keeps the time, in ms (tcp(7), TCP_INFO).
+
+    Attributes
+    ----------
+    arrived_at : float
+        Time of the last bytes, on the monotonic clock.
+    """
+
+    __slots__ = ('arrived_at',)
+
+    def data_received(self, data: bytes) -> None:
+        """Keep the time of what arrived."""
+        assert self.transport is not None
+        wire = self.transport.get_extra_info('socket')
+        raw = wire.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size
+        )
+        *_, age_ms = _TCP_INFO.unpack(raw)
+        self.arrived_at = time.monotonic() - age_ms / 1000
+        super().data_received(data)
+
+
+class _Server(web.Server):
+    """Makes such connections."""
+
+    def __call__(self) -> web_protocol.RequestHandler:
+        """Return the protocol of a new connection."""
+        return _Connection(self, loop=self._loop, **self._kwargs)
+
+
 class Backend:
     """Runs requests for the keys that it was granted.
 
@@ -111,7 +151,7 @@
     async def start(self, host: str = '127.0.0.1', port: int = 0) -> None:
         """Listen and register."""
         loop = asyncio.get_running_loop()
-        self.http = web.Server(
+        self.http = _Server(
             self._handle, access_log=None, handler_cancellation=True
         )
         self.server = await loop.create_server(self.http, host, port)
@@ -169,12 +209,16 @@
         if expected != self.name:
             return self._not_run(421)
         if request.path == '/grant':
-            return self._grant(json.loads(await request.read()))
+            body = json.loads(await request.read())
+            assert isinstance(request.protocol, _Connection)
+            return self._grant(body, request.protocol.arrived_at)
         if request.path == '/release':
             return await self._release(json.loads(await request.read()))
         return await self._work(request)
 
-    def _grant(self, body: dict[str, typing.Any]) -> web.Response:
+    def _grant(
+        self, body: dict[str, typing.Any], arrived_at: float
+    ) -> web.Response:
         first, last, fence = body['fromRev'], body['to'], body['fence']
         if any(
             one.fence > fence and one.first <= last and first <= one.last
@@ -183,7 +227,10 @@
             return web.Response(status=409)
         self._note(Token(first, last, fence))
         self._cut(first, last)
-        until = time.monotonic() + body['holdS']
+        until = arrived_at + body['holdS']
+        if until <= time.monotonic():
+            # It ended while the process was paused.
+            return web.Response(status=200)
         self.grants.append(Grant(first, last, fence, until))
         self.on_event(
             'granted',
--- a/packages/knapweedhall-standins/tests/test_backend.py
+++ b/packages/knapweedhall-standins/tests/test_backend.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import socket
+import time
 import unittest
 
 import aiohttp
@@ -54,6 +57,28 @@
         self.assertEqual(409, await self.grant(6))
         self.assertEqual(200, await self.grant(8))
 
+    async def test_time_of_a_grant_counts_from_its_arrival(self) -> None:
+        """Guards against holds that a paused stand-in makes too long.
+
+        The platform's pages say so of a grant that is applied late; counted
+        from the work on it, keys had two holders after a pause in the soak.
+        """
+        host, _, port = self.upstream.address.rpartition(':')
+        body = json.dumps({'fromRev': 0, 'to': 99, 'fence': 1, 'holdS': 0.3})
+        head = (
+            f'POST /grant HTTP/1.1\r\nHost: {host}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        for paused_s, held in ((0.1, True), (0.4, False)):
+            with socket.create_connection((host, int(port))) as wire:
+                # Accepted before the pause, so that only the call waits.
+                await asyncio.sleep(0.05)
+                wire.sendall((head + body).encode())
+                time.sleep(paused_s)
+                await asyncio.sleep(0.05)
+                self.assertEqual(held, self.upstream.holds(7))
+            await asyncio.sleep(0.4)
+
     async def test_release_waits_for_work(self) -> None:
         """Guards against keys that are given on while work runs."""
         await self.grant(1)
