Explore the protocol model in typed Python instead of Maude

Change: the module TENURE becomes `tenure`, states as named tuples and guarded actions as functions; `exploration` is a breadth-first search over them. Weighed and left: clingo and z3 answer bounded questions and do not visit every state, so that the number of states could not be compared, and both are large dependencies.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 $(STAMP): constraints.txt requirements-dev.txt $(wildcard platform/pyproject.toml packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q -c constraints.txt setuptools
+	$(BIN)/pip install -q -c constraints.txt setuptools pbr
 	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt \
 		--no-build-isolation $(addprefix -e ./,$(PACKAGES))
 	touch $(STAMP)
--- a/packages/knapweedhall-model/src/knapweedhall_model/__init__.py
+++ b/packages/knapweedhall-model/src/knapweedhall_model/__init__.py
@@ -1,1 +1,1 @@
-"""Model of the core protocol in Maude."""
+"""Model of the core protocol, and its exhaustive exploration."""
--- a/packages/knapweedhall-model/src/knapweedhall_model/exploration.py
+++ b/packages/knapweedhall-model/src/knapweedhall_model/exploration.py
@@ -1,17 +1,18 @@
-"""Explores all states that a specification reaches from an initial state."""
+"""Explores all states that a model reaches from an initial state."""
 
 from __future__ import annotations
 
-import functools
-import pathlib
+import collections
+import collections.abc
 import time
 import typing
 
-import maude
-
-SPEC = pathlib.Path(__file__).parent / 'spec'
-# Symbol of the states in which an invariant is broken.
-BAD = 'bad'
+StateT = typing.TypeVar('StateT', bound=tuple[typing.Any, ...])
+# Yields, for a state, labels of actions and the states that they lead to, or
+# the invariants that they break.
+Successors = collections.abc.Callable[
+    [StateT], collections.abc.Iterable[tuple[str, StateT | str]]
+]
 
 
 class Exploration(typing.NamedTuple):
@@ -27,7 +28,7 @@
         Broken invariant; '' if none is broken.
     steps : tuple of str
         Path to the violation: states and, between them, the labels of the
-        rules applied.
+        actions taken.
     """
 
     states: int
@@ -36,56 +37,48 @@
     steps: tuple[str, ...]
 
 
-@functools.cache
-def load(module: str) -> typing.Any:
-    """Return a module of the specification, loaded once per process.
-
-    Raises
-    ------
-    ValueError
-        If the specification does not define the module.
-    """
-    maude.init(advise=False)
-    path = SPEC / f'{module.lower()}.maude'
-    loaded = maude.load(str(path)) and maude.getModule(module)
-    if not loaded:
-        raise ValueError(f'{path} defines no module {module}')
-    return loaded
-
-
-def explore(module: str, initial: str) -> Exploration:
+def explore(initial: StateT, successors: Successors[StateT]) -> Exploration:
     """Visit all states, or stop at the first broken invariant.
 
     The search is breadth-first, so a counterexample is as short as possible.
+    It is exhaustive: each state is expanded once, and the search ends when no
+    state is left that was not expanded.
 
     Parameters
     ----------
-    module : str
-        Name of the Maude module.
-    initial : str
-        Term of the initial state.
-
-    Raises
-    ------
-    ValueError
-        If `initial` is not a term of the module.
+    initial : tuple
+        Initial state; states that compare equal are one state.
+    successors : callable
+        All steps from a state.
     """
-    loaded = load(module)
-    term = loaded.parseTerm(initial)
-    if term is None:
-        raise ValueError(f'not a term of {module}: {initial}')
-    term.reduce()
     started_at = time.monotonic()
-    states = 0
-    search = term.search(maude.ANY_STEPS, loaded.parseTerm('S:State'))
-    for state, _, path, _ in search:
-        states += 1
-        if str(state.symbol()) == BAD:
-            seconds = time.monotonic() - started_at
-            steps = tuple(_step(item) for item in path())
-            return Exploration(states, seconds, str(state), steps)
-    return Exploration(states, time.monotonic() - started_at, '', ())
-
-
-def _step(item: typing.Any) -> str:
-    return item.getLabel() if isinstance(item, maude.Rule) else str(item)
+    # Each visited state with the state and the label that it was reached by.
+    origins: dict[StateT, tuple[StateT, str] | None] = {initial: None}
+    queue = collections.deque([initial])
+    while queue:
+        state = queue.popleft()
+        for label, successor in successors(state):
+            if isinstance(successor, str):
+                steps = _path(state, origins)
+                return Exploration(
+                    len(origins),
+                    time.monotonic() - started_at,
+                    successor,
+                    (*steps, label, successor),
+                )
+            if successor not in origins:
+                origins[successor] = (state, label)
+                queue.append(successor)
+    return Exploration(len(origins), time.monotonic() - started_at, '', ())
+
+
+def _path(
+    state: StateT, origins: dict[StateT, tuple[StateT, str] | None]
+) -> tuple[str, ...]:
+    path = [str(state)]
+    origin = origins[state]
+    while origin is not None:
+        state, label = origin
+        path += (label, str(state))
+        origin = origins[state]
+    return tuple(reversed(path))
--- a/packages/knapweedhall-model/src/knapweedhall_model/main.py
+++ b/packages/knapweedhall-model/src/knapweedhall_model/main.py
@@ -19,20 +19,21 @@
     """One exploration to run."""
 
     title: str
-    initial: str
+    scenario: scenarios.Scenario
+    removed: str = ''
 
 
 def tasks(broken: bool) -> list[Task]:
     """Return explorations of the protocol, or without each safeguard."""
     if not broken:
         return [
-            Task(str(scenario), scenario.term())
-            for scenario in scenarios.SCENARIOS
+            Task(str(scenario), scenario) for scenario in scenarios.SCENARIOS
         ]
     return [
         Task(
             f'without {removal.guard} ({removal.meaning})',
-            removal.scenario.term(removal.guard),
+            removal.scenario,
+            removal.guard,
         )
         for removal in scenarios.REMOVALS
     ]
@@ -40,7 +41,7 @@
 
 def run(task: Task) -> exploration.Exploration:
     """Run one exploration."""
-    return exploration.explore(scenarios.MODULE, task.initial)
+    return task.scenario.explore(task.removed)
 
 
 def show(
@@ -49,7 +50,7 @@
     """Print a result; return whether it is the expected one."""
     outcome = result.violation or 'no invariant broken'
     if result.violation:
-        # A path contains a state and a rule for each step.
+        # A path contains a state and an action for each step.
         outcome += f' after {len(result.steps) // 2} steps'
     print(
         f'{task.title}: {result.states} states in {result.seconds:.1f} s, '
--- a/packages/knapweedhall-model/src/knapweedhall_model/scenarios.py
+++ b/packages/knapweedhall-model/src/knapweedhall_model/scenarios.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import functools
 import typing
 
-MODULE = 'TENURE'
-GUARDS = ('fence', 'record', 'wait', 'answered', 'evidence', 'left', 'lease')
+from knapweedhall_model import exploration
+from knapweedhall_model import tenure
 
 
 class Scenario(typing.NamedTuple):
@@ -35,16 +36,33 @@
     hold: int = 2
     way: int = 1
 
-    def term(self, removed: str = '') -> str:
-        """Return the Maude term of the initial state.
+    def explore(self, removed: str = '') -> exploration.Exploration:
+        """Explore the protocol within these bounds.
 
         Parameters
         ----------
         removed : str
             Name of the safeguard to leave out; '' to keep all.
+
+        Raises
+        ------
+        ValueError
+            If there is no safeguard of this name.
         """
-        kept = ' ; '.join(guard for guard in GUARDS if guard != removed)
-        return f'init({",".join(map(str, self))},{kept})'
+        if removed and removed not in tenure.GUARDS:
+            raise ValueError(f'no safeguard {removed!r}')
+        bounds = tenure.Bounds(
+            self.membership,
+            self.blind,
+            self.hold,
+            self.way,
+            self.epochs,
+            frozenset(tenure.GUARDS) - {removed},
+        )
+        return exploration.explore(
+            tenure.initial(self.ticks, self.grants, self.moves),
+            functools.partial(tenure.steps, bounds=bounds),
+        )
 
 
 class Removal(typing.NamedTuple):
