--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -189,6 +189,11 @@
 upstream reset a connection that had been idle for `idle_s`, `after_s` after \
 the next request was sent; the idle time limit for connections of the service \
 is reduced temporarily.
+response_given_up | WARNING | call held_bytes total_bytes | A response was \
+too large, or the largest when responses needed too much memory; its exchange \
+fails.
+callers_too_slow | INFO | count | Connections of callers were closed because \
+they had not sent a whole head in time.
 """,
     ),
 )
--- a/packages/knapweedhall-model/tests/test_scenarios.py
+++ b/packages/knapweedhall-model/tests/test_scenarios.py
@@ -8,8 +8,8 @@
 from knapweedhall_model import tenure
 
 SMALL = scenarios.Scenario(4, 2, 1, 2)
-# States within the bounds of scenarios.SHORT, as counted by another engine and
-# an earlier description of the same protocol (docs/model.md).
+# States within the bounds of scenarios.SHORT. The sum over all scenarios is
+# the one that another engine counted (docs/model.md).
 SHORT_STATES = 22265
 # Length of a shortest counterexample without each safeguard, in actions.
 COUNTEREXAMPLES = {
--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -12,6 +12,7 @@
 
 from knapweedhall_adapter import orders
 from knapweedhall_adapter import store
+from knapweedhall_router import caller_connections
 from knapweedhall_router import clock
 from knapweedhall_router import coordinator_link
 from knapweedhall_router import dispatch
@@ -87,6 +88,7 @@
         """
         client = store.StoreClient(session, self.settings.store)
         link = coordinator_link.CoordinatorLink(client, self.state)
+        caller_server = self.frontend.create_server()
         async with orders.open_session() as order_session:
             member = membership.Membership(
                 client, order_session, self.state, link
@@ -98,14 +100,14 @@
                     followers.configuration_follower(client, self.state).run(),
                     followers.UpstreamFollower(client, self.state).run(),
                     link.run(),
-                    self._housekeeping(),
+                    self._housekeeping(caller_server),
                 )
             ]
             for task in tasks:
                 task.add_done_callback(self._task_ended)
             servers: list[asyncio.Server] = []
             try:
-                await self._run(member, link, tasks[0], servers)
+                await self._run(member, link, tasks[0], caller_server, servers)
             finally:
                 self.state.stopping = True
                 await member.end()
@@ -121,9 +123,9 @@
         member: membership.Membership,
         link: coordinator_link.CoordinatorLink,
         membership_task: asyncio.Task[None],
+        caller_server: caller_connections.CallerServer,
         servers: list[asyncio.Server],
     ) -> None:
-        caller_server = self.frontend.create_server()
         listener = peer_listener.PeerListener(member, link)
         await self._listen(caller_server, listener, servers)
         logs.info('started', instance=self.settings.name)
@@ -170,7 +172,7 @@
 
     async def _listen(
         self,
-        caller_server: web.Server,
+        caller_server: caller_connections.CallerServer,
         listener: peer_listener.PeerListener,
         servers: list[asyncio.Server],
     ) -> None:
@@ -199,7 +201,7 @@
     async def _drain(
         self,
         listener: asyncio.Server,
-        caller_server: web.Server,
+        caller_server: caller_connections.CallerServer,
         stop_at: float,
     ) -> None:
         """Stop accepting connections and wait for the running requests.
@@ -217,7 +219,9 @@
             if self.frontend.in_flight:
                 exit_at = clock.now() + IDLE_BEFORE_EXIT_S
 
-    async def _close_idle(self, caller_server: web.Server) -> None:
+    async def _close_idle(
+        self, caller_server: caller_connections.CallerServer
+    ) -> None:
         """Close idle connections, and the others after their response.
 
         A request that was read may not have reached its handler yet, so
@@ -242,13 +246,26 @@
                 # `close` would leave an idle connection open and unread.
                 connection.force_close()
 
-    async def _housekeeping(self) -> None:
+    async def _housekeeping(
+        self, caller_server: caller_connections.CallerServer
+    ) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_PERIOD_S)
             self.dispatcher.pools.close_expired()
+            self._close_slow_callers(caller_server)
             # The file may change without a signal.
             self.reload()
 
+    def _close_slow_callers(
+        self, caller_server: caller_connections.CallerServer
+    ) -> None:
+        configuration = self.state.configuration
+        if configuration is None:
+            return
+        count = caller_server.close_slow(configuration.limits.header_timeout_s)
+        if count:
+            logs.info('callers_too_slow', count=count)
+
 
 def read_settings(path: pathlib.Path) -> settings_module.Settings | None:
     """Return the settings; if they have faults, log them and return None."""
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -0,0 +1,86 @@
+"""Connections of callers, with limits on heads that are not completed."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+from aiohttp import web
+from aiohttp import web_protocol
+
+from knapweedhall_router import clock
+
+# Limit of bytes received until a request is passed to its handler: its head
+# and, if the caller sends on at once, up to two reads (256 KB each) of its
+# body.
+MAX_PREAMBLE_BYTES = 1024 * 1024
+
+
+class CallerConnection(web_protocol.RequestHandler):
+    """A connection of a caller.
+
+    Attributes
+    ----------
+    head_since : float
+        When the first byte of an incomplete head arrived, seconds; inf if
+        none is being received.
+    head_bytes : int
+        Bytes received since then.
+    handling : bool
+        Whether a request is in progress.
+    """
+
+    __slots__ = ('head_since', 'head_bytes', 'handling')
+
+    def __init__(
+        self,
+        manager: web.Server,
+        *arguments: typing.Any,
+        **options: typing.Any,
+    ) -> None:
+        super().__init__(manager, *arguments, **options)
+        self.head_since = math.inf
+        self.head_bytes = 0
+        self.handling = False
+
+    def record_request(self) -> None:
+        """Record that a request was passed to its handler."""
+        self.handling = True
+        self.head_since = math.inf
+        self.head_bytes = 0
+
+    def record_response(self) -> None:
+        """Record that the handler has ended."""
+        self.handling = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, unless they are too many for a head."""
+        if data and not self.handling:
+            if self.head_since == math.inf:
+                self.head_since = clock.now()
+            self.head_bytes += len(data)
+            if self.head_bytes > MAX_PREAMBLE_BYTES:
+                self.force_close()
+                return
+        super().data_received(data)
+
+
+class CallerServer(web.Server):
+    """HTTP server for callers."""
+
+    def __call__(self) -> web_protocol.RequestHandler:
+        """Return the protocol of a new connection."""
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+    def close_slow(self, head_timeout_s: float) -> int:
+        """Close connections whose head takes too long; return their number."""
+        began_before = clock.now() - head_timeout_s
+        slow = [
+            connection
+            for connection in self.connections
+            if isinstance(connection, CallerConnection)
+            and connection.head_since < began_before
+        ]
+        for connection in slow:
+            connection.force_close()
+        return len(slow)
--- a/packages/knapweedhall-router/src/knapweedhall_router/calls.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/calls.py
@@ -14,6 +14,16 @@
 _numbers = itertools.count(1)
 
 
+def time_limit_s(request: web.BaseRequest, route: model.Route) -> float:
+    """Return how long the caller waits, but at most the route's timeout."""
+    time_left_s = decoding.parse_time_left_s(
+        request.headers.get(names.TIME_LEFT_MS_HEADER)
+    )
+    if time_left_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, time_left_s)
+
+
 class Call:
     """A caller's request, with its whole body, and the state of its attempts.
 
@@ -92,14 +102,8 @@
         self.idempotent = route.is_idempotent(request.method)
         self.service = service
         self.key = decoding.parse_key(received.get(names.KEY_HEADER))
-        time_left_s = decoding.parse_time_left_s(
-            received.get(names.TIME_LEFT_MS_HEADER)
-        )
         self.arrived_at = now
-        self.deadline = now + min(
-            route.timeout_s,
-            route.timeout_s if time_left_s is None else time_left_s,
-        )
+        self.deadline = now + time_limit_s(request, route)
         self.objective_at = now + route.objective_s
         self.send_count = 0
         self.possible_runs: set[str] = set()
--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -16,7 +16,10 @@
 import struct
 import typing
 
+import aiohttp
 from aiohttp import client_proto
+from aiohttp import http
+from aiohttp import streams
 
 from knapweedhall_router import clock
 from knapweedhall_routing import model
@@ -42,15 +45,41 @@
 MAX_FIRST_USE_RESET_DELAY_S = 0.015
 # Share of the timeout in a Keep-Alive header for which a connection is reused.
 KEEP_ALIVE_SHARE = 0.8
+# Limit of what an upstream sends for one response besides its body: heads,
+# late responses to other requests, and framing such as chunk extensions. Bytes
+# that are received and not yet parsed (one read) count too. Parsing a body in
+# chunks of a few bytes takes about 0.2 s of processor time up to this limit.
+MAX_OVERHEAD_BYTES = 256 * 1024
+# Bytes that are read from a socket at once; other connections wait while they
+# are parsed.
+READ_BYTES = 65536
+# Bytes that are parsed at once, so that a few KB of small responses do not
+# become thousands of objects before they are counted.
+PARSE_BYTES = 16384
+# Limit of responses that are parsed and not yet read.
+MAX_UNREAD_RESPONSES = 8
 # Makes `close` send a reset and discard the data that is not yet sent.
 _ZERO_LINGER = struct.pack('ii', 1, 0)
 
 
+class ResponseLimitError(aiohttp.ClientError):
+    """An upstream exceeded a limit; the message names it for the log."""
+
+
 class Connection(client_proto.ResponseHandler):
     """A connection to an upstream with one exchange at a time.
 
     Attributes
     ----------
+    exchanging : bool
+        Whether a response is expected. Bytes that arrive at other times
+        belong to no request.
+    request_id : str
+        ID of the last request that was sent; '' before the first.
+    received_bytes : int
+        Bytes received in the current exchange.
+    stream : aiohttp.StreamReader or None
+        Body that is being read.
     idle_since : float
         When its last exchange ended, on `clock.now`; inf before the first
         exchange.
@@ -66,21 +95,31 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
+        self.exchanging = False
+        self.request_id = ''
+        self.received_bytes = 0
+        self.stream: streams.StreamReader | None = None
         self.idle_since = math.inf
         self.usable_until = 0.0
         self.keep_alive_s = MAX_IDLE_S
         self.was_reset = False
         self.on_lost: typing.Callable[[Connection], None] | None = None
 
-    def expect_response(self, with_body: bool) -> None:
-        """Prepare the parser for the next response.
+    def expect_response(self, with_body: bool, request_id: str = '') -> None:
+        """Prepare for the response to the next request.
 
         Parameters
         ----------
         with_body : bool
             False if the response has no body whatever its headers say, as
             for HEAD.
+        request_id : str
+            ID of the request.
         """
+        self.exchanging = True
+        self.request_id = request_id
+        self.received_bytes = 0
+        self.stream = None
         self.set_response_params(
             skip_payload=not with_body,
             read_until_eof=True,
@@ -90,6 +129,72 @@
             max_field_size=MAX_RESPONSE_FIELD_BYTES,
         )
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit the size of reads."""
+        # asyncio's transports for sockets take it from this attribute.
+        setattr(transport, 'max_size', READ_BYTES)
+        super().connection_made(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes within the limits of the exchange."""
+        if not data:
+            # The parser continues with bytes that it has received before.
+            super().data_received(data)
+            return
+        if not self.exchanging:
+            # Nobody would read them, and they could go on without end.
+            self.reset()
+            return
+        self.received_bytes += len(data)
+        for begin in range(0, len(data), PARSE_BYTES):
+            super().data_received(data[begin : begin + PARSE_BYTES])
+            if self.transport is None:
+                return
+        body_bytes = 0 if self.stream is None else self.stream.total_bytes
+        if self.received_bytes - body_bytes > MAX_OVERHEAD_BYTES:
+            self.fail('too-many-bytes')
+
+    def feed_data(
+        self,
+        data: tuple[http.RawResponseMessage, streams.StreamReader],
+        size: int = 0,
+    ) -> None:
+        """Queue a parsed response, unless too many were not read."""
+        if len(self) >= MAX_UNREAD_RESPONSES:
+            self.fail('too-many-responses')
+            return
+        if not len(self):
+            self.stream = data[1]
+        super().feed_data(data, size)
+
+    async def read_response(
+        self,
+    ) -> tuple[http.RawResponseMessage, streams.StreamReader]:
+        """Return the next head of a response, and its body to be read.
+
+        Raises
+        ------
+        ResponseLimitError
+            If the upstream exceeded a limit.
+        aiohttp.ClientError, aiohttp.http.HttpProcessingError
+            If the connection ended, or the upstream sent bytes that are no
+            response.
+        aiohttp.streams.EofStream
+            If the connection had ended before.
+        """
+        message, stream = await self.read()
+        self.stream = stream
+        return message, stream
+
+    def fail(self, reason: str) -> None:
+        """Reset the connection; its exchange fails for the given reason."""
+        error = ResponseLimitError(reason)
+        stream = self.stream
+        self.reset()
+        if stream is not None and not stream.is_eof():
+            stream.set_exception(error)
+        self.set_exception(error)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handle the end of the connection and notify `on_lost`."""
         self.was_reset = exc is not None
@@ -164,13 +269,19 @@
         recent = now - last.idle_since <= max_idle_s
         return recent and now <= last.usable_until
 
-    def take(self, max_idle_s: float) -> Connection | None:
+    def take(
+        self, max_idle_s: float, request_id: str = ''
+    ) -> Connection | None:
         """Remove and return the most recently used idle connection.
 
         Parameters
         ----------
         max_idle_s : float
             How long the connection may have been idle.
+        request_id : str
+            ID of the request. A connection over which it was sent before is
+            closed: a late second copy of the response to that attempt would
+            be taken for the response to this one.
 
         Returns
         -------
@@ -182,7 +293,10 @@
             if now - self.idle[-1].idle_since > max_idle_s:
                 return None
             connection = self.idle.pop()
-            if connection.is_reusable(now):
+            is_repeat = bool(request_id) and (
+                connection.request_id == request_id
+            )
+            if not is_repeat and connection.is_reusable(now):
                 return connection
             connection.close()
         return None
@@ -264,6 +378,7 @@
             connection.close()
             return
         now = clock.now()
+        connection.exchanging = False
         connection.idle_since = now
         connection.usable_until = now + connection.keep_alive_s
         self.idle.append(connection)
--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import dataclasses
+import functools
+
+import multidict
 
 from knapweedhall_adapter import decoding
 from knapweedhall_adapter import names
@@ -12,9 +15,11 @@
 from knapweedhall_router import connections
 from knapweedhall_router import exchange
 from knapweedhall_router import logs
+from knapweedhall_router import response_buffers
 from knapweedhall_router import selection
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import admission
+from knapweedhall_routing import buffer_budget
 from knapweedhall_routing import model
 
 # Limit of sends of one request, and of excluded upstreams before its first
@@ -46,12 +51,21 @@
         Connections to upstreams.
     selector : selection.UpstreamSelector
         Selects the upstream for each attempt.
+    buffers : response_buffers.ResponseBuffers
+        Memory of the responses. Whoever gets a response from `run` has to
+        remove the call from it.
     """
 
     def __init__(self, state: state_module.State) -> None:
         self.state = state
         self.pools = connections.Pools()
         self.selector = selection.UpstreamSelector(state, self.pools)
+        self.buffers = response_buffers.ResponseBuffers(
+            buffer_budget.BufferBudget(
+                state.settings.memory_mb * 1e6,
+                int(state.settings.response_mb * 1e6),
+            )
+        )
 
     async def run(self, call: calls.Call) -> Result:
         """Return the upstream's response to a call, or why there is none."""
@@ -101,7 +115,7 @@
         if isinstance(upstream, selection.Failure):
             return self._final_failure(call, upstream)
         pool = self.pools.get(upstream.address)
-        connection = pool.take(self.selector.max_idle_s(call))
+        connection = pool.take(self.selector.max_idle_s(call), call.request_id)
         if connection is None:
             try:
                 connection = await pool.connect(
@@ -163,12 +177,20 @@
         try:
             outcome = await exchange.run(
                 connection,
-                call.method,
-                call.encode(upstream.name, sent_at),
-                call.request_id,
+                exchange.Request(
+                    call.number,
+                    call.method,
+                    call.encode(upstream.name, sent_at),
+                    call.request_id,
+                ),
+                exchange.Observer(
+                    self.buffers,
+                    functools.partial(self._record_head, call, upstream),
+                ),
             )
         finally:
             health.record_ended(call.number)
+            self.buffers.finish(call.number)
         pool.put_back(connection)
         if isinstance(outcome, exchange.Response):
             return self._handle_response(call, upstream, outcome, sent_at)
@@ -182,6 +204,15 @@
             call, upstream, outcome, may_have_run_before
         )
 
+    def _record_head(
+        self,
+        call: calls.Call,
+        upstream: model.Upstream,
+        status: int,
+        headers: multidict.CIMultiDictProxy[str],
+    ) -> None:
+        """Apply what an upstream says of itself with a response."""
+
     def _record_reset(
         self,
         call: calls.Call,
--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import dataclasses
+import typing
 
 import aiohttp
 from aiohttp import http
@@ -12,6 +14,7 @@
 
 from knapweedhall_adapter import names
 from knapweedhall_router import connections
+from knapweedhall_router import response_buffers
 
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS_STATUS = 101
@@ -87,6 +90,45 @@
 Outcome = Response | NotExecuted | Broken
 
 
+class Request(typing.NamedTuple):
+    """A request to one upstream.
+
+    Attributes
+    ----------
+    number : int
+        Number of the call.
+    method : str
+        Method; a response to HEAD has no body.
+    message : bytes
+        Head and body, encoded.
+    request_id : str
+        ID of the request; responses with another ID are skipped.
+    """
+
+    number: int
+    method: str
+    message: bytes
+    request_id: str
+
+
+class Observer(typing.NamedTuple):
+    """What an exchange reports to while it receives.
+
+    Attributes
+    ----------
+    buffers : response_buffers.ResponseBuffers
+        Memory of the responses of the process.
+    on_head : callable
+        Called with status and headers of each final response, also of one
+        that is skipped, incomplete or not valid.
+    """
+
+    buffers: response_buffers.ResponseBuffers
+    on_head: collections.abc.Callable[
+        [int, multidict.CIMultiDictProxy[str]], None
+    ]
+
+
 def end_to_end_headers(raw: multidict.CIMultiDictProxy[str]) -> Headers:
     """Return the headers without those that apply to one connection only.
 
@@ -126,33 +168,33 @@
 
 
 async def run(
-    connection: connections.Connection,
-    method: str,
-    message: bytes,
-    request_id: str,
+    connection: connections.Connection, request: Request, observer: Observer
 ) -> Outcome:
-    """Send an encoded request and return the outcome.
+    """Send a request and return the outcome.
 
-    The connection can be reused afterwards if its `should_close` is False.
+    The connection can be reused afterwards if its `should_close` is False. A
+    response that is returned counts as unfinished in the buffers.
 
     Parameters
     ----------
     connection : connections.Connection
         An open connection without another exchange.
-    method : str
-        Method of the request; a response to HEAD has no body.
-    message : bytes
-        Head and body of the request.
-    request_id : str
-        ID of the request; responses with another ID are skipped.
+    request : Request
+        The request.
+    observer : Observer
+        What is reported to.
     """
-    connection.expect_response(method != 'HEAD')
+    connection.expect_response(request.method != 'HEAD', request.request_id)
     transport = connection.transport
     if transport is None or transport.is_closing():
         return Broken('connection-closed', False)
-    transport.write(message)
+    transport.write(request.message)
+    observer.buffers.begin(request.number, connection)
     try:
-        outcome = await _read(connection, request_id)
+        outcome = await _read(connection, request, observer)
+    except connections.ResponseLimitError as error:
+        connection.reset()
+        return Broken(str(error), True)
     except (aiohttp.ClientError, http.HttpProcessingError, OSError) as error:
         connection.reset()
         return Broken(type(error).__name__, True)
@@ -172,27 +214,78 @@
 
 
 async def _read(
-    connection: connections.Connection, request_id: str
+    connection: connections.Connection, request: Request, observer: Observer
 ) -> Outcome:
     for _ in range(MAX_RESPONSES_READ):
-        message, stream = await connection.read()
+        message, stream = await connection.read_response()
         if message.code == SWITCHING_PROTOCOLS_STATUS:
             return Broken('upgrade', True)
         if message.code < FIRST_FINAL_STATUS:
             continue
-        body = await stream.read(-1)
         headers = message.headers
-        if headers.get(names.REQUEST_ID_HEADER, request_id) != request_id:
+        observer.on_head(message.code, headers)
+        request_id = headers.get(names.REQUEST_ID_HEADER, request.request_id)
+        if request_id != request.request_id:
             # This is a late second response to an earlier request; the
-            # response to the current one follows.
-            connection.expect_response(True)
+            # response to the current one follows. If that one has no body,
+            # the parser can't know whether this one has.
+            if message.should_close or request.method == 'HEAD':
+                return Broken('foreign-answer', True)
+            while await stream.readany():
+                pass
             continue
         if message.should_close:
             connection.force_close()
+        invalid = _check_head(message, headers, observer.buffers)
+        if invalid:
+            return Broken(invalid, True)
+        body = await _read_body(stream, request, observer)
         return _classify(connection, message, headers, body)
     return Broken('foreign-answers', True)
 
 
+def _is_not_executed(
+    status: int, headers: multidict.CIMultiDictProxy[str]
+) -> bool:
+    return (
+        status == names.WRONG_UPSTREAM_STATUS
+        or names.NOT_EXECUTED_HEADER in headers
+    )
+
+
+def _check_head(
+    message: http.RawResponseMessage,
+    headers: multidict.CIMultiDictProxy[str],
+    buffers: response_buffers.ResponseBuffers,
+) -> str:
+    """Return why a response can't be used, before its body is read; or ''."""
+    signed = (
+        names.SIGNATURE_HEADER in headers
+        and names.REQUEST_ID_HEADER in headers
+    )
+    if message.code < 300 and not signed:
+        if not _is_not_executed(message.code, headers):
+            return 'unsigned-answer'
+    length = headers.get('Content-Length', '')
+    if length.isdigit():
+        if int(length[:18]) > buffers.budget.max_response_bytes:
+            return 'response-too-large'
+    return ''
+
+
+async def _read_body(
+    stream: streams.StreamReader,
+    request: Request,
+    observer: Observer,
+) -> bytes:
+    buffers = observer.buffers
+    chunks = []
+    while chunk := await stream.readany():
+        buffers.add(request.number, len(chunk))
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
 def _classify(
     connection: connections.Connection,
     message: http.RawResponseMessage,
@@ -200,10 +293,7 @@
     body: bytes,
 ) -> Outcome:
     _update_keep_alive(connection, headers)
-    if (
-        message.code == names.WRONG_UPSTREAM_STATUS
-        or names.NOT_EXECUTED_HEADER in headers
-    ):
+    if _is_not_executed(message.code, headers):
         return NotExecuted(message.code, headers)
     is_delimited = 'Content-Length' in headers or message.chunked
     is_delimited = is_delimited or message.code in BODILESS_STATUSES
@@ -212,12 +302,6 @@
         if connection.was_reset:
             return Broken('reset-in-body', True)
         connection.force_close()
-    signed = (
-        names.SIGNATURE_HEADER in headers
-        and names.REQUEST_ID_HEADER in headers
-    )
-    if message.code < 300 and not signed:
-        return Broken('unsigned-answer', True)
     return Response(message.code, headers, body)
 
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+import typing
+import weakref
 
 from aiohttp import web
 import aioprometheus
 
 from knapweedhall_adapter import names
+from knapweedhall_router import caller_connections
 from knapweedhall_router import calls
 from knapweedhall_router import clock
 from knapweedhall_router import dispatch
@@ -24,6 +28,34 @@
 MAX_REQUEST_FIELD_BYTES = 65536
 
 
+class ForwardedResponse(web.Response):
+    """A response that drops its body once it has been sent.
+
+    The server keeps the last response of each open connection.
+
+    Attributes
+    ----------
+    on_end : callable
+        Called when the body is no longer held; may be called repeatedly.
+    """
+
+    def __init__(
+        self, status: int, body: bytes, on_end: typing.Callable[[], None]
+    ) -> None:
+        super().__init__(status=status, body=body)
+        self.on_end = on_end
+        # If the caller leaves before the response is sent.
+        weakref.finalize(self, on_end).atexit = False
+
+    async def write_eof(self, data: bytes = b'') -> None:
+        """Send the body and drop it."""
+        try:
+            await super().write_eof(data)
+        finally:
+            self.body = None
+            self.on_end()
+
+
 class Frontend:
     """Handles the requests of callers.
 
@@ -55,9 +87,9 @@
         self.registry = aioprometheus.Registry()
         self.request_seconds = metrics.create_latency_histogram(self.registry)
 
-    def create_server(self) -> web.Server:
+    def create_server(self) -> caller_connections.CallerServer:
         """Return the HTTP server for requests of callers."""
-        return web.Server(
+        return caller_connections.CallerServer(
             self.handle,
             access_log=None,
             handler_cancellation=True,
@@ -71,6 +103,8 @@
         """Return the response to a request."""
         self.in_flight += 1
         connection = request.protocol
+        assert isinstance(connection, caller_connections.CallerConnection)
+        connection.record_request()
         self.busy_connections.add(connection)
         # A list, so that the count is known here if reading the body fails.
         received_bytes = [0]
@@ -78,6 +112,7 @@
             return await self._handle(request, received_bytes)
         finally:
             self.in_flight -= 1
+            connection.record_response()
             self.busy_connections.discard(connection)
             self.buffered_bytes -= received_bytes[0]
 
@@ -90,7 +125,12 @@
         route = self.state.routes.find(request.host, request.path)
         if route is None:
             return self._refuse(request, 404, 'no-route', None)
-        body = await self._read_body(request, received_bytes)
+        try:
+            # A body that is not complete by then could not be answered.
+            async with asyncio.timeout(calls.time_limit_s(request, route)):
+                body = await self._read_body(request, received_bytes)
+        except TimeoutError:
+            return self._refuse(request, 408, 'body-timeout', None)
         if not isinstance(body, bytes):
             return body
         service = self.state.splitter.choose(route)
@@ -106,6 +146,7 @@
                 upstreams=sorted(call.possible_runs),
                 waited_ms=round((clock.now() - call.arrived_at) * 1000, 1),
             )
+            self.dispatcher.buffers.remove(call.number)
             raise
         except Exception as error:
             logs.warning(
@@ -115,13 +156,15 @@
             )
             status = 502 if call.possible_runs else 503
             result = selection.Failure(status, 'internal-error')
+        on_end = functools.partial(self.dispatcher.buffers.remove, call.number)
         if isinstance(result, selection.Failure):
+            on_end()
             self._record_failure(call, result)
             return self._refuse(
                 request, result.status, result.reason, result.retry_after_s
             )
         self._record_response(call, result)
-        return self._forward_response(result)
+        return self._forward_response(result, on_end)
 
     async def _read_body(
         self, request: web.BaseRequest, received_bytes: list[int]
@@ -145,6 +188,8 @@
             self.buffered_bytes += len(chunk)
             if received_bytes[0] > max_bytes:
                 return self._refuse(request, 413, 'body-too-large', None)
+            if self.buffered_bytes > max_buffered_bytes:
+                return self._refuse(request, 503, 'memory', 0.2)
         return b''.join(chunks)
 
     def _refuse(
@@ -165,11 +210,13 @@
         return response
 
     def _forward_response(
-        self, upstream_response: exchange.Response
+        self,
+        upstream_response: exchange.Response,
+        on_end: typing.Callable[[], None],
     ) -> web.Response:
         self._count('answered')
-        response = web.Response(
-            status=upstream_response.status, body=upstream_response.body
+        response = ForwardedResponse(
+            upstream_response.status, upstream_response.body, on_end
         )
         for name in ('Content-Type', 'Server', 'Date'):
             response.headers.popall(name, None)
--- a/packages/knapweedhall-router/src/knapweedhall_router/settings.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/settings.py
@@ -4,6 +4,7 @@
 
 import configparser
 import dataclasses
+import math
 import pathlib
 import typing
 
@@ -44,6 +45,8 @@
     drain_s, grace_s : float
         Time for which a draining upstream continues to serve; time from the
         stop signal until the process is killed.
+    response_mb : float
+        Largest body of a response that is accepted from an upstream, in MB.
     """
 
     name: str
@@ -66,6 +69,7 @@
     retry_extra: float
     drain_s: float
     grace_s: float
+    response_mb: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,6 +92,13 @@
     return text
 
 
+def _positive(text: str) -> float:
+    value = float(text)
+    if not 0 < value < math.inf:
+        raise ValueError('expected a number above 0')
+    return value
+
+
 # Section, option and parser of each setting, in the order of `Settings`.
 SCHEMA: tuple[tuple[str, str, typing.Callable[[str], typing.Any]], ...] = (
     ('instance', 'name', str),
@@ -110,6 +121,7 @@
     ('limits', 'retry_extra', float),
     ('limits', 'drain_s', float),
     ('limits', 'grace_s', float),
+    ('limits', 'response_mb', _positive),
 )
 
 
@@ -119,6 +131,8 @@
     ('instance', 'cpu_share'): '1',
     ('instance', 'cores'): '1',
     ('instance', 'link_mbps'): '1000',
+    # A response is held in memory until the caller has received it.
+    ('limits', 'response_mb'): '16',
 }
 
 
--- a/packages/knapweedhall-router/tests/fleet.py
+++ b/packages/knapweedhall-router/tests/fleet.py
@@ -195,6 +195,7 @@
             retry_extra=62.0,
             drain_s=2.0,
             grace_s=6.0,
+            response_mb=16.0,
         )
 
     async def _serve(self, router: application.Application) -> None:
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/upstream.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/upstream.py
@@ -14,6 +14,8 @@
 from aiohttp import web
 from aiohttp import web_protocol
 
+from knapweedhall_standins import endless
+
 _name_numbers = itertools.count(1)
 # Start of struct tcp_info (linux/tcp.h): 8 bytes and 12 numbers. The last one
 # is the time since data was last received, in ms.
@@ -125,6 +127,13 @@
         Number of next requests to refuse although a slot may be free.
     on_event : callable
         Called with the name and the fields of each grant, release and run.
+    endless : endless.Kind or None
+        What it sends without end in place of a response; None for proper
+        responses.
+    leaving : bool
+        Whether all its responses say that it is leaving.
+    pause_s : float
+        If above 0, it refuses requests and asks for a pause of this length.
     response_hook : callable or None
         Replaces responses: takes the request and the bytes of the regular
         response, returns the bytes to send, or None to abort the connection.
@@ -162,6 +171,9 @@
         self.on_event: typing.Callable[[str, dict[str, object]], None] = (
             lambda name, fields: None
         )
+        self.endless: endless.Kind | None = None
+        self.leaving = False
+        self.pause_s = 0.0
         self.response_hook: (
             typing.Callable[[web.BaseRequest, bytes], bytes | None] | None
         ) = None
@@ -225,6 +237,12 @@
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = await self._dispatch(request)
+        if self.leaving:
+            response.headers['Server-Leaving'] = '1'
+        return response
+
+    async def _dispatch(self, request: web.BaseRequest) -> web.StreamResponse:
         expected = request.headers.get('X-Expected-Instance', self.name)
         if expected != self.name:
             return self._not_executed(421)
@@ -303,6 +321,9 @@
             },
         )
 
+    def _leaving_line(self) -> str:
+        return 'Server-Leaving: 1\r\n' if self.leaving else ''
+
     def _load_report(self) -> str:
         return f'{self.running},{self.waiting},{self.slot_count},100'
 
@@ -318,6 +339,10 @@
         if self.divided and (key is None or not self.holds(key)):
             self.refused_count += 1
             return self._not_executed(421)
+        if self.pause_s > 0:
+            refusal = self._not_executed(503)
+            refusal.headers['Retry-After'] = f'{self.pause_s:.3f}'
+            return refusal
         if self.waiting >= self.max_waiting:
             return self._not_executed(503)
         if self.shed_next:
@@ -337,7 +362,7 @@
             status = await self._run(request_id, key, deadline)
         finally:
             self.free_slots.release()
-        return self._respond(request, request_id, body, status)
+        return await self._respond(request, request_id, body, status)
 
     async def _run(
         self, request_id: str, key: int | None, deadline: float
@@ -363,7 +388,7 @@
             return 500
         return 200
 
-    def _respond(
+    async def _respond(
         self,
         request: web.BaseRequest,
         request_id: str,
@@ -378,6 +403,7 @@
             f'X-Attempt-Id: {request_id}\r\n'
             f'X-Response-Signature: {self.name}.{len(body)}\r\n'
             f'X-Backend-Load: {self._load_report()}\r\n'
+            f'{self._leaving_line()}'
             f'Content-Length: {len(response_body)}\r\n\r\n'
         )
         raw: bytes | None = head.encode() + response_body
@@ -385,7 +411,10 @@
             raw = self.response_hook(request, raw)
         transport = request.transport
         assert transport is not None
-        if raw is None:
+        if self.endless is not None:
+            assert raw is not None
+            await endless.send(transport, self.endless, request_id, raw)
+        elif raw is None:
             transport.abort()
         else:
             transport.write(raw)
