Honor Server-Leaving and the pauses that upstreams ask for

Cause: an upstream says with any response that it is leaving, and with a refusal for how long it wants nothing; both headers were ignored. It was used until the store listed it as draining, which an outage of the store delays, and was asked again at once, which counted as a failure of it.

Change: the adapter decodes both into `model.Notice`; bad values are ignored with a log line, pauses are bounded to 60 s. `Directory.leaving` marks the incarnation of an upstream; the instance tells the coordinator in its reports and the coordinator all instances in its heartbeats, also from responses to its own orders. The mark ends with another incarnation of the name (`born`), or 600 s after the notice if the upstream is no longer listed; a listing, an outage and a removal don't end it. A choice leaves a paused upstream out; requests for its keys are refused at once, with a Retry-After that spreads their returns over as much time again after the pause. A pause counts as full and not as failed; the plan lowers the capacity of such an upstream the more, the longer its pause lasts, so that it gets no keys and loses some.

A response without an ID on a connection that was used before ends the exchange: it may be a late copy of a refusal.

--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -194,6 +194,13 @@
 fails.
 callers_too_slow | INFO | count | Connections of callers were closed because \
 they had not sent a whole head in time.
+upstream_leaving | INFO | upstream source | An upstream said in a response \
+that it is leaving; `source` tells how the instance learned of it: its own \
+`response` or `order`, the `report` of an instance, a `heartbeat`.
+upstream_paused | INFO | request upstream pause_s | An upstream refused a \
+request and wants none from this instance for a time.
+notice_unreadable | INFO | request upstream reason | A header of a response \
+in which an upstream describes itself is malformed and was ignored.
 """,
     ),
 )
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -57,6 +57,8 @@
         Divided services, by name.
     service_times : rates.ServiceTimes
         Service times of the upstreams.
+    pauses : dict of str to float
+        Until when upstreams want no requests, by name, seconds.
     links : instance_links.InstanceLinks
         Connections to the instances.
     tasks : set of asyncio.Task
@@ -82,6 +84,7 @@
         )
         self.services: dict[str, service_state.ServiceState] = {}
         self.service_times = rates.ServiceTimes()
+        self.pauses: dict[str, float] = {}
         self.links = instance_links.InstanceLinks(
             self.initial_messages, self.record_report, self.make_heartbeat
         )
@@ -197,6 +200,7 @@
             self.lease.is_expired(),
             self.state.feed.read_ages(now),
             now - self.state.directory.last_outage_at,
+            self.state.directory.unlisted_leaving(),
         )
 
     def relay_records(self, topic: str, records: feed.Records) -> None:
@@ -239,6 +243,12 @@
                 self.services[name].rates.add(counts)
         for upstream, (count, service_s) in report.times.items():
             self.service_times.add(upstream, count, service_s)
+        for upstream, born_ms in report.leaving:
+            self.state.record_leaving(upstream, 'report', born_ms)
+        now = clock.now()
+        for upstream, left_s in report.pauses.items():
+            until = now + left_s
+            self.pauses[upstream] = max(until, self.pauses.get(upstream, 0.0))
 
     def _announce(
         self,
@@ -289,6 +299,11 @@
                 continue
             now = clock.now()
             self.service_times.keep_only(self.state.directory.entries)
+            self.pauses = {
+                name: until
+                for name, until in self.pauses.items()
+                if until > now
+            }
             for name in self.state.divided_services():
                 if name not in self.services:
                     self._add_service(name)
@@ -357,9 +372,13 @@
                 upstream.name: max(1.0, cold_per_s * COLD_BUDGET_SHARE)
                 for upstream in usable
             }
-        return planning.Inputs(
+        inputs = planning.Inputs(
             capacity, service.rates, self.state.movement_rules_for(name)
         )
+        pauses = {
+            upstream: until - now for upstream, until in self.pauses.items()
+        }
+        return planning.with_pauses(service.holdings.items, inputs, pauses)
 
     # Moves
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -231,6 +231,8 @@
                 self.heartbeat,
                 store_answer_age_s,
                 self.state.configuration_version(),
+                self.state.directory.unlisted_leaving(),
+                self.state.pauses(),
             )
             writer.write(messages.encode(report))
 
@@ -251,6 +253,8 @@
             directory.last_outage_at = max(
                 directory.last_outage_at, now - message.outage_age_s
             )
+        for name, born_ms in message.leaving:
+            self.state.record_leaving(name, 'heartbeat', born_ms)
         self.members |= set(message.joined)
         self.members -= set(message.left)
         if self.members:
--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -212,6 +212,28 @@
         headers: multidict.CIMultiDictProxy[str],
     ) -> None:
         """Apply what an upstream says of itself with a response."""
+        notice = decoding.parse_notice(status, headers)
+        if notice.upstream not in ('', upstream.name):
+            # Another one uses the address now and did not run the request.
+            return
+        if notice.leaving:
+            self.state.record_leaving(upstream.name, 'response')
+        if notice.fault:
+            logs.info(
+                'notice_unreadable',
+                request=call.request_id,
+                upstream=upstream.name,
+                reason=notice.fault,
+            )
+        if notice.pause_s > 0:
+            now = clock.now()
+            self.state.health(upstream).record_pause(notice.pause_s, now)
+            logs.info(
+                'upstream_paused',
+                request=call.request_id,
+                upstream=upstream.name,
+                pause_s=notice.pause_s,
+            )
 
     def _record_reset(
         self,
@@ -323,6 +345,11 @@
         if outcome.status == names.WRONG_UPSTREAM_STATUS:
             call.exclude(upstream.name, now)
             return Retry(failure)
+        if health.is_paused(now):
+            # It is full, and says for how long. The next choice leaves it
+            # out, or refuses until then if it is the only one.
+            self._exclude_unless_divided(call, upstream, now)
+            return Retry(failure)
         health.record_result(True, now)
         if self.selector.is_divided(
             call
--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -234,6 +234,10 @@
             while await stream.readany():
                 pass
             continue
+        if names.REQUEST_ID_HEADER not in headers and not connection.is_new():
+            # It may be a late response to an earlier request. A late refusal
+            # would state that a request has not run which runs now.
+            return Broken('unidentified-answer', True)
         if message.should_close:
             connection.force_close()
         invalid = _check_head(message, headers, observer.buffers)
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 
 import aiohttp
 
@@ -74,7 +75,9 @@
         link: coordinator_link.CoordinatorLink,
     ) -> None:
         self.client = client
-        self.order_client = orders.OrderClient(session)
+        self.order_client = orders.OrderClient(
+            session, functools.partial(state.record_leaving, source='order')
+        )
         self.state = state
         self.link = link
         self.generation = 0
--- a/packages/knapweedhall-router/src/knapweedhall_router/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/messages.py
@@ -125,6 +125,11 @@
         seconds.
     version : int
         Version of the configuration in force at the instance.
+    leaving : list of tuple of str and int
+        Names and incarnations of upstreams that said that they are leaving,
+        and that the store does not list as draining.
+    pauses : dict of str to float
+        Time left for which upstreams want no requests, by name, seconds.
     """
 
     keys: dict[str, dict[int, int]]
@@ -132,6 +137,8 @@
     heartbeat: int
     store_answer_age_s: float
     version: int
+    leaving: list[tuple[str, int]] = []
+    pauses: dict[str, float] = {}
 
 
 class Table(msgspec.Struct, tag='table', array_like=True):
@@ -189,6 +196,8 @@
         Time since the coordinator's last read of each topic, seconds.
     outage_age_s : float
         Time since the store last failed to answer the coordinator, seconds.
+    leaving : list of tuple of str and int
+        As in the reports, of all instances.
     """
 
     number: int
@@ -197,6 +206,7 @@
     lease_expired: bool
     ages: dict[str, float]
     outage_age_s: float
+    leaving: list[tuple[str, int]] = []
 
 
 class Records(msgspec.Struct, tag='records', array_like=True):
--- a/packages/knapweedhall-router/src/knapweedhall_router/selection.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/selection.py
@@ -97,6 +97,16 @@
                 for upstream in usable
                 if upstream.name in call.possible_runs
             ]
+        paused_until = [
+            self.state.health(upstream).paused_until for upstream in allowed
+        ]
+        allowed = [
+            upstream
+            for upstream, until in zip(allowed, paused_until)
+            if until <= now
+        ]
+        if paused_until and not allowed:
+            return self._refuse_until(call, min(paused_until))
         warm = [upstream for upstream in allowed if upstream.cold_until <= now]
         eligible = warm or [
             upstream
@@ -190,6 +200,14 @@
         )
         return Failure(503, reason, retry_after_s)
 
+    def _refuse_until(self, call: calls.Call, until: float) -> Failure:
+        """Return a refusal during the pause of all possible upstreams."""
+        baseline = self.state.baseline(call.service)
+        retry_after_s = admission.retry_after_pause(
+            until - clock.now(), baseline.service_s, self.state.rng
+        )
+        return Failure(503, 'paused', retry_after_s)
+
     def _is_usable_owner(self, upstream_name: str, now: float) -> bool:
         directory = self.state.directory
         unusable_since = directory.unusable_since(upstream_name)
@@ -209,7 +227,10 @@
         entry = self.state.directory.entries.get(owned_range.upstream)
         if entry is None:
             return Failure(503, 'unlisted-owner', 0.1)
-        if self.state.health(entry).is_silent(now):
+        health = self.state.health(entry)
+        if health.is_paused(now):
+            return self._refuse_until(call, health.paused_until)
+        if health.is_silent(now):
             # Requests in flight show when it responds again.
             return self.refuse(call, 'silent-owner')
         over_cold_budget = (
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+from knapweedhall_router import clock
 from knapweedhall_router import feed
 from knapweedhall_router import logs
 from knapweedhall_router import settings as settings_module
@@ -161,14 +162,17 @@
         """Return the owners of a service's keys."""
         return self.owner_tables.setdefault(service, ranges.OwnerTable())
 
+    def baseline(self, service: str) -> health.Baseline:
+        """Return the baseline service time of a service."""
+        return self.baselines.setdefault(service, health.Baseline())
+
     def health(self, upstream: model.Upstream) -> health.Health:
         """Return the measured health of an upstream."""
         measured = self.healths.get(upstream.name)
         if measured is None:
-            baseline = self.baselines.setdefault(
-                upstream.service, health.Baseline()
+            measured = health.Health(
+                upstream.slots, self.baseline(upstream.service)
             )
-            measured = health.Health(upstream.slots, baseline)
             self.healths[upstream.name] = measured
         return measured
 
@@ -212,6 +216,34 @@
         sums[0] += 1
         sums[1] += service_s
 
+    def record_leaving(
+        self, upstream: str, source: str, born_ms: int | None = None
+    ) -> None:
+        """Record that an upstream said that it is leaving.
+
+        Parameters
+        ----------
+        upstream : str
+            Its name.
+        source : {'response', 'order', 'report', 'heartbeat'}
+            How this instance learned of it.
+        born_ms : int or None
+            Its incarnation; None for the listed one.
+        """
+        if self.directory.record_leaving(upstream, clock.now(), born_ms):
+            logs.info('upstream_leaving', upstream=upstream, source=source)
+            # Requests that wait for a moved key look again.
+            self.owners_changed.notify()
+
+    def pauses(self) -> dict[str, float]:
+        """Return the time left of upstreams' pauses, by name, seconds."""
+        now = clock.now()
+        return {
+            name: round(measured.paused_until - now, 3)
+            for name, measured in self.healths.items()
+            if measured.is_paused(now)
+        }
+
     def drop_measurements(self, upstream: str) -> None:
         """Drop the measurements of a removed upstream.
 
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/admission.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/admission.py
@@ -133,6 +133,29 @@
     return rng.uniform(latest_s / 2, latest_s)
 
 
+def retry_after_pause(
+    pause_left_s: float, service_s: float, rng: random.Random
+) -> float:
+    """Return when callers refused during an upstream's pause should retry.
+
+    All callers that an overloaded upstream turned away would otherwise return
+    at the end of its pause, and it would be overloaded again. The returns are
+    spread over as much time again, but at least over that in which the
+    upstream serves a request.
+
+    Parameters
+    ----------
+    pause_left_s : float
+        Time until the upstream takes requests again, seconds.
+    service_s : float
+        Its expected service time, seconds.
+    rng : random.Random
+        Source of the spread.
+    """
+    pause_left_s = max(0.0, pause_left_s)
+    return pause_left_s + rng.uniform(0.0, max(pause_left_s, service_s))
+
+
 def connection_share(max_connections: int, instances: int) -> int:
     """Return how many connections one instance may open to an upstream."""
     share = max_connections * CONNECTION_SHARE / max(1, instances)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/directory.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/directory.py
@@ -14,6 +14,24 @@
 # the outage; equals the time in which a removal is detected by three missed
 # heartbeats.
 RECENT_OUTAGE_S = 4.0
+# Time for which it is remembered that an upstream was leaving after its entry
+# was removed. The store may list it again for seconds after an outage.
+LEAVING_KEPT_S = 600.0
+
+
+class Leaving(typing.NamedTuple):
+    """An upstream that said in a response that it is leaving.
+
+    Attributes
+    ----------
+    born_ms : int
+        Its incarnation; another one with the same name is not affected.
+    since : float
+        When this instance learned of it, seconds.
+    """
+
+    born_ms: int
+    since: float
 
 
 class PendingRemoval(typing.NamedTuple):
@@ -43,6 +61,10 @@
         is final.
     draining_since : dict of str to float
         When an entry was first seen as draining, seconds.
+    leaving : dict of str to Leaving
+        Upstreams that said that they are leaving, by name. It ends with
+        another incarnation of the name, or `LEAVING_KEPT_S` after the
+        upstream said so if it is no longer listed.
     evacuated : dict of str to float
         Failure domains whose upstreams must not be used, and since when.
     last_outage_at : float
@@ -53,6 +75,7 @@
         self.entries: dict[str, model.Upstream] = {}
         self.pending_removals: dict[str, PendingRemoval] = {}
         self.draining_since: dict[str, float] = {}
+        self.leaving: dict[str, Leaving] = {}
         self.evacuated: dict[str, float] = {}
         self.last_outage_at = float('-inf')
 
@@ -69,8 +92,56 @@
             self.draining_since.setdefault(entry.name, now)
         else:
             self.draining_since.pop(entry.name, None)
+        leaving = self.leaving.get(entry.name)
+        if leaving is not None and leaving.born_ms != entry.born_ms:
+            del self.leaving[entry.name]
         return known is None or known.born_ms != entry.born_ms
 
+    def record_leaving(
+        self, name: str, now: float, born_ms: int | None = None
+    ) -> bool:
+        """Record that an upstream said that it is leaving.
+
+        Parameters
+        ----------
+        name : str
+            Name of the upstream.
+        now : float
+            Current time, seconds.
+        born_ms : int or None
+            Its incarnation; None for the listed one.
+
+        Returns
+        -------
+        bool
+            Whether this was not known.
+        """
+        entry = self.entries.get(name)
+        if born_ms is None:
+            if entry is None:
+                return False
+            born_ms = entry.born_ms
+        elif entry is not None and entry.born_ms != born_ms:
+            return False
+        known = self.leaving.get(name)
+        if known is not None and known.born_ms == born_ms:
+            return False
+        self.leaving[name] = Leaving(born_ms, now)
+        return True
+
+    def is_leaving(self, entry: model.Upstream) -> bool:
+        """Return whether an upstream said that it is leaving."""
+        leaving = self.leaving.get(entry.name)
+        return leaving is not None and leaving.born_ms == entry.born_ms
+
+    def unlisted_leaving(self) -> list[tuple[str, int]]:
+        """Return names and incarnations of those not listed as draining."""
+        return [
+            (name, leaving.born_ms)
+            for name, leaving in self.leaving.items()
+            if name in self.entries and name not in self.draining_since
+        ]
+
     def remove(self, name: str, now: float) -> bool:
         """Record that the store no longer has an entry of this name.
 
@@ -104,6 +175,14 @@
             del self.pending_removals[name]
             del self.entries[name]
             self.draining_since.pop(name, None)
+        forgotten = [
+            name
+            for name, leaving in self.leaving.items()
+            if name not in self.entries
+            and now - leaving.since > LEAVING_KEPT_S
+        ]
+        for name in forgotten:
+            del self.leaving[name]
         return removed
 
     def set_evacuated(
@@ -118,11 +197,13 @@
         return True
 
     def unusable_since(self, name: str) -> float | None:
-        """Return since when an upstream is draining or evacuated, or None."""
+        """Return since when an upstream is leaving or evacuated, or None."""
         times = []
         if name in self.draining_since:
             times.append(self.draining_since[name])
         entry = self.entries.get(name)
+        if entry is not None and self.is_leaving(entry):
+            times.append(self.leaving[name].since)
         if entry is not None and entry.failure_domain in self.evacuated:
             times.append(self.evacuated[entry.failure_domain])
         return min(times, default=None)
@@ -138,5 +219,7 @@
     def is_usable(self, entry: model.Upstream) -> bool:
         """Return whether an upstream may receive new work."""
         return (
-            not entry.draining and entry.failure_domain not in self.evacuated
+            not entry.draining
+            and entry.failure_domain not in self.evacuated
+            and not self.is_leaving(entry)
         )
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
@@ -35,6 +35,9 @@
 # An upstream with outstanding requests is silent if it has sent no response
 # for this many times the expected latency under its load.
 SILENT_FACTOR = 6.0
+# Longest pause that an upstream may ask for. A garbled value must not exclude
+# an upstream for ever; one that is overloaded for longer asks again.
+MAX_PAUSE_S = 60.0
 
 
 class Baseline:
@@ -86,6 +89,8 @@
         Until when connecting is not tried if there are other upstreams.
     connect_backoff_s : float
         Length of the pause after the last failed attempt to connect.
+    paused_until : float
+        Until when the upstream wants no requests from this instance, seconds.
     other_load : float
         Requests of other instances, running and waiting, in the last report.
     slowdown, mean_slowdown : float
@@ -105,6 +110,7 @@
         self.failures_at = 0.0
         self.connect_blocked_until = 0.0
         self.connect_backoff_s = 0.0
+        self.paused_until = -math.inf
         self.other_load = 0.0
         self.slowdown = 1.0
         self.mean_slowdown = 1.0
@@ -179,6 +185,18 @@
         )
         self.connect_blocked_until = now + self.connect_backoff_s
 
+    def record_pause(self, pause_s: float, now: float) -> None:
+        """Record that the upstream wants no requests for a time.
+
+        It is full and did not fail, so its share of failures is unchanged.
+        """
+        until = now + min(pause_s, MAX_PAUSE_S)
+        self.paused_until = max(self.paused_until, until)
+
+    def is_paused(self, now: float) -> bool:
+        """Return whether the upstream wants no requests now."""
+        return now < self.paused_until
+
     def is_silent(self, now: float) -> bool:
         """Return whether the upstream has sent no response for too long.
 
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/model.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/model.py
@@ -164,6 +164,28 @@
     slowdown: float
 
 
+class Notice(typing.NamedTuple):
+    """What an upstream says of itself with a response.
+
+    Attributes
+    ----------
+    upstream : str
+        Name of the upstream, if the response states it; another one than
+        the addressee may use its address. '' otherwise.
+    leaving : bool
+        Whether it is about to shut down.
+    pause_s : float
+        Time for which it wants no requests from this instance, seconds.
+    fault : str
+        What is malformed, for the log; '' if nothing is.
+    """
+
+    upstream: str = ''
+    leaving: bool = False
+    pause_s: float = 0.0
+    fault: str = ''
+
+
 class KeyRange(typing.NamedTuple):
     """Keys from `first` to `last`, inclusive."""
 
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/planning.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/planning.py
@@ -26,6 +26,8 @@
 # A hot bucket is moved only to an upstream that is faster by this factor;
 # measured service times of one upstream vary by less between two plans.
 MIN_HOT_BUCKET_SPEEDUP = 1.3
+# Least capacity that an upstream is assumed to have during a pause.
+MIN_PAUSED_CAPACITY_PER_S = 0.1
 # Load of one part of an orphaned range, as a share of the median upstream's
 # capacity; ranges of an upstream that leaves are distributed in these parts.
 ORPHAN_PART_SHARE = 0.15
@@ -108,6 +110,48 @@
     return usage
 
 
+def with_pauses(
+    items: typing.Iterable[holdings.Holding],
+    inputs: Inputs,
+    pauses: typing.Mapping[str, float],
+) -> Inputs:
+    """Return inputs in which upstreams that asked for a pause are full.
+
+    It answers an upstream that turns away requests for its keys: it gets no
+    more keys, and the longer its pause lasts, the more are moved away from
+    it.
+
+    Parameters
+    ----------
+    items : iterable of holdings.Holding
+        All ranges.
+    inputs : Inputs
+        Inputs without regard to pauses.
+    pauses : dict of str to float
+        Time left of the pause of each upstream that asked for one, seconds.
+    """
+    loads = dict.fromkeys(pauses, 0.0)
+    for holding in items:
+        name = holding.target or holding.upstream
+        if name in loads:
+            loads[name] += _load(inputs, holding.first, holding.last)
+    capacity = {
+        name: (
+            min(
+                value,
+                max(
+                    MIN_PAUSED_CAPACITY_PER_S,
+                    loads[name] / (1 + pauses[name]),
+                ),
+            )
+            if name in pauses
+            else value
+        )
+        for name, value in inputs.capacity.items()
+    }
+    return inputs._replace(capacity=capacity)
+
+
 def place_orphans(
     items: typing.Sequence[holdings.Holding],
     inputs: Inputs,
--- a/packages/knapweedhall-routing/tests/test_admission.py
+++ b/packages/knapweedhall-routing/tests/test_admission.py
@@ -51,3 +51,20 @@
         times = [admission.retry_after(0.4, 0.9, rng) for _ in range(200)]
         self.assertLessEqual(max(times), 0.3)
         self.assertGreater(max(times) - min(times), 0.1)
+
+
+class PauseTest(unittest.TestCase):
+    """Callers that are refused during an upstream's pause."""
+
+    def test_returns_are_spread_after_the_pause(self) -> None:
+        """Guards against returns all at once that overload it again."""
+        rng = random.Random(1)
+        returns = sorted(
+            admission.retry_after_pause(2.0, 0.1, rng) for _ in range(1000)
+        )
+        self.assertGreaterEqual(returns[0], 2.0)
+        # No tenth of the following 2 s gets more than a fifth of them.
+        for tenth in range(10):
+            begin = 2.0 + 0.2 * tenth
+            count = sum(begin <= at < begin + 0.2 for at in returns)
+            self.assertLess(count, 200)
--- a/packages/knapweedhall-routing/tests/test_directory.py
+++ b/packages/knapweedhall-routing/tests/test_directory.py
@@ -58,3 +58,51 @@
         self.directory.set_evacuated({'a', 'b'}, 7.0)
         self.assertEqual(6.0, self.directory.unusable_since('u'))
         self.assertEqual([], self.directory.usable('s'))
+
+
+class LeavingTest(unittest.TestCase):
+    """An upstream that says in a response that it is leaving."""
+
+    def setUp(self) -> None:
+        """Create a directory with one upstream that leaves."""
+        self.directory = directory.Directory()
+        self.directory.put(entry(), 0.0)
+        self.assertTrue(self.directory.record_leaving('u', 5.0))
+
+    def test_it_is_not_used(self) -> None:
+        """Guards against requests until the store lists it as draining."""
+        self.assertEqual([], self.directory.usable('s'))
+        self.assertEqual(5.0, self.directory.unusable_since('u'))
+        self.assertFalse(self.directory.record_leaving('u', 6.0))
+        self.assertEqual([('u', 1)], self.directory.unlisted_leaving())
+
+    def test_stale_entry_does_not_end_it(self) -> None:
+        """Guards against a listing that is older than the notice."""
+        self.directory.put(entry(), 6.0)
+        self.assertEqual([], self.directory.usable('s'))
+
+    def test_removal_does_not_end_it(self) -> None:
+        """Guards against an entry that an outage removes and lists again."""
+        self.directory.remove('u', 6.0)
+        self.directory.expire(30.0)
+        self.directory.put(entry(), 31.0)
+        self.assertEqual([], self.directory.usable('s'))
+
+    def test_next_incarnation_ends_it(self) -> None:
+        """Guards against a new process that is never used."""
+        self.directory.put(entry(born_ms=2), 6.0)
+        self.assertEqual(1, len(self.directory.usable('s')))
+        self.assertFalse(self.directory.record_leaving('u', 7.0, 1))
+        self.assertEqual(1, len(self.directory.usable('s')))
+
+    def test_it_may_be_known_before_the_entry(self) -> None:
+        """Guards against a notice that reaches an instance too early."""
+        self.directory.record_leaving('v', 5.0, 1)
+        self.directory.put(entry('v'), 6.0)
+        self.assertEqual([], self.directory.usable('s'))
+
+    def test_it_is_forgotten_at_last(self) -> None:
+        """Guards against marks that pile up while upstreams are replaced."""
+        self.directory.remove('u', 6.0)
+        self.directory.expire(5.0 + directory.LEAVING_KEPT_S + 1.0)
+        self.assertEqual({}, self.directory.leaving)
--- a/packages/knapweedhall-routing/tests/test_health.py
+++ b/packages/knapweedhall-routing/tests/test_health.py
@@ -73,3 +73,23 @@
         for _ in range(40):
             self.record(self.health, 24 * SERVICE_S)
         self.assertGreater(self.health.service_s, 22 * SERVICE_S)
+
+
+class PauseTest(unittest.TestCase):
+    """An upstream that wants no requests for a time."""
+
+    def test_pause_ends(self) -> None:
+        """Guards against an upstream that is left out for too long."""
+        measured = health.Health(SLOTS)
+        measured.record_pause(1.5, 10.0)
+        # A shorter one that is asked for later does not end it early.
+        measured.record_pause(0.2, 10.5)
+        self.assertTrue(measured.is_paused(11.4))
+        self.assertFalse(measured.is_paused(11.6))
+        self.assertEqual(0.0, measured.failure_share(11.0))
+
+    def test_pause_is_limited(self) -> None:
+        """Guards against a garbled value that excludes it for ever."""
+        measured = health.Health(SLOTS)
+        measured.record_pause(1e9, 10.0)
+        self.assertFalse(measured.is_paused(10.0 + health.MAX_PAUSE_S))
--- a/packages/knapweedhall-routing/tests/test_planning.py
+++ b/packages/knapweedhall-routing/tests/test_planning.py
@@ -266,3 +266,59 @@
             assigned.items, planning.Inputs(capacity, measured), 20.0
         )
         self.assertNotIn(first, {move.first for move in moves})
+
+
+class PauseTest(unittest.TestCase):
+    """An upstream that turns requests away and asks for a pause."""
+
+    def setUp(self) -> None:
+        """Distribute even traffic over eight upstreams."""
+        measured = traffic(random.Random(1), 5.0, 160.0, 0.0)
+        self.inputs = plan_inputs(8, measured)
+        self.assigned = holdings.Holdings('s')
+        for move in planning.place_orphans(
+            self.assigned.items, self.inputs, self.assigned.items
+        ):
+            assign(self.assigned, move)
+
+    def moved_keys(self, pause_s: float) -> tuple[int, set[str]]:
+        """Return how many keys a plan moves from u0, and all targets."""
+        inputs = planning.with_pauses(
+            self.assigned.items, self.inputs, {'u0': pause_s}
+        )
+        moves = planning.rebalance(self.assigned.items, inputs, 100.0)
+        owned = [
+            (holding.first, holding.last)
+            for holding in self.assigned.items
+            if holding.upstream == 'u0'
+        ]
+        moved = sum(
+            move.last - move.first + 1
+            for move in moves
+            if any(first <= move.first <= last for first, last in owned)
+        )
+        return moved, {move.target for move in moves}
+
+    def test_keys_are_moved_away(self) -> None:
+        """Guards against keys that wait for a long pause to end."""
+        moved, targets = self.moved_keys(5.0)
+        self.assertGreater(moved, 0)
+        self.assertNotIn('u0', targets)
+
+    def test_longer_pause_moves_more(self) -> None:
+        """Guards against moving all keys for a moment of overload."""
+        self.assertLess(self.moved_keys(0.2)[0], self.moved_keys(8.0)[0])
+
+    def test_no_keys_are_assigned(self) -> None:
+        """Guards against orphans that go to an upstream that is full."""
+        orphans = [
+            holding
+            for holding in self.assigned.items
+            if holding.upstream == 'u1'
+        ]
+        inputs = planning.with_pauses(
+            self.assigned.items, self.inputs, {'u0': 2.0}
+        )
+        del inputs.capacity['u1']
+        moves = planning.place_orphans(self.assigned.items, inputs, orphans)
+        self.assertNotIn('u0', {move.target for move in moves})
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/upstream.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/upstream.py
@@ -238,6 +238,9 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         response = await self._dispatch(request)
+        request_id = request.headers.get('X-Attempt-Id')
+        if request_id is not None:
+            response.headers['X-Attempt-Id'] = request_id
         if self.leaving:
             response.headers['Server-Leaving'] = '1'
         return response
