--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -54,6 +54,8 @@
         keep the settings.
     stop : asyncio.Event
         Set to stop the process.
+    member : membership.Membership or None
+        Membership in the store's group; None before `serve`.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self.dispatcher = dispatch.Dispatcher(self.state)
         self.frontend = frontend.Frontend(self.state, self.dispatcher)
         self.stop = asyncio.Event()
+        self.member: membership.Membership | None = None
 
     async def run(self) -> None:
         """Serve until a stop signal is received."""
@@ -90,7 +93,7 @@
         link = coordinator_link.CoordinatorLink(client, self.state)
         caller_server = self.frontend.create_server()
         async with orders.open_session() as order_session:
-            member = membership.Membership(
+            member = self.member = membership.Membership(
                 client, order_session, self.state, link
             )
             tasks = [
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -201,6 +201,7 @@
             self.state.feed.read_ages(now),
             now - self.state.directory.last_outage_at,
             self.state.directory.unlisted_leaving(),
+            self.state.feed.read_offsets,
         )
 
     def relay_records(self, topic: str, records: feed.Records) -> None:
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -172,7 +172,7 @@
             self.last_received_at = now
             self.lease_expired = False
             self.heartbeat = -1
-            feed.connected_at = now
+            feed.record_connected(now)
             self.coordinator = member
             async with asyncio.TaskGroup() as group:
                 reporting = group.create_task(self._send_reports(writer))
@@ -247,7 +247,7 @@
             self.status_changed.notify()
         self.lease_expired = message.lease_expired
         self.heartbeat = message.number
-        self.state.feed.record_heartbeat(message.ages, now)
+        self.state.feed.record_heartbeat(message.ages, message.offsets, now)
         if not self.state.feed.relay:
             directory = self.state.directory
             directory.last_outage_at = max(
--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -224,19 +224,15 @@
             continue
         headers = message.headers
         observer.on_head(message.code, headers)
-        request_id = headers.get(names.REQUEST_ID_HEADER, request.request_id)
-        if request_id != request.request_id:
-            # This is a late second response to an earlier request; the
-            # response to the current one follows. If that one has no body,
-            # the parser can't know whether this one has.
+        if is_foreign(headers, request.request_id):
+            # The response to the current request follows. If that one has no
+            # body, the parser can't know whether this one has.
             if message.should_close or request.method == 'HEAD':
                 return Broken('foreign-answer', True)
             while await stream.readany():
                 pass
             continue
-        if names.REQUEST_ID_HEADER not in headers and not connection.is_new():
-            # It may be a late response to an earlier request. A late refusal
-            # would state that a request has not run which runs now.
+        if is_unidentified(headers, connection):
             return Broken('unidentified-answer', True)
         if message.should_close:
             connection.force_close()
@@ -248,6 +244,24 @@
     return Broken('foreign-answers', True)
 
 
+def is_foreign(
+    headers: multidict.CIMultiDictProxy[str], request_id: str
+) -> bool:
+    """Return whether it is a late second response to an earlier request."""
+    return headers.get(names.REQUEST_ID_HEADER, request_id) != request_id
+
+
+def is_unidentified(
+    headers: multidict.CIMultiDictProxy[str],
+    connection: connections.Connection,
+) -> bool:
+    """Return whether it may be a late response to an earlier request.
+
+    A late refusal would state that a request has not run which runs now.
+    """
+    return names.REQUEST_ID_HEADER not in headers and not connection.is_new()
+
+
 def _is_not_executed(
     status: int, headers: multidict.CIMultiDictProxy[str]
 ) -> bool:
--- a/packages/knapweedhall-router/src/knapweedhall_router/feed.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/feed.py
@@ -48,6 +48,10 @@
         When the coordinator last read a topic.
     connected_at : float
         When the instance connected to the coordinator.
+    min_offsets : dict of str to int or None
+        By topic, the offset up to which the coordinator had read when this
+        instance connected; None before its first heartbeat. Earlier changes
+        are not relayed to this instance.
     heartbeat_at : float
         When the last heartbeat of the coordinator was received.
     relay : callable or None
@@ -62,6 +66,7 @@
         self.read_at: dict[str, float] = {}
         self.coordinator_read_at: dict[str, float] = {}
         self.connected_at = float('inf')
+        self.min_offsets: dict[str, int] | None = None
         self.heartbeat_at = NEVER
         self.relay: Relay | None = None
 
@@ -69,12 +74,18 @@
         """Return until when the relayed records of a topic are relied on.
 
         The coordinator relays only changes after the instance connected, so
-        the instance must have read the topic itself after connecting.
+        the instance must have read the topic itself after connecting, and up
+        to where the coordinator had read it: the store may return an outdated
+        state.
         """
         if self.relay is not None or topic not in self.newest:
             return NEVER
         if self.read_at.get(topic, NEVER) < self.connected_at:
             return NEVER
+        if self.min_offsets is None:
+            return NEVER
+        if self.read_offsets.get(topic, 0) < self.min_offsets.get(topic, 0):
+            return NEVER
         return (
             self.coordinator_read_at.get(topic, NEVER)
             + MAX_COORDINATOR_READ_AGE_S
@@ -96,8 +107,26 @@
         ]
 
     def is_stale(self, topic: str, next_offset: int) -> bool:
-        """Return whether a listing is older than a previous read."""
-        return next_offset < self.read_offsets.get(topic, 0)
+        """Return whether a listing is older than what is known.
+
+        That is a previous read, or where the coordinator had read.
+        """
+        known = self.read_offsets.get(topic, 0)
+        if self.min_offsets is not None:
+            known = max(known, self.min_offsets.get(topic, 0))
+        return next_offset < known
+
+    def last_read_at(self, topic: str) -> float:
+        """Return when the state of a topic was last known, seconds."""
+        return max(
+            self.read_at.get(topic, NEVER),
+            self.coordinator_read_at.get(topic, NEVER),
+        )
+
+    def record_connected(self, now: float) -> None:
+        """Record that this instance connected to a coordinator."""
+        self.connected_at = now
+        self.min_offsets = None
 
     def newer_records(
         self, topic: str, records: Records
@@ -180,9 +209,14 @@
         return {topic: now - at for topic, at in self.read_at.items()}
 
     def record_heartbeat(
-        self, ages: typing.Mapping[str, float], now: float
+        self,
+        ages: typing.Mapping[str, float],
+        offsets: typing.Mapping[str, int],
+        now: float,
     ) -> None:
-        """Record when the coordinator last read each topic."""
+        """Record when, and up to where, the coordinator read each topic."""
+        if self.min_offsets is None:
+            self.min_offsets = dict(offsets)
         self.heartbeat_at = now
         self.coordinator_read_at = {
             topic: now - age for topic, age in ages.items()
--- a/packages/knapweedhall-router/src/knapweedhall_router/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/followers.py
@@ -370,7 +370,9 @@
             or abs(known.cold_until - entry.cold_until) > MIN_COLD_SHIFT_S
             or known._replace(cold_until=entry.cold_until) != entry
         )
-        if directory.put(entry, now):
+        # It may have begun to drain right after the last read.
+        read_at = self.state.feed.last_read_at(self.topic)
+        if directory.put(entry, read_at):
             self.state.drop_measurements(name)
             logs.info(
                 'upstream_listed',
--- a/packages/knapweedhall-router/src/knapweedhall_router/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/messages.py
@@ -198,6 +198,8 @@
         Time since the store last failed to answer the coordinator, seconds.
     leaving : list of tuple of str and int
         As in the reports, of all instances.
+    offsets : dict of str to int
+        Offset up to which the coordinator has read each topic.
     """
 
     number: int
@@ -207,6 +209,7 @@
     ages: dict[str, float]
     outage_age_s: float
     leaving: list[tuple[str, int]] = []
+    offsets: dict[str, int] = {}
 
 
 class Records(msgspec.Struct, tag='records', array_like=True):
--- a/packages/knapweedhall-router/src/knapweedhall_router/moves.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/moves.py
@@ -84,7 +84,14 @@
         source = holding.upstream
         keys = model.KeyRange(holding.first, holding.last)
         has_recovered = await self.sender.has_recovered(target, keys)
-        if not has_recovered or self.lease.is_store_unresponsive():
+        # Checked directly before the release: upstreams obey releases of any
+        # coordinator, so one that was replaced in the meantime would take
+        # keys from an upstream to which its successor has granted them.
+        if (
+            not has_recovered
+            or self.lease.is_expired()
+            or self.lease.is_store_unresponsive()
+        ):
             holding.moving, holding.target = False, ''
             announce([holding])
             return
--- a/packages/knapweedhall-router/tests/test_feed.py
+++ b/packages/knapweedhall-router/tests/test_feed.py
@@ -30,7 +30,7 @@
         self.feed.cache_records(
             TOPIC, [record('a', b'1'), record('b', b'2')], True
         )
-        self.feed.connected_at = 90.0
+        self.feed.record_connected(90.0)
         self.feed.record_read(TOPIC, 2, 91.0)
 
     def test_relies_only_on_recent_coordinator_reads(self) -> None:
@@ -38,9 +38,9 @@
 
         Its heartbeats continue, but the ages of its reads grow.
         """
-        self.feed.record_heartbeat({TOPIC: 0.4}, 100.0)
+        self.feed.record_heartbeat({TOPIC: 0.4}, {}, 100.0)
         self.assertGreater(self.feed.relay_valid_until(TOPIC), 100.0)
-        self.feed.record_heartbeat({TOPIC: 3.0}, 100.5)
+        self.feed.record_heartbeat({TOPIC: 3.0}, {}, 100.5)
         self.assertLess(self.feed.relay_valid_until(TOPIC), 100.5)
 
     def test_reads_topics_that_are_not_relayed(self) -> None:
@@ -49,7 +49,7 @@
         It has not listed one topic itself, and the coordinator does not read
         the other one.
         """
-        self.feed.record_heartbeat({'other': 0.1}, 100.0)
+        self.feed.record_heartbeat({'other': 0.1}, {}, 100.0)
         self.assertLess(self.feed.relay_valid_until('other'), 100.0)
         self.assertLess(self.feed.relay_valid_until(TOPIC), 100.0)
 
@@ -59,7 +59,7 @@
         The coordinator is also connected to itself as an instance.
         """
         self.feed.relay = lambda topic, records: None
-        self.feed.record_heartbeat({TOPIC: 0.0}, 100.0)
+        self.feed.record_heartbeat({TOPIC: 0.0}, {}, 100.0)
         self.assertLess(self.feed.relay_valid_until(TOPIC), 100.0)
         self.feed.receive(TOPIC, [(5, 'c', b'3')], False)
         self.assertEqual([], self.processed)
@@ -97,7 +97,7 @@
         The coordinator does not relay changes between the last own read and
         the time of the connection.
         """
-        self.feed.record_heartbeat({TOPIC: 0.1}, 100.0)
+        self.feed.record_heartbeat({TOPIC: 0.1}, {}, 100.0)
         self.assertGreater(self.feed.relay_valid_until(TOPIC), 100.0)
         self.feed.connected_at = 99.0
         self.assertLess(self.feed.relay_valid_until(TOPIC), 100.0)
@@ -121,3 +121,49 @@
         self.feed.relay_changes(TOPIC, [])
         self.feed.relay_changes(TOPIC, [record('a', b'1')])
         self.assertEqual([1], sizes)
+
+
+class OutdatedStoreTest(unittest.TestCase):
+    """A store that returns an outdated state to a new instance."""
+
+    def setUp(self) -> None:
+        """Connect to a coordinator that has read up to offset 9."""
+        self.feed = feed.Feed()
+        self.feed.record_connected(90.0)
+        self.feed.record_heartbeat({TOPIC: 0.1}, {TOPIC: 9}, 90.1)
+
+    def test_gap_before_the_connection(self) -> None:
+        """Guards against changes that an instance never learns.
+
+        The coordinator relayed them before the instance connected, and the
+        store's listing was older. The instance relied on the relay, used an
+        upstream that had left, and answered 404 for a published route.
+        """
+        self.feed.cache_records(TOPIC, [record('a', b'1', 3)], True)
+        self.feed.record_read(TOPIC, 6, 91.0)
+        self.feed.record_heartbeat({TOPIC: 0.1}, {TOPIC: 9}, 91.1)
+        self.assertLess(self.feed.relay_valid_until(TOPIC), 91.1)
+        self.feed.record_read(TOPIC, 9, 92.0)
+        self.assertGreater(self.feed.relay_valid_until(TOPIC), 91.1)
+
+    def test_outdated_listing_is_recognized(self) -> None:
+        """Guards against a listing that lacks what the coordinator knows."""
+        self.assertTrue(self.feed.is_stale(TOPIC, 8))
+        self.assertFalse(self.feed.is_stale(TOPIC, 9))
+
+    def test_later_changes_are_relayed(self) -> None:
+        """Guards against an instance that reads beside the relay forever."""
+        self.feed.cache_records(TOPIC, [record('a', b'1', 3)], True)
+        self.feed.record_read(TOPIC, 9, 91.0)
+        self.feed.record_heartbeat({TOPIC: 0.1}, {TOPIC: 50}, 95.0)
+        self.assertGreater(self.feed.relay_valid_until(TOPIC), 95.0)
+
+    def test_next_connection_counts_anew(self) -> None:
+        """Guards against an offset of an earlier coordinator."""
+        self.feed.cache_records(TOPIC, [record('a', b'1', 3)], True)
+        self.feed.record_read(TOPIC, 9, 91.0)
+        self.feed.record_connected(100.0)
+        self.feed.record_read(TOPIC, 9, 100.2)
+        self.assertLess(self.feed.relay_valid_until(TOPIC), 100.2)
+        self.feed.record_heartbeat({TOPIC: 0.1}, {TOPIC: 12}, 100.3)
+        self.assertLess(self.feed.relay_valid_until(TOPIC), 100.3)
--- a/packages/knapweedhall-router/tests/test_followers.py
+++ b/packages/knapweedhall-router/tests/test_followers.py
@@ -108,3 +108,23 @@
         await self.read(outcomes.Page(12, ()))
         self.assertNotIn(NAME, self.state.directory.entries)
         self.assertEqual([outcomes.Record(12, NAME, b'')], self.relayed)
+
+    async def test_drain_may_have_begun_with_the_last_read(self) -> None:
+        """Guards against requests to a draining upstream for too long.
+
+        In an outage of the store the drain is read late; the time for which
+        its keys are still served counts from the read before.
+        """
+        directory = self.state.directory
+        first_read_at = self.state.feed.read_at[self.follower.topic]
+        self.assertLess(directory.draining_since[NAME], first_read_at)
+
+    async def test_first_listing_of_a_draining_upstream(self) -> None:
+        """Guards against a new instance that uses it as if it just began."""
+        state = state_module.State(fleet.Fleet().new_settings())
+        follower = followers.UpstreamFollower(
+            typing.cast(typing.Any, self.client), state
+        )
+        self.client.outcomes = [outcomes.Page(9, (entry('draining', 8),))]
+        await follower.read_once(0)
+        self.assertEqual(float('-inf'), state.directory.draining_since[NAME])
--- a/packages/knapweedhall-router/tests/test_moves.py
+++ b/packages/knapweedhall-router/tests/test_moves.py
@@ -69,3 +69,44 @@
         self.assertEqual(0, upstreams.released)
         self.assertEqual([holding], announced)
         self.assertEqual('u', holding.to_owned_range().upstream)
+
+
+class HandOverTest(unittest.IsolatedAsyncioTestCase):
+    """A coordinator whose lease ends while it checks an upstream."""
+
+    async def test_no_release_after_the_lease(self) -> None:
+        """Guards against an order that takes keys from the next owner.
+
+        Upstreams obey releases of any coordinator. The successor may have
+        granted the keys again to their holder.
+        """
+        upstreams = _Upstreams()
+        sender = order_sender.OrderSender(
+            typing.cast(typing.Any, upstreams), holdings.FencingTokens(0)
+        )
+        state = state_module.State(fleet.Fleet().new_settings())
+        state.store_answered_at = clock.now() + 60.0
+        term_lease = lease.Lease(state, clock.now() + 60.0)
+
+        async def check_and_expire(*arguments: typing.Any) -> bool:
+            term_lease.expires_at = clock.now()
+            return True
+
+        sender.has_recovered = (  # type: ignore[method-assign]
+            check_and_expire
+        )
+        mover = moves.Mover(
+            typing.cast(typing.Any, None), sender, state, term_lease
+        )
+        service_holdings = holdings.Holdings('s')
+        holding = service_holdings.items[0]
+        holding.upstream, holding.confirmed, holding.moving = 'u', True, True
+        holding.held_until = float('inf')
+        target = model.Upstream(
+            'v', model.Address('h', 1), 's', 'a', 4, False, 0.0, 1
+        )
+        await mover.move(
+            service_holdings, holding, target, lambda changed: None
+        )
+        self.assertEqual(0, upstreams.released)
+        self.assertEqual('u', holding.to_owned_range().upstream)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/directory.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/directory.py
@@ -60,7 +60,7 @@
         Entries that the store removed and that are used until their removal
         is final.
     draining_since : dict of str to float
-        When an entry was first seen as draining, seconds.
+        When an entry may have begun to drain, seconds.
     leaving : dict of str to Leaving
         Upstreams that said that they are leaving, by name. It ends with
         another incarnation of the name, or `LEAVING_KEPT_S` after the
@@ -83,13 +83,22 @@
         """Record that the store did not answer."""
         self.last_outage_at = now
 
-    def put(self, entry: model.Upstream, now: float) -> bool:
-        """Add or replace an entry; return whether it is a new process."""
+    def put(self, entry: model.Upstream, unchanged_until: float) -> bool:
+        """Add or replace an entry; return whether it is a new process.
+
+        Parameters
+        ----------
+        entry : model.Upstream
+            The entry.
+        unchanged_until : float
+            When the entries were last known, seconds. A change that is seen
+            now may have happened any time after that.
+        """
         known = self.entries.get(entry.name)
         self.pending_removals.pop(entry.name, None)
         self.entries[entry.name] = entry
         if entry.draining:
-            self.draining_since.setdefault(entry.name, now)
+            self.draining_since.setdefault(entry.name, unchanged_until)
         else:
             self.draining_since.pop(entry.name, None)
         leaving = self.leaving.get(entry.name)
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/upstream.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/upstream.py
@@ -297,7 +297,9 @@
         first, last = body['fromRev'], body['to']
         self._record_token(FencingToken(first, last, body['fence']))
         self._drop_keys(first, last)
-        self.on_event('released', {'first': first, 'last': last})
+        self.on_event(
+            'released', {'first': first, 'last': last, 'fence': body['fence']}
+        )
         while any(first <= key <= last for key in self.running_keys):
             self.run_ended.clear()
             await self.run_ended.wait()
