Inject wrong and telling responses in the soak, and split long tests

Cause: the soak's upstreams answered properly whenever they answered, and its checker knew neither the drain of an upstream that says so itself nor pauses.

The checker finds requests to a leaving upstream later than the drain time after a router passed on its notice, and more than two arrivals in a pause from half a second after the refusal on. sabotage.py removes each of the three new safeguards. run_tests divides the modules of the router's tests among three processes.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/checker.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/checker.py
@@ -13,6 +13,13 @@
 # grant's answer and the difference between two upstreams' clocks (platform
 # rules, OWNER).
 MAX_OVERLAP_S = 0.5
+# Time for which a leaving upstream may still get requests after a router
+# passed on its notice; `drain_s` of the routers' settings.
+DRAIN_S = 2.0
+# Requests that may arrive during a pause, and the time after the refusal from
+# which they count (platform rules, BUDGET).
+MAX_ARRIVALS_IN_PAUSE = 2
+PAUSE_SLACK_S = 0.5
 # Distance between the keys at which grants are compared. All moved ranges are
 # wider, except for single hot keys.
 KEY_STEP = 256
@@ -67,11 +74,44 @@
     upstream: str
 
 
+class Refusal(typing.NamedTuple):
+    """A refusal with which an upstream asked for a pause.
+
+    Attributes
+    ----------
+    at : float
+        Seconds of the monotonic clock.
+    upstream, request : str
+        Name of the upstream, and request ID.
+    pause_s : float
+        Length of the pause, seconds.
+    """
+
+    at: float
+    upstream: str
+    request: str
+    pause_s: float
+
+
 class UpstreamActivity(typing.NamedTuple):
-    """Runs and grant periods of all upstreams."""
+    """What all upstreams did.
+
+    Attributes
+    ----------
+    runs : list of Run
+        Requests that they ran.
+    grants : list of GrantPeriod
+        Keys that they held.
+    refusals : list of Refusal
+        Requests that they turned away for a time.
+    leaving_at : dict of str to float
+        From when their responses said that they leave.
+    """
 
     runs: list[Run]
     grants: list[GrantPeriod]
+    refusals: list[Refusal] = []
+    leaving_at: dict[str, float] = {}
 
 
 class _GrantHistory:
@@ -116,14 +156,25 @@
     """Read the logs of the named upstreams."""
     runs: list[Run] = []
     grants: list[GrantPeriod] = []
+    refusals: list[Refusal] = []
+    leaving_at: dict[str, float] = {}
     for name in upstreams:
         history = _GrantHistory(name)
         for line in (folder / f'{name}.log').read_text().splitlines():
             if not line.startswith('{"at"') or not line.endswith('}'):
                 continue
-            _apply_event(json.loads(line), history, runs)
+            event = json.loads(line)
+            _apply_event(event, history, runs)
+            if event['event'] == 'turned_away':
+                refusals.append(
+                    Refusal(
+                        event['at'], name, event['request'], event['pause_s']
+                    )
+                )
+            elif event['event'] == 'trouble' and event.get('leaving'):
+                leaving_at[name] = event['at']
         grants += history.closed + history.open
-    return UpstreamActivity(sorted(runs), grants)
+    return UpstreamActivity(sorted(runs), grants, sorted(refusals), leaving_at)
 
 
 def _apply_event(
@@ -250,3 +301,85 @@
                     break
             if earlier is None or earlier.fence < grant.fence:
                 highest[key] = grant
+
+
+def check_notices(
+    results: typing.Sequence[callers.Result],
+    activity: UpstreamActivity,
+    is_undisturbed: typing.Callable[[str, float, float], bool],
+) -> list[Violation]:
+    """Return requests to upstreams that leave or asked for a pause.
+
+    Parameters
+    ----------
+    results : sequence of callers.Result
+        Results of all requests.
+    activity : UpstreamActivity
+        What the upstreams did.
+    is_undisturbed : callable
+        Returns whether a router, given by its name, ran without a disruption
+        between two times.
+    """
+    return [
+        *_check_leaving(results, activity, is_undisturbed),
+        *_check_pauses(results, activity, is_undisturbed),
+    ]
+
+
+def _check_leaving(
+    results: typing.Sequence[callers.Result],
+    activity: UpstreamActivity,
+    is_undisturbed: typing.Callable[[str, float, float], bool],
+) -> typing.Iterator[Violation]:
+    upstream_by_request = {
+        run.request: run.upstream
+        for run in activity.runs
+        if run.at >= activity.leaving_at.get(run.upstream, float('inf'))
+    }
+    # When each router first passed on a response of an upstream that leaves.
+    passed_at: dict[tuple[str, str], float] = {}
+    for result in sorted(results, key=lambda result: result.ended_at):
+        upstream = upstream_by_request.get(result.request)
+        if upstream is None:
+            continue
+        pair = (result.router, upstream)
+        if result.status == 200:
+            passed_at.setdefault(pair, result.ended_at)
+        begin = passed_at.get(pair, float('inf'))
+        if result.sent_at > begin + DRAIN_S and is_undisturbed(
+            result.router, begin, result.ended_at
+        ):
+            yield Violation('leaving upstream', f'{result} {upstream}')
+
+
+def _check_pauses(
+    results: typing.Sequence[callers.Result],
+    activity: UpstreamActivity,
+    is_undisturbed: typing.Callable[[str, float, float], bool],
+) -> typing.Iterator[Violation]:
+    router_by_request = {result.request: result.router for result in results}
+    arrivals: dict[tuple[str, str], list[float]] = collections.defaultdict(
+        list
+    )
+    arrived = [(run.request, run.upstream, run.at) for run in activity.runs]
+    arrived += [
+        (refusal.request, refusal.upstream, refusal.at)
+        for refusal in activity.refusals
+    ]
+    for request, upstream, at in arrived:
+        if request in router_by_request:
+            arrivals[router_by_request[request], upstream].append(at)
+    for refusal in activity.refusals:
+        router = router_by_request.get(refusal.request)
+        if router is None:
+            continue
+        end = refusal.at + refusal.pause_s
+        late = [
+            at
+            for at in arrivals[router, refusal.upstream]
+            if refusal.at + PAUSE_SLACK_S < at < end
+        ]
+        if len(late) > MAX_ARRIVALS_IN_PAUSE and is_undisturbed(
+            router, refusal.at, end
+        ):
+            yield Violation('pause', f'{refusal} {router} {late}')
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
@@ -15,6 +15,7 @@
 from knapweedhall_bench import ports
 from knapweedhall_standins import faults
 from knapweedhall_standins import proxy
+from knapweedhall_standins import upstream
 
 START_TIMEOUT_S = 20.0
 POLL_PERIOD_S = 0.1
@@ -238,6 +239,14 @@
         """Make the store delete its history."""
         await self._put('forget', b'')
 
+    async def set_trouble(self, name: str, trouble: dict[str, object]) -> None:
+        """Replace what is wrong with an upstream's responses, if it runs."""
+        host, port = self.upstreams[name].link.target
+        url = f'http://{host}:{port}{upstream.TROUBLE_PATH}'
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with self.session.put(url, json=trouble) as response:
+                await response.read()
+
     async def _put(self, resource: str, raw: bytes) -> None:
         url = f'http://{self.store.address}/standin/{resource}'
         async with self.session.put(url, data=raw) as response:
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
@@ -20,6 +20,8 @@
     'deaf',
     'past',
 )
+# Kinds of responses that are wrong, or say something of their upstream.
+RESPONSE_KINDS = ('leave', 'pause-asked', 'endless', 'second-copies')
 LINK_MODES = tuple(mode for mode in proxy.Mode if mode is not proxy.Mode.PASS)
 MIN_DURATION_S, MAX_DURATION_S = 0.2, 6.0
 
@@ -31,7 +33,7 @@
     ----------
     at, until : float
         Start and end, seconds since the start of the series.
-    target : {'router', 'upstream', 'store', 'operator'}
+    target : {'router', 'upstream', 'store', 'operator', 'response'}
         Type of component that it acts on.
     kind : str
         Kind of the fault.
@@ -75,3 +77,27 @@
             )
         )
     return sorted(faults)
+
+
+def generate_responses(
+    rng: random.Random, count: int, duration_s: float
+) -> list[Fault]:
+    """Return random faults of responses within a duration.
+
+    They are generated apart from the others, which stay the same for a seed.
+    """
+    faults = []
+    for _ in range(count):
+        at = rng.uniform(0.0, duration_s)
+        fault_s = min(MAX_DURATION_S, MIN_DURATION_S + rng.expovariate(0.6))
+        faults.append(
+            Fault(
+                at,
+                min(duration_s, at + fault_s),
+                'response',
+                rng.choice(RESPONSE_KINDS),
+                rng.random(),
+                proxy.Mode.PASS,
+            )
+        )
+    return sorted(faults)
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/sabotage.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/sabotage.py
@@ -9,12 +9,15 @@
 from knapweedhall_adapter import outcomes
 from knapweedhall_records import bodies
 from knapweedhall_records import codec
+from knapweedhall_router import exchange
 from knapweedhall_router import feed
 from knapweedhall_router import followers
 from knapweedhall_router import frontend
 from knapweedhall_router import main
 from knapweedhall_router import order_sender
 from knapweedhall_router import state
+from knapweedhall_routing import directory
+from knapweedhall_routing import health
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
 
@@ -81,12 +84,34 @@
     )
 
 
+def without_leaving() -> None:
+    """Ignore that upstreams say in their responses that they are leaving."""
+    directory.Directory.record_leaving = (  # type: ignore[method-assign]
+        lambda self, name, now, born_ms=None: False
+    )
+
+
+def without_pauses() -> None:
+    """Ignore for how long upstreams want no requests."""
+    health.Health.record_pause = (  # type: ignore[method-assign]
+        lambda self, pause_s, now: None
+    )
+
+
+def without_response_ids() -> None:
+    """Take each response for that to the current request."""
+    exchange.is_foreign = lambda headers, request_id: False
+
+
 SAFEGUARDS = {
     'fence': without_fence,
     'wait': without_wait,
     'duplicate': without_duplicate_check,
     'not-run': without_not_run_rule,
     'version': without_version_check,
+    'leaving': without_leaving,
+    'pauses': without_pauses,
+    'response-ids': without_response_ids,
 }
 
 if __name__ == '__main__':
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -22,6 +22,7 @@
 from knapweedhall_bench import deployment
 from knapweedhall_bench import environment
 from knapweedhall_bench import faults
+from knapweedhall_standins import endless
 from knapweedhall_standins import faults as store_faults
 from knapweedhall_standins import proxy
 
@@ -45,6 +46,12 @@
 # Maximum time until a record is in force everywhere, reached when the store
 # does not notify waiting reads.
 MAX_IN_FORCE_DELAY_S = 0.8
+# Number of faults of responses, as a share of the other faults.
+RESPONSE_FAULT_SHARE = 0.3
+# Shortest and longest pause that an upstream asks for, and delay of a second
+# copy of a response.
+MIN_PAUSE_S, MAX_PAUSE_S = 0.6, 3.0
+MAX_COPY_DELAY_S = 0.05
 # A request that was cut is no violation if its instance was disrupted within
 # this time before or after it, because a disruption affects requests with a
 # delay.
@@ -143,7 +150,12 @@
         series = faults.generate(
             self.rng, self.plan.fault_count, self.plan.duration_s
         )
-        await self._inject_all(series)
+        series += faults.generate_responses(
+            random.Random(f'responses {self.seed}'),
+            max(1, int(self.plan.fault_count * RESPONSE_FAULT_SHARE)),
+            self.plan.duration_s,
+        )
+        await self._inject_all(sorted(series))
         missing = await self.environment.wait_until_served(RECOVERY_TIMEOUT_S)
         stop.set()
         await traffic
@@ -155,6 +167,9 @@
         violations = checker.check(results, activity)
         violations += self._check_cut_requests(results, activity)
         violations += self._check_reverts(results)
+        violations += checker.check_notices(
+            results, activity, self._is_undisturbed
+        )
         if missing:
             violations.append(checker.Violation('served again', missing))
         return violations
@@ -178,6 +193,9 @@
         elif fault.target == 'router':
             name = _pick(self.deployment.routers, fault.pick)
             await self._inject_router_fault(name, fault, duration_s)
+        elif fault.target == 'response':
+            name = _pick(self.deployment.upstreams, fault.pick)
+            await self._inject_response_fault(name, fault, duration_s)
         else:
             name = _pick(self.deployment.upstreams, fault.pick)
             await self._inject_upstream_fault(name, fault, duration_s)
@@ -229,6 +247,34 @@
         else:
             await _inject_link_fault(node.link, fault, duration_s)
 
+    async def _inject_response_fault(
+        self, name: str, fault: faults.Fault, duration_s: float
+    ) -> None:
+        # Another digit of the number that selects the upstream.
+        share = fault.pick * 1000 % 1
+        if fault.kind == 'leave':
+            await self.deployment.add_upstream(
+                self.deployment.upstream_services[name]
+            )
+            await self.deployment.set_trouble(name, {'leaving': True})
+            # The store learns of it later, as it may be down.
+            await asyncio.sleep(duration_s)
+            await self.deployment.upstreams[name].child.terminate()
+            return
+        trouble: dict[str, object] = {}
+        if fault.kind == 'pause-asked':
+            trouble['pause_s'] = MIN_PAUSE_S + share * (
+                MAX_PAUSE_S - MIN_PAUSE_S
+            )
+        elif fault.kind == 'endless':
+            kinds = list(endless.Kind)
+            trouble['endless'] = kinds[int(share * len(kinds))].value
+        else:
+            trouble['second_copy_s'] = share * MAX_COPY_DELAY_S
+        await self.deployment.set_trouble(name, trouble)
+        await asyncio.sleep(duration_s)
+        await self.deployment.set_trouble(name, {})
+
     async def _restart_upstream(
         self, name: str, node: deployment.Node
     ) -> None:
@@ -334,6 +380,14 @@
             )
         ]
 
+    def _is_undisturbed(self, router: str, begin: float, end: float) -> bool:
+        """Return whether a router ran without a disruption in a time."""
+        return not any(
+            begin - DISRUPTION_MARGIN_S <= disrupted_until
+            and disrupted_from <= end
+            for disrupted_from, disrupted_until in self.disruptions[router]
+        ) and not any(begin <= at <= end for at in self.restarts[router])
+
     def _check_reverts(
         self, results: typing.Sequence[callers.Result]
     ) -> list[checker.Violation]:
--- a/packages/knapweedhall-bench/tests/test_checker.py
+++ b/packages/knapweedhall-bench/tests/test_checker.py
@@ -62,3 +62,42 @@
         self.assertEqual(
             ['rising tokens'], self.broken_invariants(ORDER, [], grants)
         )
+
+    def test_requests_to_a_leaving_upstream(self) -> None:
+        """Guards against a missed request after a notice, and false ones."""
+        runs = [
+            checker.Run(1.05, 'a', 'o1', None),
+            checker.Run(2.5, 'a', 'o2', None),
+            checker.Run(3.5, 'a', 'o3', None),
+        ]
+        results = [
+            ORDER,
+            ORDER._replace(request='o2', sent_at=2.4, ended_at=2.6),
+            ORDER._replace(request='o3', sent_at=3.4, ended_at=3.6),
+        ]
+        activity = checker.UpstreamActivity(runs, [], [], {'a': 0.5})
+        found = checker.check_notices(results, activity, lambda *_: True)
+        self.assertEqual(['leaving upstream'], [each[0] for each in found])
+        self.assertEqual(
+            [], checker.check_notices(results, activity, lambda *_: False)
+        )
+        unaware = activity._replace(leaving_at={'a': 2.0})
+        self.assertEqual(
+            [], checker.check_notices(results, unaware, lambda *_: True)
+        )
+
+    def test_requests_during_a_pause(self) -> None:
+        """Guards against a missed request during a pause, and false ones."""
+        times = (1.0, 1.2, 1.7, 1.9, 2.1)
+        refusals = [
+            checker.Refusal(at, 'a', f'o{at}', 2.0) for at in times[:1]
+        ]
+        runs = [checker.Run(at, 'a', f'o{at}', None) for at in times[1:]]
+        results = [ORDER._replace(request=f'o{at}') for at in times]
+        activity = checker.UpstreamActivity(runs, [], refusals)
+        found = checker.check_notices(results, activity, lambda *_: True)
+        self.assertEqual(['pause'], [each[0] for each in found])
+        fewer = activity._replace(runs=runs[:-1])
+        self.assertEqual(
+            [], checker.check_notices(results, fewer, lambda *_: True)
+        )
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/upstream.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/upstream.py
@@ -21,6 +21,8 @@
 # is the time since data was last received, in ms.
 _TCP_INFO = struct.Struct('8x11I I')
 REASON_PHRASES = {200: 'OK', 500: 'Failed', 504: 'Timeout'}
+# Where tests and the soak set what is wrong with the responses.
+TROUBLE_PATH = '/standin/trouble'
 UPSTREAM_TOPIC = 'keyed.servers'
 
 
@@ -134,6 +136,8 @@
         Whether all its responses say that it is leaving.
     pause_s : float
         If above 0, it refuses requests and asks for a pause of this length.
+    second_copy_s : float
+        If above 0, it sends each response again after this time.
     response_hook : callable or None
         Replaces responses: takes the request and the bytes of the regular
         response, returns the bytes to send, or None to abort the connection.
@@ -174,6 +178,7 @@
         self.endless: endless.Kind | None = None
         self.leaving = False
         self.pause_s = 0.0
+        self.second_copy_s = 0.0
         self.response_hook: (
             typing.Callable[[web.BaseRequest, bytes], bytes | None] | None
         ) = None
@@ -246,6 +251,9 @@
         return response
 
     async def _dispatch(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == TROUBLE_PATH:
+            self._set_trouble(json.loads(await request.read()))
+            return web.Response()
         expected = request.headers.get('X-Expected-Instance', self.name)
         if expected != self.name:
             return self._not_executed(421)
@@ -257,6 +265,15 @@
             return await self._release(json.loads(await request.read()))
         return await self._serve(request)
 
+    def _set_trouble(self, trouble: dict[str, typing.Any]) -> None:
+        """Replace what is wrong with the responses."""
+        self.leaving = trouble.get('leaving', False)
+        self.pause_s = trouble.get('pause_s', 0.0)
+        self.second_copy_s = trouble.get('second_copy_s', 0.0)
+        kind = trouble.get('endless')
+        self.endless = endless.Kind(kind) if kind else None
+        self.on_event('trouble', trouble)
+
     def _grant(
         self, body: dict[str, typing.Any], arrived_at: float
     ) -> web.Response:
@@ -345,6 +362,10 @@
             self.refused_count += 1
             return self._not_executed(421)
         if self.pause_s > 0:
+            self.on_event(
+                'turned_away',
+                {'request': request_id, 'pause_s': self.pause_s},
+            )
             refusal = self._not_executed(503)
             refusal.headers['Retry-After'] = f'{self.pause_s:.3f}'
             return refusal
@@ -423,6 +444,10 @@
             transport.abort()
         else:
             transport.write(raw)
+            if self.second_copy_s > 0:
+                asyncio.get_running_loop().call_later(
+                    self.second_copy_s, transport.write, raw
+                )
         return _WrittenResponse()
 
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -23,6 +23,9 @@
 # once.
 MAX_PARALLEL_PACKAGES = 3
 PACKAGE_TIMEOUT_S = 480
+# Packages whose test modules are divided among several processes, as their
+# tests mostly wait for whole fleets.
+SHARDS = {'knapweedhall-router': 3}
 
 
 class PackageResult(typing.NamedTuple):
@@ -47,10 +50,34 @@
     output: str
 
 
-def run_in_this_process(package: pathlib.Path, report: pathlib.Path) -> None:
-    """Run the tests of one package and write the results as JSON."""
-    os.chdir(package)
+class Shard(typing.NamedTuple):
+    """A part of the test modules of a package.
+
+    Attributes
+    ----------
+    package : pathlib.Path
+        Folder of the package.
+    number, count : int
+        Which of how many parts.
+    """
+
+    package: pathlib.Path
+    number: int
+    count: int
+
+
+def load_tests(shard: Shard) -> unittest.TestSuite:
+    """Return the tests of a shard; the working folder is the package's."""
     suite = unittest.defaultTestLoader.discover('tests', top_level_dir='.')
+    # One suite for each module.
+    modules = [each for each in suite if each.countTestCases()]
+    return unittest.TestSuite(modules[shard.number :: shard.count])
+
+
+def run_in_this_process(shard: Shard, report: pathlib.Path) -> None:
+    """Run the tests of one shard and write the results as JSON."""
+    os.chdir(shard.package)
+    suite = load_tests(shard)
     result = unittest.TextTestRunner(verbosity=1).run(suite)
     red = [test.id() for test, _ in result.failures + result.errors]
     red += [test.id() for test in result.unexpectedSuccesses]
@@ -60,11 +87,13 @@
     )
 
 
-def run_package(package: pathlib.Path) -> PackageResult:
-    """Run the tests of one package in a separate process."""
+def run_shard(shard: Shard) -> PackageResult:
+    """Run the tests of one shard in a separate process."""
+    package = shard.package
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / 'report.json'
         command = [sys.executable, __file__, '--inside', str(package)]
+        command += ['--shard', str(shard.number), str(shard.count)]
         try:
             completed = subprocess.run(
                 [*command, '--report', str(report)],
@@ -115,7 +144,12 @@
     known_red = read_known_red()
     run = failed = skipped = 0
     with concurrent.futures.ThreadPoolExecutor(MAX_PARALLEL_PACKAGES) as pool:
-        for result in pool.map(run_package, find_packages(names)):
+        shards = [
+            Shard(package, number, SHARDS.get(package.name, 1))
+            for package in find_packages(names)
+            for number in range(SHARDS.get(package.name, 1))
+        ]
+        for result in pool.map(run_shard, shards):
             red = {f'{result.package}:{test}' for test in result.red}
             for test in sorted(red & known_red):
                 print(f'known red: {test}')
@@ -136,10 +170,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('packages', nargs='*', help='names of packages')
     parser.add_argument('--inside', type=pathlib.Path, help=argparse.SUPPRESS)
+    parser.add_argument('--shard', type=int, nargs=2, help=argparse.SUPPRESS)
     parser.add_argument('--report', type=pathlib.Path, help=argparse.SUPPRESS)
     arguments = parser.parse_args()
     if arguments.inside:
-        run_in_this_process(arguments.inside, arguments.report)
+        shard = Shard(arguments.inside, *arguments.shard)
+        run_in_this_process(shard, arguments.report)
         return 0
     return run_packages(arguments.packages)
 
