--- a/packages/knapweedhall-router/src/knapweedhall_router/feed.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/feed.py
@@ -52,6 +52,9 @@
         By topic, the offset up to which the coordinator had read when this
         instance connected; None before its first heartbeat. Earlier changes
         are not relayed to this instance.
+    listed : set of str
+        Topics of which the coordinator sent all records over the current
+        connection.
     heartbeat_at : float
         When the last heartbeat of the coordinator was received.
     relay : callable or None
@@ -67,30 +70,36 @@
         self.coordinator_read_at: dict[str, float] = {}
         self.connected_at = float('inf')
         self.min_offsets: dict[str, int] | None = None
+        self.listed: set[str] = set()
         self.heartbeat_at = NEVER
         self.relay: Relay | None = None
 
     def relay_valid_until(self, topic: str) -> float:
         """Return until when the relayed records of a topic are relied on.
 
-        The coordinator relays only changes after the instance connected, so
-        the instance must have read the topic itself after connecting, and up
-        to where the coordinator had read it: the store may return an outdated
-        state.
+        The coordinator relays only changes after the instance connected. What
+        was before, it sent as a listing, or the instance must have read the
+        topic itself after connecting, and up to where the coordinator had
+        read it: the store may return an outdated state.
         """
         if self.relay is not None or topic not in self.newest:
             return NEVER
-        if self.read_at.get(topic, NEVER) < self.connected_at:
-            return NEVER
-        if self.min_offsets is None:
-            return NEVER
-        if self.read_offsets.get(topic, 0) < self.min_offsets.get(topic, 0):
+        if topic not in self.listed and not self._has_read(topic):
             return NEVER
         return (
             self.coordinator_read_at.get(topic, NEVER)
             + MAX_COORDINATOR_READ_AGE_S
         )
 
+    def _has_read(self, topic: str) -> bool:
+        """Return whether own reads cover all that is not relayed."""
+        if self.min_offsets is None:
+            return False
+        if self.read_at.get(topic, NEVER) < self.connected_at:
+            return False
+        known = self.read_offsets.get(topic, 0)
+        return known >= self.min_offsets.get(topic, 0)
+
     def outdated_topics(self, now: float) -> list[str]:
         """Return the topics whose last own read is too old."""
         return [
@@ -127,6 +136,7 @@
         """Record that this instance connected to a coordinator."""
         self.connected_at = now
         self.min_offsets = None
+        self.listed.clear()
 
     def newer_records(
         self, topic: str, records: Records
@@ -203,6 +213,8 @@
         ]
         if records or listing:
             handler(records, listing)
+        if listing:
+            self.listed.add(topic)
 
     def read_ages(self, now: float) -> dict[str, float]:
         """Return the age of the last own read of each topic, seconds."""
--- a/packages/knapweedhall-router/src/knapweedhall_router/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/followers.py
@@ -39,6 +39,9 @@
 # it to the coordinator to find that the store is back.
 RETRY_S = 0.25
 RELAYED_RETRY_S = 0.8
+# Time after the start for which an instance waits for the listing of the
+# coordinator before it lists a topic itself; finding it takes about 0.1 s.
+INITIAL_WAIT_S = 0.4
 # Period of checks whether the relayed records are still relied on.
 RELAY_CHECK_S = 0.25
 # Minimum shift of the end of a cold start that is relayed; every heartbeat of
@@ -73,6 +76,7 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        await self._wait_for_listing()
         while True:
             now = clock.now()
             valid_s = self.state.feed.relay_valid_until(self.topic) - now
@@ -90,6 +94,14 @@
             self.housekeeping()
             await asyncio.sleep(max(0.0, pause_s))
 
+    async def _wait_for_listing(self) -> None:
+        feed = self.state.feed
+        until = clock.now() + INITIAL_WAIT_S
+        while clock.now() < until:
+            if feed.relay is not None or self.topic in feed.listed:
+                return
+            await asyncio.sleep(INITIAL_WAIT_S / 8)
+
     def max_wait_ms(self, now: float) -> int:
         """Return the maximum time that the store may hold a read."""
         raise NotImplementedError
--- a/packages/knapweedhall-router/src/knapweedhall_router/main.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/main.py
@@ -40,7 +40,8 @@
         return 0
     logs.configure(settings.name)
     # Imported objects live as long as the process; exclude them from garbage
-    # collection.
+    # collection. The deployment disables it while they are imported.
     gc.freeze()
+    gc.enable()
     asyncio.run(application.Application(settings, path).run())
     return 0
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -19,6 +19,7 @@
 from knapweedhall_router import coordinator_store
 from knapweedhall_router import logs
 from knapweedhall_router import state as state_module
+from knapweedhall_routing import candidacy
 
 # Time after the coordinator's last join at which the store lets another member
 # take over. Short, as the keys of a lost upstream are not reassigned until
@@ -98,7 +99,10 @@
         """Stay in the group until cancelled."""
         while True:
             sent_at = clock.now()
-            if self._is_candidate(sent_at):
+            if self._is_unneeded():
+                # Others stand by, and the coordinator works.
+                pass
+            elif self._is_candidate(sent_at):
                 await self._join(sent_at)
             else:
                 await self._probe_store(sent_at)
@@ -116,6 +120,15 @@
             return CANDIDATE_JOIN_PERIOD_S
         return DISCONNECTED_JOIN_PERIOD_S
 
+    def _is_unneeded(self) -> bool:
+        """Return whether this instance has no reason to call the store."""
+        if self.coordinator is not None or not self.link.connected:
+            return False
+        if self.link.lease_expired or not self.link.members:
+            return False
+        self.last_connected_at = clock.now()
+        return self.member not in candidacy.candidates(self.link.members)
+
     def _is_candidate(self, now: float) -> bool:
         """Return whether this instance may coordinate now."""
         if self.link.connected:
