Search the coordinator in the store again

Cause: every other search asked a member that stands by.

Change: reverted, with the redirect that was followed at once.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -13,7 +13,6 @@
 from knapweedhall_router import messages
 from knapweedhall_router import settings as settings_module
 from knapweedhall_router import state as state_module
-from knapweedhall_routing import candidacy
 
 COORDINATOR_GROUP = 'knapweedhall'
 TERM_TOPIC = 'knapweedhall.tenure'
@@ -73,10 +72,6 @@
         Member ID of the coordinator of the last connection.
     known_coordinator : str
         Member ID to connect to while the store names no coordinator.
-    redirected_to : str
-        Member ID that a redirect named; '' if it was tried.
-    search_count : int
-        Searches since the last stable connection.
     pause_s : float
         Upper bound of the random pause before the next search.
     """
@@ -94,8 +89,6 @@
         self.members: set[str] = set()
         self.coordinator = ''
         self.known_coordinator = ''
-        self.redirected_to = ''
-        self.search_count = 0
         self.pause_s = INITIAL_PAUSE_S
 
     async def run(self) -> None:
@@ -133,36 +126,12 @@
             self.pause_s = min(2 * self.pause_s, MAX_PAUSE_S)
             if lasted_s > STABLE_CONNECTION_S:
                 self.pause_s = INITIAL_PAUSE_S
-                self.search_count = 0
             # Random, so that instances do not all connect at once to a
             # coordinator whose network link is busy.
             pause = self.state.rng.uniform(INITIAL_PAUSE_S / 3, self.pause_s)
             await asyncio.sleep(pause)
 
     async def _find_coordinator(self) -> str:
-        """Return the member ID to connect to; '' if none is known.
-
-        Hundreds of instances search at the same time. One of those that stand
-        by is the next coordinator or knows it, so every other search asks
-        them and not the store.
-        """
-        if self.redirected_to:
-            member, self.redirected_to = self.redirected_to, ''
-            return member
-        self.search_count += 1
-        if self.search_count % 2:
-            own = member_id(self.state.settings)
-            others = candidacy.candidates(self.members)
-            others = [
-                member
-                for member in others
-                if member not in (own, self.coordinator)
-            ]
-            if others and own not in candidacy.candidates(self.members):
-                return self.state.rng.choice(others)
-        return await self._ask_store()
-
-    async def _ask_store(self) -> str:
         deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
         holder = await self.client.find_holder(
             COORDINATOR_GROUP, TERM_TOPIC, deadline
@@ -242,7 +211,7 @@
             ):
                 continue
             searched_at = now
-            holder = await self._ask_store()
+            holder = await self._find_coordinator()
             if holder and holder != member:
                 raise ConnectionError('replaced')
 
@@ -306,7 +275,6 @@
             return
         if isinstance(message, messages.Redirect):
             self.known_coordinator = message.coordinator
-            self.redirected_to = message.coordinator
             raise ConnectionError('redirected')
         if isinstance(message, messages.Records):
             self.state.feed.receive(
