Discard the rest of a refused body without a limit for heads

Cause: the limit of heads counted the rest of a body that the server discards after an early response. Beyond 1 MB the connection was reset, which destroys the response on its way.

Change: the bytes count only once a request's body has arrived whole.

Measured: test_refusal_of_a_large_body_arrives failed with a reset before and passes.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -27,7 +27,8 @@
     head_bytes : int
         Bytes received since then.
     handling : bool
-        Whether a request is in progress.
+        Whether a request is in progress, or the rest of its body is being
+        discarded after an early response.
     """
 
     __slots__ = ('head_since', 'head_bytes', 'handling')
@@ -49,9 +50,15 @@
         self.head_since = math.inf
         self.head_bytes = 0
 
-    def record_response(self) -> None:
-        """Record that the handler has ended."""
-        self.handling = False
+    def record_response(self, body_received: bool) -> None:
+        """Record that the handler has ended.
+
+        Parameters
+        ----------
+        body_received : bool
+            Whether the whole body of the request has arrived.
+        """
+        self.handling = not body_received
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, unless they are too many for a head."""
--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -112,7 +112,7 @@
             return await self._handle(request, received_bytes)
         finally:
             self.in_flight -= 1
-            connection.record_response()
+            connection.record_response(request.content.is_eof())
             self.busy_connections.discard(connection)
             self.buffered_bytes -= received_bytes[0]
 
--- a/packages/knapweedhall-router/tests/test_endless.py
+++ b/packages/knapweedhall-router/tests/test_endless.py
@@ -209,3 +209,22 @@
             self.fleet.routers[0], '/order/1', body=b'{}'
         )
         self.assertEqual(200, response.status)
+
+    async def test_refusal_of_a_large_body_arrives(self) -> None:
+        """Guards against a reset that destroys the response on its way.
+
+        The caller sends the rest of the body while the router closes.
+        """
+        router = self.fleet.routers[0]
+        reader, writer = await asyncio.open_connection(*router.settings.front)
+        self.addCleanup(writer.transport.abort)
+        writer.write(
+            b'POST /other/1 HTTP/1.1\r\nHost: shop.example\r\n'
+            b'Content-Length: 8000000\r\n\r\n'
+        )
+        for _ in range(8):
+            writer.write(b'x' * 1_000_000)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        answer = await asyncio.wait_for(reader.read(4096), 2.0)
+        self.assertIn(b' 404 ', answer)
