Apply no limit of a body to the length in a response to HEAD

Cause: the check of the length before the body is read, of, also held for HEAD, whose response states a length and has no body. Change: it does not.

--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -236,7 +236,7 @@
             return Broken('unidentified-answer', True)
         if message.should_close:
             connection.force_close()
-        invalid = _check_head(message, headers, observer.buffers)
+        invalid = _check_head(message, request, observer.buffers)
         if invalid:
             return Broken(invalid, True)
         body = await _read_body(stream, request, observer)
@@ -273,10 +273,11 @@
 
 def _check_head(
     message: http.RawResponseMessage,
-    headers: multidict.CIMultiDictProxy[str],
+    request: Request,
     buffers: response_buffers.ResponseBuffers,
 ) -> str:
     """Return why a response can't be used, before its body is read; or ''."""
+    headers = message.headers
     signed = (
         names.SIGNATURE_HEADER in headers
         and names.REQUEST_ID_HEADER in headers
@@ -285,7 +286,8 @@
         if not _is_not_executed(message.code, headers):
             return 'unsigned-answer'
     length = headers.get('Content-Length', '')
-    if length.isdigit():
+    # A response to HEAD states the length of a body that it does not have.
+    if request.method != 'HEAD' and length.isdigit():
         if int(length[:18]) > buffers.budget.max_response_bytes:
             return 'response-too-large'
     return ''
--- a/packages/knapweedhall-router/tests/test_endless.py
+++ b/packages/knapweedhall-router/tests/test_endless.py
@@ -183,6 +183,25 @@
         self.assertEqual(200, response.status)
         self.assertEqual(body, response.body)
 
+    async def test_length_of_a_response_to_head(self) -> None:
+        """Guards against a limit for a body that is not sent."""
+
+        def respond(request: web.BaseRequest, raw: bytes) -> bytes:
+            head, _, body = raw.partition(b'\r\n\r\n')
+            length = f'Content-Length: {len(body)}'.encode()
+            return (
+                head.replace(length, b'Content-Length: 90000000') + b'\r\n\r\n'
+            )
+
+        for fake_upstream in self.orders_upstreams():
+            fake_upstream.response_hook = respond
+        router = self.fleet.routers[0]
+        async with self.fleet.session.head(
+            f'http://{router.settings.front}/order/1',
+            headers={'Host': 'shop.example', 'X-Attempt-Id': 'h1'},
+        ) as response:
+            self.assertEqual(200, response.status)
+
 
 class EndlessCallerTest(fleet_case.FleetTest):
     """Callers that never end the head or the body of a request."""
