--- a/packages/knapweedhall-router/src/knapweedhall_router/selection.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/selection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import math
 
@@ -13,6 +14,10 @@
 from knapweedhall_routing import choice
 from knapweedhall_routing import model
 
+# Time for which responses that have arrived are read before an owner counts as
+# silent. After a standstill of the process, requests may be handled before
+# the responses that arrived in the meantime.
+SILENCE_CHECK_S = 0.02
 # Time before the caller's deadline at which the response must be available, so
 # that it still reaches the caller.
 RETURN_MARGIN_S = 0.01
@@ -169,6 +174,7 @@
             call.deadline,
             clock.now() + admission.OWNER_WAIT_SHARE * call.route.objective_s,
         )
+        silence_checked = False
         while True:
             now = clock.now()
             owned_range = self.state.owner_table(call.service).find(call.key)
@@ -188,6 +194,12 @@
                     owned_range.upstream, -math.inf
                 ):
                     if self._is_usable_owner(owned_range.upstream, now):
+                        if not silence_checked and self._is_silent(
+                            owned_range.upstream, now
+                        ):
+                            silence_checked = True
+                            await asyncio.sleep(SILENCE_CHECK_S)
+                            continue
                         return self._admit_owner(call, owned_range, now)
             if not await self.state.owners_changed.wait(wait_until - now):
                 return self.refuse(call, 'no-new-owner')
@@ -221,6 +233,10 @@
             or not self.state.upstreams_listed
         )
 
+    def _is_silent(self, upstream_name: str, now: float) -> bool:
+        health = self.state.healths.get(upstream_name)
+        return health is not None and health.is_silent(now)
+
     def _admit_owner(
         self, call: calls.Call, owned_range: model.OwnedRange, now: float
     ) -> model.Upstream | Failure:
--- a/packages/knapweedhall-router/tests/test_fleet_keys.py
+++ b/packages/knapweedhall-router/tests/test_fleet_keys.py
@@ -248,3 +248,56 @@
         await running.wait_until(running.is_serving, 1.0)
         self.assertLess(time.monotonic() - started_at, 7.5)
         self.assert_one_owner()
+
+
+class StandstillTest(fleet_case.FleetTest):
+    """An instance whose process stands still for a moment."""
+
+    routers = 1
+
+    async def test_owner_is_not_blamed(self) -> None:
+        """Guards against refusals for keys whose owner has answered.
+
+        After the standstill a request is handled before the response to an
+        earlier one, which has arrived in the meantime. KNOWN-RED once had a
+        503, "silent-owner", for this cause.
+        """
+        router = self.fleet.routers[0]
+        for _ in range(10):
+            await self.fleet.send_request(router, '/view/x', 7)
+        reader, writer = await asyncio.open_connection(*router.settings.front)
+        self.addCleanup(writer.transport.abort)
+        before = asyncio.create_task(
+            self.fleet.send_request(router, '/view/x', 7)
+        )
+        health = router.state.healths[
+            router.state.owner_table('views').find(7).upstream
+        ]
+        while not health.outstanding:
+            await asyncio.sleep(0)
+        writer.write(
+            b'GET /view/y HTTP/1.1\r\nHost: shop.example\r\n'
+            b'X-Attempt-Id: late\r\nX-Shard-Key: 7\r\n'
+            b'X-Deadline-Ms: 1000\r\n\r\n'
+        )
+        time.sleep(0.5)
+        answer = await reader.read(4096)
+        self.assertIn(b' 200 ', answer.partition(b'\r\n')[0])
+        self.assertEqual(200, (await before).status)
+
+    async def test_silent_owner_is_noticed(self) -> None:
+        """Guards against requests that wait for an owner that hangs."""
+        router = self.fleet.routers[0]
+        for _ in range(10):
+            await self.fleet.send_request(router, '/view/x', 7)
+        owner = next(each for each in self.fleet.upstreams if each.holds(7))
+        owner.work_s = 5.0
+        hanging = asyncio.create_task(
+            self.fleet.send_request(router, '/view/x', 7)
+        )
+        await asyncio.sleep(0.6)
+        started_at = time.monotonic()
+        response = await self.fleet.send_request(router, '/view/x', 7)
+        self.assertEqual(503, response.status)
+        self.assertLess(time.monotonic() - started_at, 0.2)
+        await hanging
