Judge a removal by the outage of the coordinator that read it

The store rejected four of ten machines, the coordinator among them. Its heartbeats reported an outage, which every instance kept after its successor had taken over; a removal that the successor read then counted as caused by the outage, and the upstream, which had left without reporting draining, was used for 2.05 s.

Ruled out: the listing that a connecting instance gets from the coordinator (the removal came as a change), and late reads (the successor read within 0.4 s).

Change: a relayed removal is judged by the outage that the connected coordinator reports, an own read by the instance's own.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -249,11 +249,7 @@
         self.lease_expired = message.lease_expired
         self.heartbeat = message.number
         self.state.feed.record_heartbeat(message.ages, message.offsets, now)
-        if not self.state.feed.relay:
-            directory = self.state.directory
-            directory.last_outage_at = max(
-                directory.last_outage_at, now - message.outage_age_s
-            )
+        self.state.feed.coordinator_outage_at = now - message.outage_age_s
         for name, born_ms in message.leaving:
             self.state.record_leaving(name, 'heartbeat', born_ms)
         self.members |= set(message.joined)
--- a/packages/knapweedhall-router/src/knapweedhall_router/feed.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/feed.py
@@ -55,6 +55,10 @@
     listed : set of str
         Topics of which the coordinator sent all records over the current
         connection.
+    coordinator_outage_at : float
+        When the store last failed to answer the coordinator.
+    receiving : bool
+        Whether relayed records are being processed.
     heartbeat_at : float
         When the last heartbeat of the coordinator was received.
     relay : callable or None
@@ -71,6 +75,8 @@
         self.connected_at = float('inf')
         self.min_offsets: dict[str, int] | None = None
         self.listed: set[str] = set()
+        self.coordinator_outage_at = NEVER
+        self.receiving = False
         self.heartbeat_at = NEVER
         self.relay: Relay | None = None
 
@@ -212,7 +218,11 @@
             if fields[0] >= min_offset
         ]
         if records or listing:
-            handler(records, listing)
+            self.receiving = True
+            try:
+                handler(records, listing)
+            finally:
+                self.receiving = False
         if listing:
             self.listed.add(topic)
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/followers.py
@@ -208,7 +208,10 @@
         """Return the maximum time that the store may hold a read."""
         if self.state.feed.relay is not None:
             return RELAY_MAX_WAIT_MS
-        outage_age_s = now - self.state.directory.last_outage_at
+        outage_age_s = now - max(
+            self.state.directory.last_outage_at,
+            self.state.feed.coordinator_outage_at,
+        )
         return (
             MAX_WAIT_MS
             if outage_age_s > POST_OUTAGE_S
@@ -352,7 +355,14 @@
     ) -> list[outcomes.Record]:
         """Apply the entries of upstreams; return those that changed."""
         now = clock.now()
-        directory = self.state.directory
+        directory, feed = self.state.directory, self.state.feed
+        # What matters is whether the store failed to answer whoever read the
+        # removal. A former coordinator may have been the only one rejected.
+        outage_at = (
+            feed.coordinator_outage_at
+            if feed.receiving
+            else directory.last_outage_at
+        )
         # Only the last record of each key is in force.
         newest = {record.key: record for record in records}
         changed = []
@@ -360,7 +370,7 @@
             if record.value:
                 if self._apply_entry(name, record, now):
                     changed.append(record)
-            elif directory.remove(name, now):
+            elif directory.remove(name, now, outage_at):
                 changed.append(record)
         self.state.upstreams_listed = True
         return changed
--- a/packages/knapweedhall-router/tests/test_followers.py
+++ b/packages/knapweedhall-router/tests/test_followers.py
@@ -7,8 +7,12 @@
 import typing
 import unittest
 
+from knapweedhall_adapter import names
 from knapweedhall_adapter import outcomes
+from knapweedhall_router import clock
+from knapweedhall_router import coordinator_link
 from knapweedhall_router import followers
+from knapweedhall_router import messages
 from knapweedhall_router import state as state_module
 from tests import fleet
 
@@ -128,3 +132,46 @@
         self.client.outcomes = [outcomes.Page(9, (entry('draining', 8),))]
         await follower.read_once(0)
         self.assertEqual(float('-inf'), state.directory.draining_since[NAME])
+
+
+class RelayedRemovalTest(unittest.TestCase):
+    """A removal that a new coordinator read while the store worked."""
+
+    def setUp(self) -> None:
+        """List an upstream; the store rejects the coordinator."""
+        self.state = state_module.State(fleet.Fleet().new_settings())
+        self.follower = followers.UpstreamFollower(
+            typing.cast(typing.Any, FakeClient()), self.state
+        )
+        self.follower.process([entry('ready', 3)], True)
+        self.link = coordinator_link.CoordinatorLink(
+            typing.cast(typing.Any, None), self.state
+        )
+        self.connect(0.1)
+
+    def connect(self, outage_age_s: float) -> None:
+        """Get the first heartbeat of a coordinator."""
+        self.state.feed.record_connected(clock.now())
+        self.link.apply(messages.Heartbeat(1, [], [], False, {}, outage_age_s))
+
+    def remove(self) -> bool:
+        """Get the removal from the coordinator; return whether it is final."""
+        self.link.apply(
+            messages.Records(names.UPSTREAM_TOPIC, False, [(9, NAME, b'')])
+        )
+        return NAME not in self.state.directory.entries
+
+    def test_former_coordinator_was_rejected(self) -> None:
+        """Guards against requests to an upstream that has left.
+
+        The store rejected four of ten machines, the coordinator among them.
+        Its heartbeats reported an outage, so that a removal which its
+        successor read was not final for 2 s (DRAIN, seed 338900527307 of
+        deploy/days/restarts.toml).
+        """
+        self.connect(1000.0)
+        self.assertTrue(self.remove())
+
+    def test_coordinator_had_an_outage(self) -> None:
+        """Guards against an outage that empties the directory."""
+        self.assertFalse(self.remove())
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/directory.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/directory.py
@@ -151,12 +151,24 @@
             if name in self.entries and name not in self.draining_since
         ]
 
-    def remove(self, name: str, now: float) -> bool:
+    def remove(
+        self, name: str, now: float, outage_at: float | None = None
+    ) -> bool:
         """Record that the store no longer has an entry of this name.
 
         After a recent outage of the store, the entry stays usable until the
         removal is final.
 
+        Parameters
+        ----------
+        name : str
+            Name of the upstream.
+        now : float
+            Current time, seconds.
+        outage_at : float or None
+            When the store last failed to answer the reader of the removal,
+            seconds; None if this instance read it.
+
         Returns
         -------
         bool
@@ -166,8 +178,10 @@
         if entry is None or name in self.pending_removals:
             return False
         expires_at = now
-        if now - self.last_outage_at < RECENT_OUTAGE_S:
-            expires_at = self.last_outage_at + RELISTING_GRACE_S
+        if outage_at is None:
+            outage_at = self.last_outage_at
+        if now - outage_at < RECENT_OUTAGE_S:
+            expires_at = outage_at + RELISTING_GRACE_S
             expires_at = max(expires_at, now + RELISTING_GRACE_S / 2)
         self.pending_removals[name] = PendingRemoval(entry, expires_at)
         self.expire(now)
