--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -186,32 +186,47 @@
         await self.append('keyed.servers', name, json.dumps(entry).encode())
 
     async def configure(self, kind, service, sharded=False, timeout_s=10.0):
-        route = {
-            'name': 'route-1',
-            'host': HOST,
-            'prefix': PATH,
-            'kind': kind,
-            'service': service,
-            'timeoutS': timeout_s,
-            'targetLatencyS': timeout_s / 3,
-            'maxAttempts': 2,
-            'priority': 1,
-        }
-        service_row = {
-            'name': service,
-            'maxConnections': 130,
-            'coldPerS': 9.1,
-            'sharded': sharded,
-        }
+        """Publish a configuration with one route."""
+        await self.publish(
+            'r3', kind, [('route-1', PATH, service)], sharded, timeout_s
+        )
+
+    async def publish(
+        self, version, kind, routes, sharded=False, timeout_s=10.0
+    ):
+        """Publish a configuration; a route has a name, prefix and service."""
+        route_rows = [
+            [name, HOST, prefix, kind, timeout_s, timeout_s / 3, 1, 2, service]
+            for name, prefix, service in routes
+        ]
+        service_rows = [
+            [service, 130, 9.1, sharded]
+            for service in sorted({service for _, _, service in routes})
+        ]
         value = {
-            'version': 'r3',
+            'version': version,
             'routes': {
-                'columns': list(route),
-                'rows': [list(route.values())],
+                'columns': [
+                    'name',
+                    'host',
+                    'prefix',
+                    'kind',
+                    'timeoutS',
+                    'targetLatencyS',
+                    'priority',
+                    'maxAttempts',
+                    'service',
+                ],
+                'rows': route_rows,
             },
             'services': {
-                'columns': list(service_row),
-                'rows': [list(service_row.values())],
+                'columns': [
+                    'name',
+                    'maxConnections',
+                    'coldPerS',
+                    'sharded',
+                ],
+                'rows': service_rows,
             },
             'limits': {
                 'maxHeaderBytes': 16384,
