Take ports of the cases from below the kernel's range

Cause: a port that was found free could be taken by an outgoing connection before the process listened on it. Change: ports from 20000 to 31999, and the processes are ended if a script is terminated.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,7 +8,6 @@
 import asyncio
 import pathlib
 import sys
-import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / 'lib'))
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -25,14 +26,25 @@
     ROOT / 'platform' / 'src',
     *sorted((ROOT / 'packages').glob('*/src')),
 ]
+# A run may take 120 s.
+RUN_LIMIT_S = 110
 HOST = 'review.example'
 PATH = '/r1/'
 
 
+# Below the range from which the kernel takes ports for connections.
+PORTS = range(20000, 32000)
+
+
 def free_port(ip='127.0.0.1'):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.SystemRandom().choice(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+            return port
 
 
 def encode_record(key, value):
@@ -365,9 +377,12 @@
     """Run `main(deployment, trouble)` and exit with its result."""
     trouble = os.environ.get('TROUBLE', '1') != '0'
     deployment = Deployment(record_path)
+    code = 2
+    # So that the processes are ended if the script itself is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def limited():
-        async with asyncio.timeout(110):
+        async with asyncio.timeout(RUN_LIMIT_S):
             return await main(deployment, trouble)
 
     try:
@@ -376,7 +391,6 @@
         deployment.record('rule broken' if broken else 'rule held')
     except Exception as error:
         deployment.record(f'could not run: {error!r}')
-        code = 2
     finally:
         deployment.stop()
         if os.environ.get('KEEP') != '1':
