Log what a process had not sent when it ends, and refusals before the body

Cause: the log could not tell the incident's hypotheses apart: a request that was refused before its body was read had no line, what the process had not sent at its end was not counted, and an error while a response was written went to standard error only. Change: stopped has unsent_bytes; request_refused and caller_fault are new.

--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -53,8 +53,9 @@
 started | INFO | instance | The process is listening on all its ports.
 stopping | INFO | running | A planned stop began and the process is no longer \
 ready; `running` is the number of requests in progress.
-stopped | INFO | running | The process exits; `running` is the number of \
-requests that it aborted.
+stopped | INFO | running unsent_bytes | The process exits; `running` is the \
+number of requests that it aborted, `unsent_bytes` what it had not sent of \
+its responses.
 settings_reloaded | INFO | needs_restart | The settings file changed; the \
 settings in `needs_restart` take effect only after a restart.
 settings_fault | WARNING | reason | The settings file has an error; `reason` \
@@ -218,6 +219,10 @@
 request and wants none from this instance for a time.
 notice_unreadable | INFO | request upstream reason | A header of a response \
 in which an upstream describes itself is malformed and was ignored.
+request_refused | INFO | request status reason | The router refused a request \
+before it had read it whole.
+caller_fault | WARNING | reason | Bytes of a caller were no request, or an \
+internal error kept a response from being written.
 """,
     ),
 )
--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -149,7 +149,11 @@
                 for task in tasks:
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
-        logs.info('stopped', running=self.frontend.in_flight)
+        logs.info(
+            'stopped',
+            running=self.frontend.in_flight,
+            unsent_bytes=caller_server.unsent_bytes(),
+        )
 
     async def _run(
         self,
--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import typing
 
@@ -9,6 +10,8 @@
 from aiohttp import web_protocol
 
 from knapweedhall_router import clock
+from knapweedhall_router import logs
+from knapweedhall_router import tasks
 
 # Limit of the bytes of a head that is not complete. The platform allows heads
 # of 16 KB.
@@ -37,6 +40,9 @@
     handling : bool
         Whether a request is in progress, or the rest of its body is being
         discarded after an early response.
+    sending : asyncio.Transport or None
+        The transport until the connection is closed, also while it is closing
+        and still sends.
     """
 
     __slots__ = (
@@ -45,6 +51,7 @@
         'head_complete',
         'last_bytes',
         'handling',
+        'sending',
     )
 
     def __init__(
@@ -59,6 +66,32 @@
         self.head_complete = False
         self.last_bytes = b''
         self.handling = False
+        self.sending: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport of a new connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self.sending = transport
+        super().connection_made(transport)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Drop the transport of a closed connection."""
+        self.sending = None
+        super().connection_lost(exc)
+
+    def unsent_bytes(self) -> int:
+        """Return how many bytes wait to be taken by the kernel."""
+        if self.sending is None:
+            return 0
+        return self.sending.get_write_buffer_size()
+
+    def log_exception(self, *arguments: typing.Any, **options: object) -> None:
+        """Log why a request was not parsed or a response not written."""
+        error = options.get('exc_info')
+        reason = str(arguments[0]) if arguments else ''
+        if isinstance(error, BaseException):
+            reason = tasks.describe(error)
+        logs.warning('caller_fault', reason=reason)
 
     def record_request(self) -> None:
         """Record that a request was passed to its handler."""
@@ -99,6 +132,18 @@
 class CallerServer(web.Server):
     """HTTP server for callers."""
 
+    def caller_connections(self) -> list[CallerConnection]:
+        """Return the open connections, also those that are closing."""
+        return [
+            connection
+            for connection in self.connections
+            if isinstance(connection, CallerConnection)
+        ]
+
+    def unsent_bytes(self) -> int:
+        """Return how many bytes wait to be taken by the kernel."""
+        return sum(each.unsent_bytes() for each in self.caller_connections())
+
     def __call__(self) -> web_protocol.RequestHandler:
         """Return the protocol of a new connection."""
         return CallerConnection(self, loop=self._loop, **self._kwargs)
@@ -108,9 +153,8 @@
         began_before = clock.now() - head_timeout_s
         slow = [
             connection
-            for connection in self.connections
-            if isinstance(connection, CallerConnection)
-            and connection.head_since < began_before
+            for connection in self.caller_connections()
+            if connection.head_since < began_before
         ]
         for connection in slow:
             connection.force_close()
--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -119,16 +119,16 @@
     ) -> web.StreamResponse:
         now = clock.now()
         if self.state.routes is None:
-            return self._refuse(request, 503, 'no-configuration', 0.2)
+            return self._refuse_unread(request, 503, 'no-configuration', 0.2)
         route = self.state.routes.find(request.host, request.path)
         if route is None:
-            return self._refuse(request, 404, 'no-route', None)
+            return self._refuse_unread(request, 404, 'no-route', None)
         try:
             # A body that is not complete by then could not be answered.
             async with asyncio.timeout(calls.time_limit_s(request, route)):
                 body = await self._read_body(request, memory)
         except TimeoutError:
-            return self._refuse(request, 408, 'body-timeout', None)
+            return self._refuse_unread(request, 408, 'body-timeout', None)
         if isinstance(body, web.Response):
             return body
         service = self.state.splitter.choose(route)
@@ -173,20 +173,38 @@
         max_bytes = self.state.configuration.limits.body_bytes
         length = request.content_length
         if length is not None and length > max_bytes:
-            return self._refuse(request, 413, 'body-too-large', None)
+            return self._refuse_unread(request, 413, 'body-too-large', None)
         memory_bytes = self.state.settings.memory_mb * 1e6
         if not memory.cover(length or 0, memory_bytes):
-            return self._refuse(request, 503, 'memory', 0.2)
+            return self._refuse_unread(request, 503, 'memory', 0.2)
         # Joining chunks would take the memory twice.
         body = bytearray()
         while chunk := await request.content.readany():
             body += chunk
             if len(body) > max_bytes:
-                return self._refuse(request, 413, 'body-too-large', None)
+                return self._refuse_unread(
+                    request, 413, 'body-too-large', None
+                )
             if not memory.cover(len(body), memory_bytes):
-                return self._refuse(request, 503, 'memory', 0.2)
+                return self._refuse_unread(request, 503, 'memory', 0.2)
         return body
 
+    def _refuse_unread(
+        self,
+        request: web.BaseRequest,
+        status: int,
+        reason: str,
+        retry_after_s: float | None,
+    ) -> web.Response:
+        """Log and refuse a request whose body was not or not wholly read."""
+        logs.info(
+            'request_refused',
+            request=request.headers.get(names.REQUEST_ID_HEADER, ''),
+            status=status,
+            reason=reason,
+        )
+        return self._refuse(request, status, reason, retry_after_s)
+
     def _refuse(
         self,
         request: web.BaseRequest,
