Receive the rest of a body while the connections of a stop are closed

What callers saw: an upload that was sent to a router between its stop signal and the close of its listener got neither a response nor a refusal; the connection ended with the process, 5.1 s after the signal. Cause: 2.6 s after the signal idle connections are closed, and 'close' was called on those with a request in progress. aiohttp's connection discards all bytes that it receives after that, so a body of which any part was missing never became whole. Change: connections with a request in progress are left alone. They end with their response, which says so since the signal.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -286,17 +286,18 @@
     async def _close_idle(
         self, caller_server: caller_connections.CallerServer
     ) -> None:
-        """Close idle connections, and the others after their response.
+        """Close idle connections; the others end with their response.
 
         A request that was read may not have reached its handler yet, so
         reading is paused for `HANDLER_START_S` before a connection is
-        considered idle.
+        considered idle. The others are left alone: `close` would make aiohttp
+        discard the rest of a body that is still arriving.
         """
         idle = []
         for connection in caller_server.connections:
             if connection in self.frontend.busy_connections:
-                connection.close()
-            elif connection.transport is not None:
+                continue
+            if connection.transport is not None:
                 connection.transport.pause_reading()
                 idle.append(connection)
         await asyncio.sleep(HANDLER_START_S)
@@ -305,7 +306,6 @@
                 continue
             if connection in self.frontend.busy_connections:
                 connection.transport.resume_reading()
-                connection.close()
             else:
                 # `close` would leave an idle connection open and unread.
                 connection.force_close()
