End a stopping process only when its responses are sent

What callers saw: 200 with a Content-Length and a part of the body, when a process was stopped while the response was on its way over a slow link. The work had run. Cause: a request counted as ended when its handler returned, which is before the response is written. The process ended 0.6 s later and dropped what its transports had not passed on. Change: the stop waits until each connection has ended. A connection is idle, and closed, when no request is read or handled and no byte is unsent. Connections that were accepted before the close and set up after it are closed in turn, so none outlives the wait unseen. The process may send until 0.95 of the grace time instead of 0.85. The time in which connections are accepted now begins with the signal, not after the call to the store.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -33,18 +33,21 @@
 # Time after a stop signal for which new connections are still accepted: the
 # load balancer checks readiness once per second and needs two failed checks.
 ACCEPT_AFTER_STOP_S = 2.6
-# Share of the grace time after which the process ends even if requests are
-# still running.
-MAX_GRACE_SHARE = 0.85
+# Share of the grace time after which no request is running any more.
+WORK_GRACE_SHARE = 0.85
+# Share of the grace time after which the process ends even if responses are
+# still being sent. The rest is for the end of the process itself.
+SEND_GRACE_SHARE = 0.95
 DRAIN_CHECK_S = 0.05
 # Pause between attempts to leave the store's group, which ends the term of a
 # coordinator, while the store is down.
 LEAVE_RETRY_S = 0.3
 # Time for the event loop to pass a request that was read to its handler.
 HANDLER_START_S = 0.03
-# After the listener is closed, requests may still arrive on connections that
-# were accepted before. The process ends when none was running for this time.
-IDLE_BEFORE_EXIT_S = 0.6
+# Time from the end of the last connection to the end of the process. Until
+# then the kernel sends what it took, which is lost if the machine is removed
+# with the process.
+KERNEL_SEND_S = 0.6
 HOUSEKEEPING_PERIOD_S = 1.0
 # Name of the listener for callers.
 FRONT = 'front'
@@ -182,13 +185,19 @@
         listening.cancel()
         await asyncio.gather(listening, return_exceptions=True)
         logs.info('stopping', running=self.frontend.in_flight)
-        stop_at = clock.now() + self.settings.grace_s * MAX_GRACE_SHARE
+        stopped_at = clock.now()
+        stop_at = stopped_at + self.settings.grace_s * WORK_GRACE_SHARE
         membership_task.cancel()
         await asyncio.gather(membership_task, return_exceptions=True)
         has_left = await member.leave()
         if not has_left:
             logs.warning('tenure_kept', reason='the store does not answer')
-        await self._drain(open_listeners, caller_server, stop_at)
+        await self._drain(
+            open_listeners,
+            caller_server,
+            stopped_at + ACCEPT_AFTER_STOP_S,
+            stopped_at + self.settings.grace_s * SEND_GRACE_SHARE,
+        )
         while member.coordinator and not has_left and clock.now() < stop_at:
             # No other instance can take over yet, so this one continues to
             # renew the grants.
@@ -266,22 +275,31 @@
         self,
         open_listeners: listeners.Listeners,
         caller_server: caller_connections.CallerServer,
-        stop_at: float,
+        accept_until: float,
+        end_at: float,
     ) -> None:
-        """Stop accepting connections and wait for the running requests.
+        """Stop accepting connections and wait until callers have theirs.
 
         The listener stays open until the load balancer has noticed that this
-        instance is not ready.
+        instance is not ready. A connection that was accepted before may be
+        set up, or bring a request, after that.
+
+        Parameters
+        ----------
+        open_listeners : listeners.Listeners
+            The listeners of the process.
+        caller_server : caller_connections.CallerServer
+            The connections.
+        accept_until, end_at : float
+            When the listener is closed, and when the process ends although
+            responses are still being sent, on `clock.now`.
         """
-        close_at = min(stop_at, clock.now() + ACCEPT_AFTER_STOP_S)
-        await asyncio.sleep(close_at - clock.now())
+        await asyncio.sleep(accept_until - clock.now())
         open_listeners.close_one(FRONT)
-        await self._close_idle(caller_server)
-        exit_at = clock.now() + IDLE_BEFORE_EXIT_S
-        while clock.now() < min(exit_at, stop_at):
+        while caller_server.connections and clock.now() < end_at:
+            await self._close_idle(caller_server)
             await asyncio.sleep(DRAIN_CHECK_S)
-            if self.frontend.in_flight:
-                exit_at = clock.now() + IDLE_BEFORE_EXIT_S
+        await asyncio.sleep(min(KERNEL_SEND_S, end_at - clock.now()))
 
     async def _close_idle(
         self, caller_server: caller_connections.CallerServer
@@ -293,22 +311,21 @@
         considered idle. The others are left alone: `close` would make aiohttp
         discard the rest of a body that is still arriving.
         """
-        idle = []
-        for connection in caller_server.connections:
-            if connection in self.frontend.busy_connections:
-                continue
-            if connection.transport is not None:
-                connection.transport.pause_reading()
-                idle.append(connection)
+        idle = [
+            connection
+            for connection in caller_server.caller_connections()
+            if connection.is_idle()
+        ]
+        for connection in idle:
+            assert connection.transport is not None
+            connection.transport.pause_reading()
         await asyncio.sleep(HANDLER_START_S)
         for connection in idle:
-            if connection.transport is None:
-                continue
-            if connection in self.frontend.busy_connections:
-                connection.transport.resume_reading()
-            else:
+            if connection.is_idle():
                 # `close` would leave an idle connection open and unread.
                 connection.force_close()
+            elif connection.transport is not None:
+                connection.transport.resume_reading()
 
     async def _housekeeping(
         self, caller_server: caller_connections.CallerServer
--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -6,6 +6,7 @@
 import math
 import typing
 
+from aiohttp import streams
 from aiohttp import web
 from aiohttp import web_protocol
 
@@ -37,9 +38,10 @@
         Whether the end of a head is among them.
     last_bytes : bytes
         Last bytes received, which may be the beginning of the end of a head.
-    handling : bool
-        Whether a request is in progress, or the rest of its body is being
-        discarded after an early response.
+    running : bool
+        Whether a request is in progress.
+    content : aiohttp.streams.StreamReader or None
+        Body of the last request.
     sending : asyncio.Transport or None
         The transport until the connection is closed, also while it is closing
         and still sends.
@@ -50,7 +52,8 @@
         'head_bytes',
         'head_complete',
         'last_bytes',
-        'handling',
+        'running',
+        'content',
         'sending',
     )
 
@@ -65,7 +68,8 @@
         self.head_bytes = 0
         self.head_complete = False
         self.last_bytes = b''
-        self.handling = False
+        self.running = False
+        self.content: streams.StreamReader | None = None
         self.sending: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -93,26 +97,45 @@
             reason = tasks.describe(error)
         logs.warning('caller_fault', reason=reason)
 
-    def record_request(self) -> None:
-        """Record that a request was passed to its handler."""
-        self.handling = True
+    def record_request(self, content: streams.StreamReader) -> None:
+        """Record that a request was passed to its handler.
+
+        Parameters
+        ----------
+        content : aiohttp.streams.StreamReader
+            Its body, which may still be arriving.
+        """
+        self.running = True
+        self.content = content
         self.head_since = math.inf
         self.head_bytes = 0
         self.head_complete = False
 
-    def record_response(self, body_received: bool) -> None:
-        """Record that the handler has ended.
+    def record_response(self) -> None:
+        """Record that the handler has ended."""
+        self.running = False
 
-        Parameters
-        ----------
-        body_received : bool
-            Whether the whole body of the request has arrived.
+    def is_handling(self) -> bool:
+        """Return whether received bytes belong to a request with a handler.
+
+        After an early response, the rest of the body is discarded.
+        """
+        if self.running:
+            return True
+        return self.content is not None and not self.content.is_eof()
+
+    def is_idle(self) -> bool:
+        """Return whether the connection is open and its caller awaits nothing.
+
+        A request that was received may not have reached its handler yet.
         """
-        self.handling = not body_received
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return not self.is_handling() and not self.unsent_bytes()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, unless they are too many for a head."""
-        if data and not self.handling:
+        if data and not self.is_handling():
             if self.head_since == math.inf:
                 self.head_since = clock.now()
             self.head_bytes += len(data)
--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -60,8 +60,6 @@
 
     Attributes
     ----------
-    in_flight : int
-        Number of requests in progress.
     busy_connections : set of aiohttp.web.RequestHandler
         Connections with a request in progress.
     bodies : body_budget.BodyBudget
@@ -79,13 +77,17 @@
     ) -> None:
         self.state = state
         self.dispatcher = dispatcher
-        self.in_flight = 0
         self.busy_connections: set[web.RequestHandler] = set()
         self.bodies = body_budget.BodyBudget()
         self.outcome_counts: dict[str, int] = {}
         self.registry = aioprometheus.Registry()
         self.request_seconds = metrics.create_latency_histogram(self.registry)
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests in progress, one per busy connection."""
+        return len(self.busy_connections)
+
     def create_server(self) -> caller_connections.CallerServer:
         """Return the HTTP server for requests of callers."""
         return caller_connections.CallerServer(
@@ -100,17 +102,15 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the response to a request."""
-        self.in_flight += 1
         connection = request.protocol
         assert isinstance(connection, caller_connections.CallerConnection)
-        connection.record_request()
+        connection.record_request(request.content)
         self.busy_connections.add(connection)
         memory = body_budget.Reservation(self.bodies)
         try:
             return await self._handle(request, memory)
         finally:
-            self.in_flight -= 1
-            connection.record_response(request.content.is_eof())
+            connection.record_response()
             self.busy_connections.discard(connection)
             memory.release()
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
@@ -33,18 +33,19 @@
 
     Attributes
     ----------
-    in_flight : int
-        Number of requests in progress.
     outcome_counts : dict of str to int
         Number of finished requests by outcome.
     registry : aioprometheus.Registry
         Metrics of the process.
     """
 
-    in_flight: int
     outcome_counts: dict[str, int]
     registry: aioprometheus.Registry
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests in progress."""
+
 
 class Metrics:
     """Counters, gauges and histograms of this process.
