Answer requests that run longer than a stopping process

What callers saw: a request that was still waiting or running 0.85 of the grace time after the stop signal ended with a closed connection; one whose body was still arriving, too, though it had not run and another instance could have run it. Cause: the process ended at that time without regard to its requests. Evidence: test_requests_that_do_not_end_in_time failed before: no status for either request; 'stopped' showed running 2. Change: at the signal, the time limits of all requests are shortened to 0.85 of the grace time, also of those that arrive later, so admission refuses at once what is not expected to end by then. What has not run is refused with 503 and the shortest Retry-After, as other instances can run it at once; the rest gets 504.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -186,7 +186,8 @@
         await asyncio.gather(listening, return_exceptions=True)
         logs.info('stopping', running=self.frontend.in_flight)
         stopped_at = clock.now()
-        stop_at = stopped_at + self.settings.grace_s * WORK_GRACE_SHARE
+        work_until = stopped_at + self.settings.grace_s * WORK_GRACE_SHARE
+        self.frontend.limit_work(work_until)
         membership_task.cancel()
         await asyncio.gather(membership_task, return_exceptions=True)
         has_left = await member.leave()
@@ -198,7 +199,7 @@
             stopped_at + ACCEPT_AFTER_STOP_S,
             stopped_at + self.settings.grace_s * SEND_GRACE_SHARE,
         )
-        while member.coordinator and not has_left and clock.now() < stop_at:
+        while member.coordinator and not has_left and clock.now() < work_until:
             # No other instance can take over yet, so this one continues to
             # renew the grants.
             await asyncio.sleep(LEAVE_RETRY_S)
--- a/packages/knapweedhall-router/src/knapweedhall_router/calls.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/calls.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 
 from aiohttp import web
 
 from knapweedhall_adapter import decoding
 from knapweedhall_adapter import names
+from knapweedhall_router import clock
 from knapweedhall_router import exchange
 from knapweedhall_routing import model
 
@@ -24,6 +26,17 @@
     return min(route.timeout_s, time_left_s)
 
 
+def limit_timeout(timeout: asyncio.Timeout, end_at: float) -> None:
+    """Let a running timeout end at `end_at`, on `clock.now`, if not before."""
+    loop = asyncio.get_running_loop()
+    new_end_at = loop.time() + end_at - clock.now()
+    known_end_at = timeout.when()
+    if timeout.expired() or known_end_at is None:
+        return
+    if new_end_at < known_end_at:
+        timeout.reschedule(new_end_at)
+
+
 class Call:
     """A caller's request, with its whole body, and the state of its attempts.
 
@@ -44,8 +57,8 @@
     arrived_at : float
         When the request arrived, on `clock.now`.
     deadline : float
-        When the caller stops waiting or the route's timeout ends, whichever
-        is earlier, on `clock.now`.
+        When the caller stops waiting, the route's timeout ends or a stopping
+        process ends its work, whichever is earliest, on `clock.now`.
     objective_at : float
         End of the route's latency objective, on `clock.now`.
     send_count : int
--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -54,6 +54,8 @@
     buffers : response_buffers.ResponseBuffers
         Memory of the responses. Whoever gets a response from `run` has to
         remove the call from it.
+    running : dict of calls.Call to asyncio.Timeout
+        Calls in progress and their time limits.
     """
 
     def __init__(self, state: state_module.State) -> None:
@@ -66,15 +68,25 @@
                 int(state.settings.response_mb * 1e6),
             )
         )
+        self.running: dict[calls.Call, asyncio.Timeout] = {}
+
+    def limit_work(self) -> None:
+        """Shorten the running calls to the time until which they may run."""
+        for call, timeout in self.running.items():
+            call.deadline = min(call.deadline, self.state.work_until)
+            calls.limit_timeout(timeout, call.deadline)
 
     async def run(self, call: calls.Call) -> Result:
         """Return the upstream's response to a call, or why there is none."""
         self.state.retry_budget(call.service).earn(clock.now())
         if call.key is not None and self.selector.is_divided(call):
             self.state.count_request(call.service, call.key)
+        call.deadline = min(call.deadline, self.state.work_until)
+        timeout = asyncio.timeout(max(0.0, call.deadline - clock.now()))
         last: Result = selection.Failure(503, 'no-upstream', 0.1)
         try:
-            async with asyncio.timeout(max(0.0, call.deadline - clock.now())):
+            async with timeout:
+                self.running[call] = timeout
                 while True:
                     result = await self._attempt(call)
                     if not isinstance(result, Retry):
@@ -84,11 +96,22 @@
                         return last
                     self._log_retry(call, last)
         except TimeoutError:
-            if isinstance(last, exchange.Response):
-                return last
-            if call.possible_runs:
-                return selection.Failure(504, 'timeout')
-            return selection.Failure(503, f'timeout-after-{last.reason}')
+            return self._time_out(call, last)
+        finally:
+            self.running.pop(call, None)
+
+    def _time_out(self, call: calls.Call, last: Result) -> Result:
+        """Return the result of a call whose time is over."""
+        if isinstance(last, exchange.Response):
+            return last
+        stopping = clock.now() >= self.state.work_until
+        if call.possible_runs:
+            return selection.Failure(
+                504, 'stopping' if stopping else 'timeout'
+            )
+        if stopping:
+            return self.selector.refuse_stopping()
+        return selection.Failure(503, f'timeout-after-{last.reason}')
 
     def _log_retry(self, call: calls.Call, last: Result) -> None:
         reason = f'status-{last.status}'
--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
+import contextlib
 import functools
 import typing
 import weakref
@@ -64,6 +66,8 @@
         Connections with a request in progress.
     bodies : body_budget.BodyBudget
         Memory of the bodies of the requests in progress.
+    receiving : set of asyncio.Timeout
+        Time limits of the bodies that are being received.
     outcome_counts : dict of str to int
         Number of finished requests by outcome.
     registry : aioprometheus.Registry
@@ -79,6 +83,7 @@
         self.dispatcher = dispatcher
         self.busy_connections: set[web.RequestHandler] = set()
         self.bodies = body_budget.BodyBudget()
+        self.receiving: set[asyncio.Timeout] = set()
         self.outcome_counts: dict[str, int] = {}
         self.registry = aioprometheus.Registry()
         self.request_seconds = metrics.create_latency_histogram(self.registry)
@@ -125,9 +130,18 @@
             return self._refuse_unread(request, 404, 'no-route', None)
         try:
             # A body that is not complete by then could not be answered.
-            async with asyncio.timeout(calls.time_limit_s(request, route)):
+            limit_at = now + calls.time_limit_s(request, route)
+            async with self._limit_receiving(limit_at):
                 body = await self._read_body(request, memory)
         except TimeoutError:
+            if clock.now() >= self.state.work_until:
+                failure = self.dispatcher.selector.refuse_stopping()
+                return self._refuse_unread(
+                    request,
+                    failure.status,
+                    failure.reason,
+                    failure.retry_after_s,
+                )
             return self._refuse_unread(request, 408, 'body-timeout', None)
         if isinstance(body, web.Response):
             return body
@@ -164,6 +178,38 @@
         self._record_response(call, result)
         return self._forward_response(result, on_end)
 
+    def limit_work(self, work_until: float) -> None:
+        """Answer all requests by a time, on `clock.now`."""
+        self.state.work_until = work_until
+        for timeout in self.receiving:
+            calls.limit_timeout(timeout, work_until)
+        self.dispatcher.limit_work()
+
+    @contextlib.asynccontextmanager
+    async def _limit_receiving(
+        self, end_at: float
+    ) -> collections.abc.AsyncIterator[None]:
+        """Limit the time in which a body is received.
+
+        Parameters
+        ----------
+        end_at : float
+            When it ends, on `clock.now`; earlier if the process is stopped.
+
+        Raises
+        ------
+        TimeoutError
+            If the time is over.
+        """
+        end_at = min(end_at, self.state.work_until)
+        timeout = asyncio.timeout(max(0.0, end_at - clock.now()))
+        async with timeout:
+            self.receiving.add(timeout)
+            try:
+                yield
+            finally:
+                self.receiving.discard(timeout)
+
     async def _read_body(
         self, request: web.BaseRequest, memory: body_budget.Reservation
     ) -> bytes | bytearray | web.Response:
--- a/packages/knapweedhall-router/src/knapweedhall_router/selection.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/selection.py
@@ -212,6 +212,15 @@
         )
         return Failure(503, reason, retry_after_s)
 
+    def refuse_stopping(self) -> Failure:
+        """Return a refusal of a request that this process can't finish.
+
+        Other instances can run it at once.
+        """
+        return Failure(
+            503, 'stopping', admission.retry_after(0.0, 0.0, self.state.rng)
+        )
+
     def _refuse_until(self, call: calls.Call, until: float) -> Failure:
         """Return a refusal during the pause of all possible upstreams."""
         baseline = self.state.baseline(call.service)
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 
 from knapweedhall_router import clock
@@ -89,6 +90,9 @@
         Whether operators have taken this instance out of service.
     stopping : bool
         Whether the process is shutting down.
+    work_until : float
+        When all requests have to be answered as the process ends, on
+        `clock.now`; inf unless it is being stopped.
     accepts_callers : bool
         Whether the listener for callers is open.
     key_counts : dict of str to dict of int to int
@@ -120,6 +124,7 @@
         self.owners_changed = Signal()
         self.out_of_service = False
         self.stopping = False
+        self.work_until = math.inf
         self.accepts_callers = False
         self.rng = random.Random(settings.name)
 
