Forward a response without its headers that are not valid

What callers saw: a closed connection without an answer, though the upstream had run the request and answered whole. Cause: the parser of responses lets control characters in values of headers pass; the caller's server refuses to write a head with them, after the handler has returned, and closes the connection. A success needs a valid signature and ID; without them it is a 502, as before.

--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -221,6 +221,8 @@
 in which an upstream describes itself is malformed and was ignored.
 request_refused | INFO | request status reason | The router refused a request \
 before it had read it whole.
+header_dropped | INFO | request upstream header | A header of a response has \
+a value that is not valid and is not forwarded.
 caller_fault | WARNING | reason | Bytes of a caller were no request, or an \
 internal error kept a response from being written.
 """,
--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -236,6 +236,13 @@
         headers: multidict.CIMultiDictProxy[str],
     ) -> None:
         """Apply what an upstream says of itself with a response."""
+        for name in exchange.invalid_headers(headers):
+            logs.info(
+                'header_dropped',
+                request=call.request_id,
+                upstream=upstream.name,
+                header=name,
+            )
         notice = decoding.parse_notice(status, headers)
         if notice.upstream not in ('', upstream.name):
             # Another one uses the address now and did not run the request.
--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import re
 import typing
 
 import aiohttp
@@ -36,6 +37,9 @@
     )
 )
 BODILESS_STATUSES = frozenset((204, 304))
+# Characters that a field value must not contain (RFC 9110, 5.5). The parser of
+# responses lets them pass; the server writes no head with them.
+CONTROL_CHARACTER = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 # Limit of responses read for one request, with the interim ones and the late
 # ones to earlier requests, which are skipped.
 MAX_RESPONSES_READ = 4
@@ -132,11 +136,24 @@
     ]
 
 
+def invalid_headers(raw: multidict.CIMultiDictProxy[str]) -> list[str]:
+    """Return the names of the headers that can't be forwarded."""
+    if not CONTROL_CHARACTER.search('\t'.join(raw.values())):
+        return []
+    return [
+        str(name)
+        for name, value in raw.items()
+        if CONTROL_CHARACTER.search(value)
+    ]
+
+
 def end_to_end_headers(raw: multidict.CIMultiDictProxy[str]) -> Headers:
     """Return the headers without those that apply to one connection only.
 
-    Headers that are listed in `Connection` are left out, too.
+    Headers that are listed in `Connection` are left out, too, and those with
+    a value that is not valid.
     """
+    invalid = set(invalid_headers(raw))
     listed: set[str] = set()
     for value in raw.getall('Connection', ()):
         listed |= {token.strip().lower() for token in value.split(',')}
@@ -145,6 +162,7 @@
         for name, value in raw.items()
         if name.lower() not in HOP_BY_HOP_HEADERS
         and name.lower() not in listed
+        and name not in invalid
     ]
 
 
@@ -283,9 +301,9 @@
 ) -> str:
     """Return why a response can't be used, before its body is read; or ''."""
     headers = message.headers
-    signed = (
-        names.SIGNATURE_HEADER in headers
-        and names.REQUEST_ID_HEADER in headers
+    signed = all(
+        name in headers and not CONTROL_CHARACTER.search(headers[name])
+        for name in (names.SIGNATURE_HEADER, names.REQUEST_ID_HEADER)
     )
     if message.code < 300 and not signed:
         if not _is_not_executed(message.code, headers):
--- a/packages/knapweedhall-router/tests/test_notices.py
+++ b/packages/knapweedhall-router/tests/test_notices.py
@@ -7,6 +7,7 @@
 
 from knapweedhall_router import application
 from knapweedhall_standins import upstream
+from tests import fleet
 from tests import fleet_case
 
 # Largest time after which another instance has to know: half of `drain_s`.
@@ -253,3 +254,31 @@
             self.fleet.routers[0], '/order/1', body=b'{}'
         )
         return response.status
+
+
+class InvalidHeaderTest(NoticeTest):
+    """Headers of responses that no head may contain."""
+
+    async def send_with(self, old: bytes, new: bytes) -> fleet.Response:
+        """Send a request whose response has a changed head."""
+        for fake_upstream in self.orders_upstreams():
+            fake_upstream.response_hook = lambda request, raw: raw.replace(
+                old, new, 1
+            )
+        return await self.fleet.send_request(
+            self.fleet.routers[0], '/order/1', body=b'{}'
+        )
+
+    async def test_response_is_forwarded_without_it(self) -> None:
+        """Guards against a closed connection in place of a response."""
+        for value in (b'a\x01b', b'\x7f', b'\x0b'):
+            with self.subTest(value=value):
+                note = b'X-Note: ' + value + b'\r\nX-Attempt-Id'
+                response = await self.send_with(b'X-Attempt-Id', note)
+                self.assertEqual(200, response.status)
+                self.assertTrue(response.signature)
+
+    async def test_invalid_signature(self) -> None:
+        """Guards against a success whose signature was left out."""
+        response = await self.send_with(b'Signature: ', b'Signature: \x01')
+        self.assertEqual(502, response.status)
