Keep configuration and owners when the store comes back from a copy

What callers would see: a configuration that is confirmed and not in force, and keys that two upstreams hold. Cause: records with a lower offset than known counted as old; a term's number was the offset of its record; stored assignments counted as those in force. Change: the store's client joins era and offset to positions that rise, and drops calls over which the era rises. What a restored listing lacks is kept for 3 s. Terms record their era; assignments of an older one are written again by their coordinator, or waited out.

--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/record_log.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/record_log.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from knapweedhall_adapter import outcomes
+from knapweedhall_adapter import positions
 from knapweedhall_adapter import store
 from knapweedhall_ctl import connection
 from knapweedhall_records import bodies
@@ -138,7 +139,7 @@
     while True:
         outcome = await log_appender.append(encoded)
         if isinstance(outcome, appender.Written):
-            return Accepted(outcome.offset)
+            return Accepted(positions.offset(outcome.offset))
         if isinstance(outcome, appender.Unknown):
             sent = sent or outcome.in_doubt
             if asyncio.get_running_loop().time() >= deadline:
--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -116,7 +116,7 @@
 upstream_unreadable | INFO | upstream reason | An upstream's entry in the \
 store cannot be decoded; the upstream is treated as absent.
 store_stale | INFO | topic end | The store listed an older state of a topic \
-(up to offset `end`) than was read before; the listing is ignored.
+(up to position `end`) than was read before; the listing is ignored.
 """,
     ),
     _Group(
@@ -145,6 +145,11 @@
 coordinator's term cannot be decoded.
 table_unreadable | WARNING | key reason | A stored assignment of keys cannot \
 be decoded and is ignored.
+table_outdated | WARNING | key | The store came back from a copy, so a stored \
+assignment of keys may be outdated; the keys are reassigned when the last \
+grant for them has expired.
+assignments_restored | INFO | services | The store came back from a copy, and \
+the coordinator wrote the assignments of its last term again.
 table_not_written | INFO | reason | The store did not confirm a write of an \
 assignment of keys or of the term's record; the write is retried.
 predecessor_silent | INFO | address reason | An earlier coordinator did not \
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -68,6 +68,9 @@
         Executes moves.
     renewer : renewals.Renewer
         Renews grants.
+    initial_checkpoint : coordinator_store.Checkpoint or None
+        Assignments of this instance's last term, which ended with the store's
+        era.
     """
 
     def __init__(
@@ -76,7 +79,9 @@
         order_client: order_client.OrderClient,
         state: state_module.State,
         lease_expires_at: float,
+        checkpoint: coordinator_store.Checkpoint | None = None,
     ) -> None:
+        self.initial_checkpoint = checkpoint
         self.store = coordinator_store.CoordinatorStore(client, state.settings)
         self.state = state
         self.lease = lease_module.Lease(state, lease_expires_at)
@@ -113,6 +118,16 @@
             for fleet in self.store.fleets()
         )
 
+    def checkpoint(self) -> coordinator_store.Checkpoint | None:
+        """Return the assignments if nobody else can have changed them."""
+        if self.store.epoch < 0 or self.store.deposed:
+            return None
+        if not self.may_renew():
+            return None
+        return coordinator_store.Checkpoint(
+            self.store.epoch, dict(self.store.stored)
+        )
+
     async def run(self) -> None:
         """Begin the term and coordinate until cancelled or deposed."""
         try:
@@ -131,9 +146,12 @@
             logs.info('tenure_ended', epoch=self.store.epoch)
 
     async def _begin_term(self) -> None:
-        assignments = await self.store.begin()
+        assignments = await self.store.begin(self.initial_checkpoint)
         self.sender.fences = holdings.FencingTokens(self.store.epoch)
         now = clock.now()
+        for name in self._known_services() - assignments.keys():
+            # The store came back from a copy that lacks the assignment.
+            assignments[name] = None
         for name, stored in assignments.items():
             self.services[name] = service_state.ServiceState(name)
             restored = self.services[name].holdings
@@ -146,6 +164,14 @@
             self.links.send(table)
         logs.info('tenure_begun', epoch=self.store.epoch)
 
+    def _known_services(self) -> set[str]:
+        """Return the services of which this instance knows an owner."""
+        return {
+            name
+            for name, table in self.state.owner_tables.items()
+            if any(owned.upstream for owned in table.owned_ranges)
+        }
+
     async def _end_predecessors(self) -> None:
         request = messages.Takeover(
             self.store.epoch, coordinator_link.member_id(self.state.settings)
@@ -154,8 +180,9 @@
             self.store.predecessors, request, self.links.connected_at
         )
         now = clock.now()
-        for service in self.services.values():
-            service.holdings.record_predecessors_ended(now)
+        if self.store.knows_predecessors:
+            for service in self.services.values():
+                service.holdings.record_predecessors_ended(now)
         await self.store.clear_predecessors()
 
     async def _update_fleet(self) -> None:
@@ -289,6 +316,9 @@
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             error = task.exception()
+            if isinstance(error, coordinator_store.RestoredError):
+                # The membership begins a new term.
+                return
             if isinstance(error, coordinator_store.DeposedError):
                 self.sender.fenced = True
                 return
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_store.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_store.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import typing
 
 import msgspec
 
 from knapweedhall_adapter import errors
 from knapweedhall_adapter import outcomes
+from knapweedhall_adapter import positions
 from knapweedhall_adapter import store
 from knapweedhall_router import appender
 from knapweedhall_router import logs
@@ -59,6 +61,25 @@
     """Another coordinator wrote to the topic, so this term is over."""
 
 
+class RestoredError(DeposedError):
+    """The store came back from a copy, which may lack what was written."""
+
+
+class Checkpoint(typing.NamedTuple):
+    """What a coordinator knows of its assignments without the store.
+
+    Attributes
+    ----------
+    epoch : int
+        Number of its term.
+    assignments : dict of str to list of holdings.StoredRange
+        The assignments that the store had confirmed, by service.
+    """
+
+    epoch: int
+    assignments: dict[str, list[holdings.StoredRange]]
+
+
 class CoordinatorStore:
     """Reads and writes the coordinator's records.
 
@@ -68,7 +89,22 @@
     Attributes
     ----------
     epoch : int
-        Number of the term: the offset of its first record; -1 before.
+        Number of the term: the rank of its first record; -1 before. It is
+        higher than those of all earlier terms, also after the store came back
+        from a copy.
+    next_epoch : int
+        The same, also while the first record is being written.
+    era : int
+        Era of the store in which the term began; -1 before.
+    tables_from : int
+        Position from which on the stored assignments are true.
+    stored : dict of str to list of holdings.StoredRange
+        The assignments that the store has confirmed, by service.
+    knows_predecessors : bool
+        Whether all earlier coordinators that may still renew grants are among
+        the predecessors.
+    deposed : bool
+        Whether another coordinator wrote in the era of this term.
     appender : appender.Appender
         Appends at the end of the topic as this coordinator knows it.
     fleet : list of str
@@ -92,6 +128,12 @@
         self.name = settings.name
         self.address = f'{settings.address}:{settings.peer_port}'
         self.epoch = -1
+        self.next_epoch = -1
+        self.era = -1
+        self.tables_from = 0
+        self.stored: dict[str, list[holdings.StoredRange]] = {}
+        self.knows_predecessors = True
+        self.deposed = False
         self.appender = appender.Appender(client, TOPIC, 0)
         self.fleet: list[str] = []
         self.next_fleet: list[str] = []
@@ -100,15 +142,25 @@
         self.requested: dict[str, int] = {}
         self.written: dict[str, int] = {}
 
-    async def begin(self) -> dict[str, list[holdings.StoredRange] | None]:
-        """Begin a term and return the stored assignments by service.
+    async def begin(
+        self, checkpoint: Checkpoint | None = None
+    ) -> dict[str, list[holdings.StoredRange] | None]:
+        """Begin a term and return the assignments by service.
+
+        An assignment that is not known is None: it can't be read, or the
+        store came back from a copy that may lack its last changes.
 
-        An assignment that can't be read is None.
+        Parameters
+        ----------
+        checkpoint : Checkpoint or None
+            Assignments of the last term, which ended with the store's era, if
+            nobody else can have changed them.
         """
         while True:
             page = await self.client.read_newest(TOPIC, self._deadline())
             if isinstance(page, outcomes.Page):
-                self.predecessors = self._find_predecessors(page)
+                last = self._read_term(page)
+                self._adopt_term(last, page.next_offset)
                 self.appender.next_offset = page.next_offset
                 # If the answer to an append is lost, the next attempt reads
                 # the appended record as that of a predecessor.
@@ -121,9 +173,59 @@
                 if isinstance(outcome, outcomes.Appended):
                     break
             await asyncio.sleep(STORE_RETRY_S)
-        self.epoch = outcome.offset
+        self.epoch = positions.rank(outcome.offset)
         self.appender.next_offset = outcome.offset + 1
-        return self._decode_assignments(page)
+        if checkpoint is not None and self._is_newer(checkpoint, last):
+            await self._write_checkpoint(checkpoint)
+            return dict(self.stored)
+        assignments = self._decode_assignments(page)
+        self.stored = {
+            service: stored
+            for service, stored in assignments.items()
+            if stored is not None
+        }
+        return assignments
+
+    def _adopt_term(
+        self, last: takeover.TermRecord | None, start: int
+    ) -> None:
+        """Take over what the record of the last term says.
+
+        Parameters
+        ----------
+        last : takeover.TermRecord or None
+            The record; None if there is none that can be read.
+        start : int
+            Position of this term's first record.
+        """
+        self.era = positions.era(start)
+        self.next_epoch = positions.rank(start)
+        self.predecessors = takeover.predecessors(last, self.address)
+        if last is None:
+            self.tables_from = 0
+        elif last.era is None or last.era == self.era:
+            self.tables_from = last.tables_from
+        else:
+            # All that is stored is of the copy.
+            self.tables_from = start
+
+    def _is_newer(
+        self, checkpoint: Checkpoint, last: takeover.TermRecord | None
+    ) -> bool:
+        """Return whether a checkpoint is newer than what is stored."""
+        if last is None:
+            return True
+        return last.era != self.era and last.epoch <= checkpoint.epoch
+
+    async def _write_checkpoint(self, checkpoint: Checkpoint) -> None:
+        for service, stored in checkpoint.assignments.items():
+            await self._append(
+                store.encode_record(
+                    TABLE_PREFIX + service, msgspec.json.encode(stored)
+                )
+            )
+            self.stored[service] = stored
+        logs.info('assignments_restored', services=sorted(self.stored))
 
     async def clear_predecessors(self) -> None:
         """Remove the predecessors from the stored record of the term.
@@ -171,33 +273,37 @@
             if self.written.get(name, 0) >= version:
                 return
             latest = self.requested[name]
+            stored = service_holdings.to_stored()
             await self._append(
                 store.encode_record(
-                    TABLE_PREFIX + name,
-                    msgspec.json.encode(service_holdings.to_stored()),
+                    TABLE_PREFIX + name, msgspec.json.encode(stored)
                 )
             )
             self.written[name] = latest
+            self.stored[name] = stored
 
     def _encode_term(self) -> bytes:
         term = takeover.TermRecord(
-            self.name, self.address, self.next_fleet, self.predecessors
+            self.name,
+            self.address,
+            self.next_fleet,
+            self.predecessors,
+            self.next_epoch,
+            self.era,
+            self.tables_from,
         )
         return store.encode_record(TERM_KEY, msgspec.json.encode(term))
 
-    def _find_predecessors(
-        self, page: outcomes.Page
-    ) -> list[takeover.Predecessor]:
+    def _read_term(self, page: outcomes.Page) -> takeover.TermRecord | None:
+        """Return the record of the last term in a listing."""
         for record in page.records:
             if record.key != TERM_KEY:
                 continue
             try:
-                term = decode_term(record.value)
+                return decode_term(record.value)
             except errors.DecodeError as error:
                 logs.warning('tenure_unreadable', reason=str(error))
-                continue
-            return takeover.predecessors(term, self.address)
-        return []
+        return None
 
     def _decode_assignments(
         self, page: outcomes.Page
@@ -208,6 +314,10 @@
                 continue
             service = record.key.removeprefix(TABLE_PREFIX)
             assignments[service] = None
+            if record.offset < self.tables_from:
+                self.knows_predecessors = False
+                logs.warning('table_outdated', key=record.key)
+                continue
             try:
                 assignments[service] = decode_assignment(record.value)
             except errors.DecodeError as error:
@@ -221,7 +331,10 @@
             outcome = await self.appender.append(record)
             if isinstance(outcome, appender.Written):
                 return
+            if self.client.era != self.era:
+                raise RestoredError
             if isinstance(outcome, appender.Overtaken):
+                self.deposed = True
                 raise DeposedError
             logs.info('table_not_written', reason=outcome.reason)
             await asyncio.sleep(STORE_RETRY_S)
--- a/packages/knapweedhall-router/src/knapweedhall_router/feed.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/feed.py
@@ -10,6 +10,7 @@
 import typing
 
 from knapweedhall_adapter import outcomes
+from knapweedhall_adapter import positions
 
 # Maximum age of the coordinator's last read for which an instance relies on
 # the relayed records. An instance must learn within 2 s of the store's
@@ -20,6 +21,10 @@
 # instance requests all records when it connects to the coordinator. Longer
 # than any pause between two reads.
 MAX_OWN_READ_AGE_S = 3.0
+# Time after which the operator and the upstreams have written again what the
+# store lost when it came back from a copy. Upstreams write every 0.87 s, and
+# an entry of one that has ended expires after three times of that.
+REWRITTEN_S = 3.0
 NEVER = float('-inf')
 
 Records = typing.Sequence[outcomes.Record]
@@ -64,6 +69,9 @@
     relay : callable or None
         Sends records to the other instances; None unless this instance is the
         coordinator.
+    restored_until : dict of str to float
+        By topic, until when its records may be older than what was known, as
+        the store came back from a copy; its writers write them again.
     """
 
     def __init__(self) -> None:
@@ -79,6 +87,37 @@
         self.receiving = False
         self.heartbeat_at = NEVER
         self.relay: Relay | None = None
+        self.restored_until: dict[str, float] = {}
+
+    def record_listing(self, topic: str, next_offset: int, now: float) -> None:
+        """Record that this instance listed a topic.
+
+        Parameters
+        ----------
+        topic : str
+            The topic.
+        next_offset : int
+            Position of its end.
+        now : float
+            Current time, seconds.
+        """
+        known = max(
+            (record.offset for record in self.newest.get(topic, {}).values()),
+            default=next_offset,
+        )
+        if positions.era(next_offset) > positions.era(known):
+            self.restored_until[topic] = now + REWRITTEN_S
+
+    def is_restored(self, topic: str, now: float) -> bool:
+        """Return whether a topic may lack what its writers wrote before."""
+        return now < self.restored_until.get(topic, NEVER)
+
+    def take_rewritten(self, topic: str, now: float) -> bool:
+        """Return once whether a restored topic is complete again."""
+        if now < self.restored_until.get(topic, float('inf')):
+            return False
+        del self.restored_until[topic]
+        return True
 
     def relay_valid_until(self, topic: str) -> float:
         """Return until when the relayed records of a topic are relied on.
--- a/packages/knapweedhall-router/src/knapweedhall_router/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/followers.py
@@ -79,9 +79,13 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         await self._wait_for_listing()
+        feed = self.state.feed
         while True:
             now = clock.now()
-            valid_s = self.state.feed.relay_valid_until(self.topic) - now
+            valid_s = feed.relay_valid_until(self.topic) - now
+            if feed.take_rewritten(self.topic, now):
+                # What is missing now was removed.
+                self.next_offset = -1
             if valid_s > 0:
                 self._rely_on_relay()
                 await asyncio.sleep(min(valid_s, RELAY_CHECK_S))
@@ -192,6 +196,8 @@
             return
         records = list(page.records)
         if listing:
+            feed.record_listing(self.topic, page.next_offset, now)
+        if listing and not feed.is_restored(self.topic, now):
             records += feed.infer_removals(
                 self.topic, records, page.next_offset
             )
@@ -379,6 +385,7 @@
         """Apply the entries of upstreams; return those that changed."""
         now = clock.now()
         directory, feed = self.state.directory, self.state.feed
+        restored = feed.is_restored(self.topic, now)
         # What matters is whether the store failed to answer whoever read the
         # removal. A former coordinator may have been the only one rejected.
         outage_at = (
@@ -392,7 +399,7 @@
         for name, record in newest.items():
             try:
                 is_changed = (
-                    self._apply_entry(name, record, now)
+                    self._apply_entry(name, record, now, restored)
                     if record.value
                     else directory.remove(name, now, outage_at)
                 )
@@ -405,15 +412,29 @@
         return changed
 
     def _apply_entry(
-        self, name: str, record: outcomes.Record, now: float
+        self, name: str, record: outcomes.Record, now: float, restored: bool
     ) -> bool:
-        """Apply an entry; return whether its change is relayed."""
+        """Apply an entry; return whether its change is relayed.
+
+        Parameters
+        ----------
+        name : str
+            Name of the upstream.
+        record : outcomes.Record
+            Its entry.
+        now : float
+            Current time, seconds.
+        restored : bool
+            Whether the store may list older entries than before.
+        """
         directory = self.state.directory
         try:
             entry = decoding.decode_upstream(name, record.value, now)
         except adapter_errors.DecodeError as error:
             logs.info('upstream_unreadable', upstream=name, reason=str(error))
             return directory.remove(name, now)
+        if restored and directory.has_left(entry):
+            return False
         known = directory.entries.get(name)
         is_changed = (
             known is None
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -58,6 +58,8 @@
     ----------
     generation : int
         Last generation number of the membership that the store returned.
+    generation_era : int
+        Era of the store in which it did.
     coordinator : coordinator.Coordinator or None
         The current term; None if the instance does not coordinate.
     task : asyncio.Task or None
@@ -67,6 +69,9 @@
         other instance does.
     last_connected_at : float
         When the instance was last connected to a coordinator, seconds.
+    checkpoint : coordinator_store.Checkpoint or None
+        Assignments of the current term, which ends because the store came back
+        from a copy.
     """
 
     def __init__(
@@ -83,8 +88,10 @@
         self.state = state
         self.link = link
         self.generation = 0
+        self.generation_era = 0
         self.coordinator: coordinator_module.Coordinator | None = None
         self.task: asyncio.Task[None] | None = None
+        self.checkpoint: coordinator_store.Checkpoint | None = None
         settings = state.settings
         self.member = coordinator_link.member_id(settings)
         min_timeout_s = settings.least_membership_s
@@ -153,6 +160,9 @@
             self.state.store_answered_at = sent_at
 
     async def _join(self, sent_at: float) -> None:
+        if self.generation_era != self.client.era:
+            # A restored store gives out its generations again.
+            self.generation_era, self.generation = self.client.era, 0
         timeout_s = self.candidate_timeout_s
         if self.coordinator is not None:
             timeout_s = self.coordinator_timeout_s
@@ -165,6 +175,7 @@
             self.generation,
             deadline,
         )
+        self._keep_checkpoint()
         if isinstance(outcome, outcomes.Unavailable):
             logs.info('join_failed', reason=outcome.reason)
             if self.coordinator and self.coordinator.must_stop():
@@ -173,6 +184,7 @@
         self.state.store_answered_at = sent_at
         self.generation = outcome.generation
         if not outcome.holds_partition:
+            self.checkpoint = None
             await self._stop()
             return
         lease_expires_at = (
@@ -193,11 +205,35 @@
         """
         if self.coordinator is None or self.task is None:
             return False
+        if self._is_restored():
+            return True
         return self.task.done() or self.coordinator.lease.is_expired()
 
+    def _is_restored(self) -> bool:
+        """Return whether the store was restored since the term began."""
+        current = self.coordinator
+        if current is None or current.store.epoch < 0:
+            return False
+        return current.store.era != self.client.era
+
+    def _keep_checkpoint(self) -> None:
+        """Keep the assignments when the store turns out to be restored.
+
+        Later the instances' reports no longer show that the store was away
+        for all of them.
+        """
+        if self.coordinator is not None and self._is_restored():
+            if self.checkpoint is None:
+                self.checkpoint = self.coordinator.checkpoint()
+
     def _start(self, lease_expires_at: float) -> None:
+        checkpoint, self.checkpoint = self.checkpoint, None
         self.coordinator = coordinator_module.Coordinator(
-            self.client, self.order_client, self.state, lease_expires_at
+            self.client,
+            self.order_client,
+            self.state,
+            lease_expires_at,
+            checkpoint,
         )
         self.task = asyncio.create_task(self.coordinator.run())
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/takeover.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/takeover.py
@@ -54,12 +54,23 @@
         Instances that are connected to it.
     predecessors : list of Predecessor
         Earlier coordinators that may still renew grants.
+    epoch : int
+        Number of the term; -1 if the writer did not state it.
+    era : int or None
+        Era of the store in which it was written; None if the writer did not
+        know eras.
+    tables_from : int
+        Position from which on the stored assignments are true; earlier ones
+        are of a copy of the store and may be older than what was in force.
     """
 
     instance: str
     address: str
     fleet: list[str]
     predecessors: list[Predecessor]
+    epoch: int = -1
+    era: int | None = None
+    tables_from: int = 0
 
 
 def predecessors(
--- a/packages/knapweedhall-router/tests/test_membership.py
+++ b/packages/knapweedhall-router/tests/test_membership.py
@@ -21,9 +21,10 @@
     """Test double of the store client; all joins have one outcome."""
 
     def __init__(self) -> None:
-        self.outcome = outcomes.Joined(1, True)
+        self.outcome: outcomes.JoinOutcome = outcomes.Joined(1, True)
+        self.era = 0
 
-    async def join(self, *call: typing.Any) -> outcomes.Joined:
+    async def join(self, *call: typing.Any) -> outcomes.JoinOutcome:
         """Return the outcome."""
         return self.outcome
 
@@ -31,8 +32,25 @@
 class _Coordinator:
     """Test double of a coordinator."""
 
-    def __init__(self, *args: typing.Any) -> None:
-        self.lease = lease.Lease(*args[-2:])
+    def __init__(
+        self,
+        client: _Store,
+        order_client: object,
+        state: state_module.State,
+        lease_expires_at: float,
+        checkpoint: object,
+    ) -> None:
+        self.lease = lease.Lease(state, lease_expires_at)
+        self.initial_checkpoint = checkpoint
+        self.store = mock.Mock(epoch=7, era=client.era)
+
+    def must_stop(self) -> bool:
+        """Return whether no more orders may be sent."""
+        return False
+
+    def checkpoint(self) -> str:
+        """Return what is known without the store."""
+        return f'term {self.store.epoch}'
 
     async def run(self) -> None:
         """Coordinate until cancelled."""
@@ -48,7 +66,8 @@
         patch.start()
         self.addCleanup(patch.stop)
         state = state_module.State(fleet.Fleet().new_settings())
-        client = typing.cast(typing.Any, _Store())
+        self.store = _Store()
+        client = typing.cast(typing.Any, self.store)
         self.membership = membership.Membership(
             client,
             typing.cast(typing.Any, None),
@@ -77,3 +96,33 @@
         await self.membership._join(clock.now())
         self.assertIsNotNone(self.membership.coordinator)
         self.assertIsNot(self.coordinator, self.membership.coordinator)
+
+    async def restore(self) -> None:
+        """Restore the store, so that the next join counts as unanswered."""
+        self.store.era = 1
+        joined, self.store.outcome = (
+            self.store.outcome,
+            outcomes.Unavailable('restored', True),
+        )
+        await self.membership._join(clock.now())
+        self.store.outcome = joined
+
+    async def test_term_ends_with_the_era(self) -> None:
+        """Guards against writes at offsets that are given out again."""
+        await self.restore()
+        await self.membership._join(clock.now())
+        begun = typing.cast(_Coordinator, self.membership.coordinator)
+        self.assertIsNot(self.coordinator, begun)
+        self.assertEqual('term 7', begun.initial_checkpoint)
+        await self.membership._join(clock.now())
+        self.assertIs(begun, self.membership.coordinator)
+
+    async def test_assignments_are_dropped_with_the_term(self) -> None:
+        """Guards against assignments that another coordinator changed."""
+        await self.restore()
+        self.store.outcome = outcomes.Joined(1, False)
+        await self.membership._join(clock.now())
+        self.store.outcome = outcomes.Joined(2, True)
+        await self.membership._join(clock.now())
+        begun = typing.cast(_Coordinator, self.membership.coordinator)
+        self.assertIsNone(begun.initial_checkpoint)
--- /dev/null
+++ b/packages/knapweedhall-router/tests/test_restored_store.py
@@ -0,0 +1,169 @@
+"""Tests of routers whose store comes back from a copy some seconds old."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from knapweedhall_routing import model
+from knapweedhall_standins import upstream
+from tests import fleet
+from tests import fleet_case
+
+# Bound of the platform for a configuration to be in force.
+CONFIGURATION_S = 2.0
+# Target for a key to be served again after a loss.
+SERVED_AGAIN_S = 2.0
+# Time after which an upstream has written its entry again.
+REWRITTEN_S = 0.9
+
+
+class RestoredStoreTest(fleet_case.FleetTest):
+    """A store whose latest records are lost while routers run."""
+
+    routers = 3
+
+    async def asyncSetUp(self) -> None:
+        """Let the store have a history before the copy."""
+        await super().asyncSetUp()
+        for domain in ('x', 'y', 'z'):
+            self.fleet.store.put(fleet.OPERATOR_TOPIC, f'evacuate/{domain}', 1)
+        await self.wait_for_evacuated({'x', 'y', 'z'})
+
+    async def wait_for_evacuated(self, domains: set[str]) -> None:
+        """Wait until all routers know the evacuated failure domains."""
+        await self.fleet.wait_until(
+            lambda: all(
+                set(router.state.directory.evacuated) == domains
+                for router in self.fleet.routers
+            )
+        )
+
+    def restore(self, age_s: float) -> None:
+        """Restore the store; its other writers write again a moment later."""
+        self.fleet.store.restore(age_s)
+        loop = asyncio.get_running_loop()
+        loop.call_later(REWRITTEN_S, self.fleet.store.rewrite)
+
+    async def test_configuration_at_a_lower_offset(self) -> None:
+        """Guards against a configuration that is taken for an old one."""
+        self.fleet.configure()
+        self.fleet.configure()
+        await self.fleet.wait_until(self.has_configuration)
+        await asyncio.sleep(1.0)
+        self.restore(100.0)
+        self.fleet.store.lost.clear()
+        self.fleet.configure()
+        await self.fleet.wait_until(self.has_configuration, CONFIGURATION_S)
+
+    def has_configuration(self) -> bool:
+        """Return whether the last configuration is in force everywhere."""
+        return all(
+            router.state.configuration_version() == self.fleet.version
+            for router in self.fleet.routers
+        )
+
+    async def test_evacuation_that_the_copy_lacks(self) -> None:
+        """Guards against requests to a failure domain that is evacuated."""
+        await asyncio.sleep(0.5)
+        self.fleet.store.put(fleet.OPERATOR_TOPIC, 'evacuate/v', 1)
+        await self.wait_for_evacuated({'v', 'x', 'y', 'z'})
+        self.restore(0.5)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + 3 * REWRITTEN_S
+        while loop.time() < until:
+            for router in self.fleet.routers:
+                self.assertIn('v', router.state.directory.evacuated)
+            await asyncio.sleep(0.02)
+
+    async def test_upstream_that_left_since_the_copy(self) -> None:
+        """Guards against a server that had left and is used again."""
+        await asyncio.sleep(0.5)
+        draining, gone = self.upstreams('orders')
+        draining.drain()
+        self.fleet.store.put(upstream.UPSTREAM_TOPIC, gone.name, None)
+        used = await self.fleet.add_upstream('orders', False)
+        await self.fleet.wait_until(
+            lambda: all(
+                self.usable_names(router) == {used.name}
+                for router in self.fleet.routers
+            )
+        )
+        self.restore(0.5)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + 3 * REWRITTEN_S
+        while loop.time() < until:
+            for router in self.fleet.routers:
+                self.assertLessEqual(self.usable_names(router), {used.name})
+            await asyncio.sleep(0.02)
+        await self.fleet.wait_until(
+            lambda: all(
+                self.usable_names(router) == {used.name}
+                for router in self.fleet.routers
+            )
+        )
+
+    def usable_names(self, router: typing.Any) -> set[str]:
+        """Return the upstreams of the service without owned keys."""
+        usable = router.state.directory.usable('orders')
+        return {entry.name for entry in usable}
+
+    def upstreams(self, service: str) -> list[upstream.FakeUpstream]:
+        """Return the upstreams of a service."""
+        return [
+            each for each in self.fleet.upstreams if each.service == service
+        ]
+
+    async def test_keys_that_moved_since_the_copy(self) -> None:
+        """Guards against two owners, and against keys that nobody serves.
+
+        The copy names an owner that has released its keys since.
+        """
+        await asyncio.sleep(0.5)
+        left = self.upstreams('views')[0]
+        left.drain()
+        await self.fleet.wait_until(lambda: self.have_no_keys(1), 10.0)
+        self.restore(0.5 + 3.0)
+        await self.check_keys()
+
+    async def test_keys_under_the_next_coordinator(self) -> None:
+        """Guards against two owners after the coordinator has ended, too.
+
+        What the copy says of the keys is not true, and nobody knows better.
+        """
+        await asyncio.sleep(0.5)
+        left = self.upstreams('views')[0]
+        left.drain()
+        await self.fleet.wait_until(lambda: self.have_no_keys(1), 10.0)
+        coordinator = self.coordinator()
+        self.restore(0.5 + 3.0)
+        await self.fleet.kill(coordinator)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + 11.0
+        while loop.time() < until:
+            self.assert_one_owner()
+            await asyncio.sleep(0.05)
+        self.assertEqual({200}, await self.ask_for_keys())
+
+    async def check_keys(self) -> None:
+        """Check that all keys have one owner, and are served in time."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        refused_at = began_at
+        while loop.time() < began_at + 6.0:
+            self.assert_one_owner()
+            if await self.ask_for_keys() != {200}:
+                refused_at = loop.time()
+            await asyncio.sleep(0.02)
+        self.assertLess(refused_at - began_at, SERVED_AGAIN_S)
+
+    async def ask_for_keys(self) -> set[int]:
+        """Send a request for some keys; return the statuses."""
+        responses = await asyncio.gather(
+            *(
+                self.fleet.send_request(router, '/view/x', key)
+                for router in self.fleet.routers
+                for key in range(0, model.KEY_COUNT, 8000)
+            )
+        )
+        return {response.status for response in responses}
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/directory.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/directory.py
@@ -14,13 +14,14 @@
 # the outage; equals the time in which a removal is detected by three missed
 # heartbeats.
 RECENT_OUTAGE_S = 4.0
-# Time for which it is remembered that an upstream was leaving after its entry
-# was removed. The store may list it again for seconds after an outage.
+# Time for which it is remembered that an upstream was leaving or had an entry
+# after the entry was removed. The store may list it again for seconds after an
+# outage.
 LEAVING_KEPT_S = 600.0
 
 
 class Leaving(typing.NamedTuple):
-    """An upstream that said in a response that it is leaving.
+    """An upstream that said that it is leaving, or whose entry was removed.
 
     Attributes
     ----------
@@ -69,6 +70,8 @@
         Failure domains whose upstreams must not be used, and since when.
     last_outage_at : float
         When the store last failed to answer, seconds.
+    removed : dict of str to Leaving
+        Last incarnations of the names whose removal is final, and since when.
     """
 
     def __init__(self) -> None:
@@ -78,6 +81,21 @@
         self.leaving: dict[str, Leaving] = {}
         self.evacuated: dict[str, float] = {}
         self.last_outage_at = float('-inf')
+        self.removed: dict[str, Leaving] = {}
+
+    def has_left(self, entry: model.Upstream) -> bool:
+        """Return whether an entry is older than what is known of its process.
+
+        A process does not become ready again once it drains, and one that is
+        listed again after its removal writes its entry once more.
+        """
+        known = self.entries.get(entry.name)
+        if known is not None:
+            return known.born_ms == entry.born_ms and (
+                known.draining and not entry.draining
+            )
+        removed = self.removed.get(entry.name)
+        return removed is not None and removed.born_ms == entry.born_ms
 
     def record_store_failure(self, now: float) -> None:
         """Record that the store did not answer."""
@@ -96,6 +114,7 @@
         """
         known = self.entries.get(entry.name)
         self.pending_removals.pop(entry.name, None)
+        self.removed.pop(entry.name, None)
         self.entries[entry.name] = entry
         if entry.draining:
             self.draining_since.setdefault(entry.name, unchanged_until)
@@ -196,16 +215,18 @@
         ]
         for name in removed:
             del self.pending_removals[name]
-            del self.entries[name]
+            entry = self.entries.pop(name)
+            self.removed[name] = Leaving(entry.born_ms, now)
             self.draining_since.pop(name, None)
-        forgotten = [
-            name
-            for name, leaving in self.leaving.items()
-            if name not in self.entries
-            and now - leaving.since > LEAVING_KEPT_S
-        ]
-        for name in forgotten:
-            del self.leaving[name]
+        for memory in (self.leaving, self.removed):
+            forgotten = [
+                name
+                for name, leaving in memory.items()
+                if name not in self.entries
+                and now - leaving.since > LEAVING_KEPT_S
+            ]
+            for name in forgotten:
+                del memory[name]
         return removed
 
     def set_evacuated(
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
@@ -401,8 +401,9 @@
 class FencingTokens:
     """Generator of the fencing tokens of one term.
 
-    The epoch is the offset of the term's record in the store. Offsets never
-    restart, so each token is higher than those of all earlier terms.
+    The epoch is the rank of the term's record in the store. Ranks rise even
+    when the store comes back from a copy, so each token is higher than those
+    of all earlier terms.
     """
 
     def __init__(self, epoch: int) -> None:
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
@@ -16,6 +16,10 @@
 from knapweedhall_standins import store_engine
 
 MAX_WAIT_MS = 30000
+ERA_HEADER = 'Store-Era'
+# Topics whose writers, the operator and the upstreams, write again what they
+# wrote since the copy of which the store was restored.
+REWRITTEN_TOPICS = ('keyed.op', 'keyed.servers')
 _LENGTH_PREFIX = struct.Struct('>I')
 _OFFSETS = struct.Struct('>QQ')
 
@@ -41,6 +45,11 @@
         Number of reads that started to wait while the fault `deaf` was set.
     calls : collections.Counter of str
         Number of calls so far, by path.
+    era : int
+        Number in all responses; it rises when the store is restored.
+    lost : dict of str to dict of str to bytes
+        What the operator and the upstreams have to write again since the
+        store was restored, by topic and key; b'' for a removal.
     """
 
     def __init__(self) -> None:
@@ -49,6 +58,8 @@
         self.faults = faults.StoreFaults()
         self.unnotified_reads = 0
         self.calls: collections.Counter[str] = collections.Counter()
+        self.era = 0
+        self.lost: dict[str, dict[str, bytes]] = {}
         self.server: asyncio.Server | None = None
         self.address = ''
         self.handlers: dict[
@@ -88,7 +99,37 @@
         raw = b'' if value is None else json.dumps(value).encode()
         self.partition(topic).append(key, raw)
 
+    def restore(self, age_s: float) -> None:
+        """Return to a copy of this age; what was written since is lost."""
+        moment = time.monotonic() - age_s
+        self.era += 1
+        for topic, partition in self.partitions.items():
+            before = {
+                key: record.value for key, record in partition.newest.items()
+            }
+            partition.restore(moment)
+            if topic not in REWRITTEN_TOPICS:
+                continue
+            changes = self.lost.setdefault(topic, {})
+            for key in before.keys() | partition.newest.keys():
+                value = before.get(key, b'')
+                copied = partition.newest.get(key)
+                if value != (copied.value if copied else b''):
+                    changes[key] = value
+
+    def rewrite(self) -> None:
+        """Write again what the operator and the upstreams had written."""
+        lost, self.lost = self.lost, {}
+        for topic, changes in lost.items():
+            for key, value in changes.items():
+                self.partition(topic).append(key, value)
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = await self._respond(request)
+        response.headers[ERA_HEADER] = str(self.era)
+        return response
+
+    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         self.calls[request.path] += 1
         active = self.faults
         if active.down or request.remote in active.refused:
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/store_engine.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/store_engine.py
@@ -30,7 +30,7 @@
 
 
 class Partition:
-    """Records of one partition; offsets never restart.
+    """Records of one partition; offsets go back only when it is restored.
 
     Attributes
     ----------
@@ -74,8 +74,8 @@
         return record.offset
 
     def records_from(self, offset: int) -> list[Record] | None:
-        """Return the records from an offset on, None if some were deleted."""
-        if offset < self.first_offset:
+        """Return the records from an offset on, None if it has not all."""
+        if not self.first_offset <= offset <= self.end_offset:
             return None
         return self.records[offset - self.first_offset :]
 
@@ -88,6 +88,22 @@
             latest = listing
         return latest
 
+    def restore(self, moment: float) -> None:
+        """Return to the state of a monotonic time; what came after is lost."""
+        copy = self.listing_at(moment)
+        self.records = [
+            record
+            for record in self.records
+            if record.offset < copy.end_offset
+        ]
+        self.first_offset = copy.end_offset - len(self.records)
+        self.newest = dict(copy.newest)
+        self.listings = collections.deque(
+            [copy._replace(valid_from=float('-inf'))], MAX_LISTINGS
+        )
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def delete_history(self) -> None:
         """Delete all records; listings still return the newest of each key."""
         self.first_offset = self.end_offset
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/store_process.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/store_process.py
@@ -2,7 +2,10 @@
 
 `PUT /standin/entry?key=ID` writes the entry of an upstream, which expires
 unless it is written again in time; `PUT /standin/faults` sets
-`faults.StoreFaults`; `PUT /standin/forget` deletes the history of all topics.
+`faults.StoreFaults`; `PUT /standin/forget` deletes the history of all topics;
+`PUT /standin/restore?age=SECONDS` returns the store to an earlier copy, and
+what the operator and the upstreams wrote since is written again after
+`REWRITE_AFTER_S`.
 """
 
 from __future__ import annotations
@@ -21,6 +24,8 @@
 # Age at which an entry expires: three heartbeats of an upstream.
 ENTRY_TTL_S = 2.6
 EXPIRY_CHECK_PERIOD_S = 0.2
+# An upstream writes its entry every 0.87 s.
+REWRITE_AFTER_S = 0.9
 
 
 class StoreProcess(store.Store):
@@ -32,6 +37,7 @@
         self.handlers |= {
             '/standin/entry': self._put_entry,
             '/standin/forget': self._delete_history,
+            '/standin/restore': self._restore,
         }
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -54,6 +60,12 @@
             partition.delete_history()
         return web.Response()
 
+    async def _restore(self, request: web.BaseRequest) -> web.Response:
+        self.restore(float(request.query['age']))
+        loop = asyncio.get_running_loop()
+        loop.call_later(REWRITE_AFTER_S, self.rewrite)
+        return web.Response()
+
     async def expire_entries(self) -> None:
         """Remove entries that are not written again, until cancelled."""
         while True:
