Restore the store and upload slowly in the soak

Cause: the soak could not find the faults of this incident: its callers sent each body at once, only requests that had run counted as cut, and the store never came back from a copy.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/callers.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 import time
 import typing
@@ -16,9 +17,41 @@
 # Time for which a caller waits beyond the timeout that it states.
 TIMEOUT_MARGIN_S = 2.0
 KEY_COUNT = 65536
+# Every so many requests, a body arrives in parts with pauses, as over a slow
+# link.
+SLOW_BODY_PERIOD = 5
+MAX_PART_PAUSE_S = 0.4
 _numbers = itertools.count(1)
 
 
+class Upload:
+    """The body of a request as it is sent.
+
+    Attributes
+    ----------
+    parts : list of bytes
+        Parts of the body.
+    pause_s : float
+        Pause between two parts, seconds.
+    sent_whole_at : float
+        When the last part was sent, seconds of the monotonic clock; inf
+        before.
+    """
+
+    def __init__(self, parts: list[bytes], pause_s: float) -> None:
+        self.parts = parts
+        self.pause_s = pause_s
+        self.sent_whole_at = math.inf
+
+    async def send(self) -> typing.AsyncIterator[bytes]:
+        """Yield the parts with their pauses."""
+        for number, part in enumerate(self.parts):
+            if number:
+                await asyncio.sleep(self.pause_s)
+            yield part
+        self.sent_whole_at = time.monotonic()
+
+
 class Target(typing.NamedTuple):
     """Where a caller sends its requests.
 
@@ -55,6 +88,9 @@
         connection was made.
     right : bool
         Whether the response is whole and belongs to this request.
+    sent_whole_at : float
+        When its last byte was sent, seconds of the monotonic clock; inf if it
+        was not.
     """
 
     request: str
@@ -66,6 +102,7 @@
     ended_at: float
     status: int
     right: bool
+    sent_whole_at: float = math.inf
 
 
 class Callers:
@@ -127,6 +164,11 @@
             headers[names.KEY_HEADER] = str(key)
         idempotent = self.rng.random() < 0.5
         method, body = ('GET', b'') if idempotent else ('POST', b'x' * 300)
+        upload = Upload([body], 0.0)
+        if body and not number % SLOW_BODY_PERIOD:
+            # Not of `rng`, whose series the seeds were recorded with.
+            share = random.Random(request).random()
+            upload = Upload([body[:100], body[100:]], share * MAX_PART_PAUSE_S)
         path = f'/item/{number}'
         sent_at, status, right = time.monotonic(), 0, False
         try:
@@ -134,7 +176,7 @@
                 method,
                 f'http://{target.address}{path}',
                 headers=headers,
-                data=body or None,
+                data=upload.send() if body else None,
             ) as response:
                 response_body = await response.read()
                 status = response.status
@@ -157,6 +199,7 @@
             time.monotonic(),
             status,
             right,
+            upload.sent_whole_at if body else sent_at,
         )
         self.results.append(result)
         return result
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
@@ -239,6 +239,10 @@
         """Make the store delete its history."""
         await self._put('forget', b'')
 
+    async def restore_store(self, age_s: float) -> None:
+        """Return the store to a copy of this age."""
+        await self._put(f'restore?age={age_s:.3f}', b'')
+
     async def set_trouble(self, name: str, trouble: dict[str, object]) -> None:
         """Replace what is wrong with an upstream's responses, if it runs."""
         host, port = self.upstreams[name].link.target
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -43,6 +43,8 @@
 # Age of the records that a store lists while it lists the past; the value of
 # the platform's pages.
 PAST_LISTING_AGE_S = 3.0
+# Maximum age of the copy from which the store is restored.
+MAX_COPY_AGE_S = 4.0
 # Maximum time until a record is in force everywhere, reached when the store
 # does not notify waiting reads.
 MAX_IN_FORCE_DELAY_S = 0.8
@@ -56,6 +58,9 @@
 # this time before or after it, because a disruption affects requests with a
 # delay.
 DISRUPTION_MARGIN_S = 0.3
+# Time in which a request that no upstream ran may have crossed the end of its
+# connection: the platform's bound.
+LOSS_SLACK_S = 0.2
 
 
 # A signal ends a process whose interpreter has not begun to run the router;
@@ -164,6 +169,9 @@
             max(1, int(self.plan.fault_count * RESPONSE_FAULT_SHARE)),
             self.plan.duration_s,
         )
+        series += faults.generate_restores(
+            random.Random(f'restores {self.seed}'), self.plan.duration_s
+        )
         await self._inject_all(sorted(series))
         missing = await self.environment.wait_until_served(RECOVERY_TIMEOUT_S)
         stop.set()
@@ -300,6 +308,13 @@
                 # The history is kept if the store is down.
                 await self.deployment.delete_store_history()
             return
+        if fault.kind == 'restore':
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                # It has no effect if the store is down.
+                await self.deployment.restore_store(
+                    fault.pick * MAX_COPY_AGE_S
+                )
+            return
         if fault.kind == 'down':
             self.store_faults.down = True
         elif fault.kind == 'lose-answers':
@@ -381,8 +396,9 @@
         results: typing.Sequence[callers.Result],
         activity: checker.UpstreamActivity,
     ) -> list[checker.Violation]:
-        """Return requests that ran but got no response.
+        """Return requests that got no response though they were accepted.
 
+        They ran, or were sent whole a while before their connection ended.
         Requests to an instance that was disrupted meanwhile are left out.
         """
         ran = {run.request for run in activity.runs}
@@ -390,7 +406,10 @@
             checker.Violation('no request is cut', f'{result}')
             for result in results
             if result.status == 0
-            and result.request in ran
+            and (
+                result.request in ran
+                or result.ended_at - result.sent_whole_at > LOSS_SLACK_S
+            )
             and not any(
                 begin - DISRUPTION_MARGIN_S <= result.ended_at
                 and result.sent_at <= end + DISRUPTION_MARGIN_S
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/store.py
@@ -19,7 +19,7 @@
 ERA_HEADER = 'Store-Era'
 # Topics whose writers, the operator and the upstreams, write again what they
 # wrote since the copy of which the store was restored.
-REWRITTEN_TOPICS = ('keyed.op', 'keyed.servers')
+REWRITTEN_TOPICS = ('keyed.op', 'keyed.servers', 'keyed.knapweedhall.records')
 _LENGTH_PREFIX = struct.Struct('>I')
 _OFFSETS = struct.Struct('>QQ')
 
