Send no orders after a write that the restored store lost

What callers would see: two upstreams that hold the same keys, after the store came back from a copy while keys were being moved. Change: a term whose write failed that way sends no orders. A checkpoint is used in the era in which it was taken only: another coordinator may have written in between if the store was restored twice. test_keys_that_moved_since_the_copy took any refusal within 6 s for a key that is not served, also those of planned moves afterwards (seen in a trace: last refusal after 4.6 s, all keys owned after 1.9 s). It now checks for each key that no time without an answer to all routers is longer than 2 s, which is the target.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -104,11 +104,19 @@
 
     def must_stop(self) -> bool:
         """Return whether no more orders may be sent."""
+        return self._is_over() or self.store.restored
+
+    def _is_over(self) -> bool:
+        """Return whether another coordinator has taken over, or may have."""
         return self.lease.must_stop_renewals() or self.sender.fenced
 
     def may_renew(self) -> bool:
         """Return whether existing grants may be renewed."""
-        if self.must_stop():
+        return not self.must_stop() and self._is_sole()
+
+    def _is_sole(self) -> bool:
+        """Return whether no other coordinator can have changed owners."""
+        if self._is_over():
             return False
         if not self.lease.is_expired():
             return True
@@ -122,11 +130,9 @@
         """Return the assignments if nobody else can have changed them."""
         if self.store.epoch < 0 or self.store.deposed:
             return None
-        if not self.may_renew():
+        if not self._is_sole():
             return None
-        return coordinator_store.Checkpoint(
-            self.store.epoch, dict(self.store.stored)
-        )
+        return self.store.checkpoint()
 
     async def run(self) -> None:
         """Begin the term and coordinate until cancelled or deposed."""
@@ -317,7 +323,8 @@
         if not task.cancelled() and task.exception() is not None:
             error = task.exception()
             if isinstance(error, coordinator_store.RestoredError):
-                # The membership begins a new term.
+                # The membership begins a new term. Until then no order is
+                # sent: the owner that was to be written has no grant yet.
                 return
             if isinstance(error, coordinator_store.DeposedError):
                 self.sender.fenced = True
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_store.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_store.py
@@ -72,11 +72,15 @@
     ----------
     epoch : int
         Number of its term.
+    era : int
+        Era in which the store came back. In a later one, another coordinator
+        may have changed owners.
     assignments : dict of str to list of holdings.StoredRange
         The assignments that the store had confirmed, by service.
     """
 
     epoch: int
+    era: int
     assignments: dict[str, list[holdings.StoredRange]]
 
 
@@ -105,6 +109,8 @@
         the predecessors.
     deposed : bool
         Whether another coordinator wrote in the era of this term.
+    restored : bool
+        Whether a record could not be written as the store was restored.
     appender : appender.Appender
         Appends at the end of the topic as this coordinator knows it.
     fleet : list of str
@@ -134,6 +140,7 @@
         self.stored: dict[str, list[holdings.StoredRange]] = {}
         self.knows_predecessors = True
         self.deposed = False
+        self.restored = False
         self.appender = appender.Appender(client, TOPIC, 0)
         self.fleet: list[str] = []
         self.next_fleet: list[str] = []
@@ -142,6 +149,10 @@
         self.requested: dict[str, int] = {}
         self.written: dict[str, int] = {}
 
+    def checkpoint(self) -> Checkpoint:
+        """Return the assignments that the store has confirmed."""
+        return Checkpoint(self.epoch, self.client.era, dict(self.stored))
+
     async def begin(
         self, checkpoint: Checkpoint | None = None
     ) -> dict[str, list[holdings.StoredRange] | None]:
@@ -213,9 +224,13 @@
         self, checkpoint: Checkpoint, last: takeover.TermRecord | None
     ) -> bool:
         """Return whether a checkpoint is newer than what is stored."""
+        if checkpoint.era != self.era:
+            return False
         if last is None:
             return True
-        return last.era != self.era and last.epoch <= checkpoint.epoch
+        if last.era is None or last.era == self.era:
+            return False
+        return last.epoch <= checkpoint.epoch
 
     async def _write_checkpoint(self, checkpoint: Checkpoint) -> None:
         for service, stored in checkpoint.assignments.items():
@@ -332,6 +347,7 @@
             if isinstance(outcome, appender.Written):
                 return
             if self.client.era != self.era:
+                self.restored = True
                 raise RestoredError
             if isinstance(outcome, appender.Overtaken):
                 self.deposed = True
--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -104,7 +104,7 @@
         """Return the result of a call whose time is over."""
         if isinstance(last, exchange.Response):
             return last
-        stopping = clock.now() >= self.state.work_until
+        stopping = self.state.is_work_over()
         if call.possible_runs:
             return selection.Failure(
                 504, 'stopping' if stopping else 'timeout'
--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -134,7 +134,7 @@
             async with self._limit_receiving(limit_at):
                 body = await self._read_body(request, memory)
         except TimeoutError:
-            if clock.now() >= self.state.work_until:
+            if self.state.is_work_over():
                 failure = self.dispatcher.selector.refuse_stopping()
                 return self._refuse_unread(
                     request,
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -160,21 +160,12 @@
             self.state.store_answered_at = sent_at
 
     async def _join(self, sent_at: float) -> None:
-        if self.generation_era != self.client.era:
-            # A restored store gives out its generations again.
-            self.generation_era, self.generation = self.client.era, 0
-        timeout_s = self.candidate_timeout_s
-        if self.coordinator is not None:
-            timeout_s = self.coordinator_timeout_s
-        deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
-        outcome = await self.client.join(
-            coordinator_link.COORDINATOR_GROUP,
-            self.member,
-            coordinator_link.TERM_TOPIC,
-            timeout_s,
-            self.generation,
-            deadline,
-        )
+        outcome = await self._call_join()
+        if outcome == store.RESTORED:
+            # The response was given up, but the store answers again.
+            self._keep_checkpoint()
+            sent_at = clock.now()
+            outcome = await self._call_join()
         self._keep_checkpoint()
         if isinstance(outcome, outcomes.Unavailable):
             logs.info('join_failed', reason=outcome.reason)
@@ -197,6 +188,22 @@
         else:
             self.coordinator.lease.expires_at = lease_expires_at
 
+    async def _call_join(self) -> outcomes.JoinOutcome:
+        if self.generation_era != self.client.era:
+            # A restored store gives out its generations again.
+            self.generation_era, self.generation = self.client.era, 0
+        timeout_s = self.candidate_timeout_s
+        if self.coordinator is not None:
+            timeout_s = self.coordinator_timeout_s
+        return await self.client.join(
+            coordinator_link.COORDINATOR_GROUP,
+            self.member,
+            coordinator_link.TERM_TOPIC,
+            timeout_s,
+            self.generation,
+            asyncio.get_running_loop().time() + CALL_TIMEOUT_S,
+        )
+
     def _is_interrupted(self) -> bool:
         """Return whether the current term must end though the store renews it.
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -20,6 +20,8 @@
 from knapweedhall_routing import rates
 from knapweedhall_routing import routes
 
+TIMER_SLACK_S = 0.005
+
 
 class Signal:
     """Wakes all tasks that wait for a change."""
@@ -128,6 +130,11 @@
         self.accepts_callers = False
         self.rng = random.Random(settings.name)
 
+    def is_work_over(self) -> bool:
+        """Return whether a stopping process ends its requests now."""
+        # A timer may end just before its time.
+        return clock.now() >= self.work_until - TIMER_SLACK_S
+
     def configure(self, new: model.Configuration) -> bool:
         """Put a newer configuration in force; return whether it was newer."""
         known = self.configuration
--- a/packages/knapweedhall-router/tests/test_membership.py
+++ b/packages/knapweedhall-router/tests/test_membership.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from knapweedhall_adapter import outcomes
+from knapweedhall_adapter import store
 from knapweedhall_router import clock
 from knapweedhall_router import coordinator
 from knapweedhall_router import coordinator_link
@@ -100,10 +101,7 @@
     async def restore(self) -> None:
         """Restore the store, so that the next join counts as unanswered."""
         self.store.era = 1
-        joined, self.store.outcome = (
-            self.store.outcome,
-            outcomes.Unavailable('restored', True),
-        )
+        joined, self.store.outcome = self.store.outcome, store.RESTORED
         await self.membership._join(clock.now())
         self.store.outcome = joined
 
--- a/packages/knapweedhall-router/tests/test_restored_store.py
+++ b/packages/knapweedhall-router/tests/test_restored_store.py
@@ -16,6 +16,7 @@
 SERVED_AGAIN_S = 2.0
 # Time after which an upstream has written its entry again.
 REWRITTEN_S = 0.9
+KEYS = range(0, model.KEY_COUNT, 8000)
 
 
 class RestoredStoreTest(fleet_case.FleetTest):
@@ -126,6 +127,20 @@
         self.restore(0.5 + 3.0)
         await self.check_keys()
 
+    async def test_restore_during_a_move(self) -> None:
+        """Guards against a grant to an owner that could not be recorded."""
+        await asyncio.sleep(0.5)
+        left = self.upstreams('views')[0]
+
+        def restore_after_release(name: str, fields: object) -> None:
+            if name == 'released' and not self.fleet.store.era:
+                self.restore(0.4)
+
+        left.on_event = restore_after_release
+        left.drain()
+        await self.fleet.wait_until(lambda: self.fleet.store.era > 0)
+        await self.check_keys()
+
     async def test_keys_under_the_next_coordinator(self) -> None:
         """Guards against two owners after the coordinator has ended, too.
 
@@ -143,27 +158,37 @@
         while loop.time() < until:
             self.assert_one_owner()
             await asyncio.sleep(0.05)
-        self.assertEqual({200}, await self.ask_for_keys())
+        served = await self.ask_for_keys()
+        self.assertEqual(dict.fromkeys(KEYS, {200}), served)
 
     async def check_keys(self) -> None:
         """Check that all keys have one owner, and are served in time."""
         loop = asyncio.get_running_loop()
         began_at = loop.time()
-        refused_at = began_at
+        served_at = dict.fromkeys(KEYS, began_at)
+        longest_s = dict.fromkeys(KEYS, 0.0)
         while loop.time() < began_at + 6.0:
             self.assert_one_owner()
-            if await self.ask_for_keys() != {200}:
-                refused_at = loop.time()
+            served = await self.ask_for_keys()
+            now = loop.time()
+            for key in KEYS:
+                longest_s[key] = max(longest_s[key], now - served_at[key])
+                if served[key] == {200}:
+                    served_at[key] = now
             await asyncio.sleep(0.02)
-        self.assertLess(refused_at - began_at, SERVED_AGAIN_S)
+        self.assertLess(max(longest_s.values()), SERVED_AGAIN_S, longest_s)
 
-    async def ask_for_keys(self) -> set[int]:
-        """Send a request for some keys; return the statuses."""
+    async def ask_for_keys(self) -> dict[int, set[int]]:
+        """Send requests for some keys; return the statuses by key."""
+        keys = [key for key in KEYS for _ in self.fleet.routers]
         responses = await asyncio.gather(
             *(
                 self.fleet.send_request(router, '/view/x', key)
+                for key in KEYS
                 for router in self.fleet.routers
-                for key in range(0, model.KEY_COUNT, 8000)
             )
         )
-        return {response.status for response in responses}
+        statuses: dict[int, set[int]] = {key: set() for key in KEYS}
+        for key, response in zip(keys, responses):
+            statuses[key].add(response.status)
+        return statuses
