--- a/packages/knapweedhall-bench/src/knapweedhall_bench/callers.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/callers.py
@@ -21,6 +21,9 @@
 # link.
 SLOW_BODY_PERIOD = 5
 MAX_PART_PAUSE_S = 0.4
+# Time limit of these requests. With that of the others, they would be refused
+# before a process that discards their bodies ends.
+SLOW_TIMEOUT_MS = 6000
 _numbers = itertools.count(1)
 
 
@@ -130,7 +133,7 @@
     async def run(self, requests_per_s: float, stop: asyncio.Event) -> None:
         """Send requests until `stop` is set, then wait for their results."""
         timeout = aiohttp.ClientTimeout(
-            self.timeout_ms / 1000 + TIMEOUT_MARGIN_S
+            max(self.timeout_ms, SLOW_TIMEOUT_MS) / 1000 + TIMEOUT_MARGIN_S
         )
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(
@@ -153,10 +156,12 @@
         """Send one request and record its result."""
         number = next(_numbers)
         request = f'q{number}-{self.rng.getrandbits(32):08x}'
+        is_slow = not number % SLOW_BODY_PERIOD
+        timeout_ms = SLOW_TIMEOUT_MS if is_slow else self.timeout_ms
         headers = {
             'Host': target.host,
             names.REQUEST_ID_HEADER: request,
-            names.TIME_LEFT_MS_HEADER: str(self.timeout_ms),
+            names.TIME_LEFT_MS_HEADER: str(timeout_ms),
         }
         if key is None and target.host in self.keyed_hosts:
             key = self.rng.randrange(KEY_COUNT)
@@ -165,7 +170,7 @@
         idempotent = self.rng.random() < 0.5
         method, body = ('GET', b'') if idempotent else ('POST', b'x' * 300)
         upload = Upload([body], 0.0)
-        if body and not number % SLOW_BODY_PERIOD:
+        if body and is_slow:
             # Not of `rng`, whose series the seeds were recorded with.
             share = random.Random(request).random()
             upload = Upload([body[:100], body[100:]], share * MAX_PART_PAUSE_S)
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
@@ -85,7 +85,7 @@
         body: draft.Draft = {
             'mode': mode,
             'limits': {'connections': MAX_CONNECTIONS},
-            'default_timeout_ms': 2000,
+            'default_timeout_ms': callers.SLOW_TIMEOUT_MS,
             'objective_ms': 500,
         }
         if hosts:
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
@@ -23,6 +23,8 @@
 # Kinds of responses that are wrong, or say something of their upstream.
 RESPONSE_KINDS = ('leave', 'pause-asked', 'endless', 'second-copies')
 LINK_MODES = tuple(mode for mode in proxy.Mode if mode is not proxy.Mode.PASS)
+# Planned stops besides the other faults.
+STOP_COUNT = 3
 # Share of the series in which the store is restored.
 RESTORE_SHARE = 0.5
 MIN_DURATION_S, MAX_DURATION_S = 0.2, 6.0
@@ -105,6 +107,15 @@
     return sorted(faults)
 
 
+def generate_stops(rng: random.Random, duration_s: float) -> list[Fault]:
+    """Return a series of planned stops, which may overlap."""
+    times = (rng.uniform(0.0, duration_s) for _ in range(STOP_COUNT))
+    return sorted(
+        Fault(at, at, 'router', 'stop', rng.random(), proxy.Mode.PASS)
+        for at in times
+    )
+
+
 def generate_restores(rng: random.Random, duration_s: float) -> list[Fault]:
     """Return at most one restore of the store from an earlier copy."""
     if rng.random() >= RESTORE_SHARE:
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -169,6 +169,9 @@
             max(1, int(self.plan.fault_count * RESPONSE_FAULT_SHARE)),
             self.plan.duration_s,
         )
+        series += faults.generate_stops(
+            random.Random(f'stops {self.seed}'), self.plan.duration_s
+        )
         series += faults.generate_restores(
             random.Random(f'restores {self.seed}'), self.plan.duration_s
         )
