Stop no process of the soak in its first second

Cause: a stop signal that meets a process whose interpreter has not begun to run the router ends it by the signal, which the platform's rules excuse within a second of a start. Reloads were held back for that time, stops were not; with stops in series this happens. Change: a stop of a process that is younger than a second is left out.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -243,6 +243,8 @@
     async def _stop_router(self, name: str, node: deployment.Node) -> None:
         if name in self.stopping or node.child.paused:
             return
+        if time.monotonic() - node.child.started_at < MIN_SIGNAL_AGE_S:
+            return
         self.stopping.add(name)
         await node.child.terminate()
         self.stopping.discard(name)
