Let a stop cancel the membership while a term ends

A process that was stopped at the moment at which one of its terms ended did not close its listener and did not end: it was killed at the end of the grace time, with the requests that it still had, and meanwhile joined the store's group again.

Cause: Membership._stop cancelled the term's task and took the next CancelledError for that of the term. A cancellation of the membership itself that arrived while it waited was indistinguishable from it, as the cancelled task is the one awaited, and was dropped. Application._run then waited for the membership without a limit.

Change: the term's task is waited for without being awaited, so that only the membership's own cancellation raises there.

Result: test_cancelled_while_its_term_ends failed before (the task still ran 1 s after it was cancelled) and passes. That a caller met this is not shown.

--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -250,14 +250,13 @@
         if task is None:
             return
         task.cancel()
-        try:
-            await task
-        except asyncio.CancelledError:
-            if not task.cancelled():
-                raise
-        except coordinator_store.DeposedError:
+        # Awaiting the task itself would not tell its cancellation from that
+        # of the waiting task.
+        await asyncio.wait((task,))
+        error = None if task.cancelled() else task.exception()
+        if isinstance(error, coordinator_store.DeposedError):
             logs.info('tenure_deposed')
-        except Exception as error:
+        elif error is not None:
             logs.warning('tenure_failed', reason=tasks.describe(error))
 
     async def step_down(self, epoch: int) -> None:
--- a/packages/knapweedhall-router/tests/test_membership.py
+++ b/packages/knapweedhall-router/tests/test_membership.py
@@ -44,6 +44,8 @@
         self.lease = lease.Lease(state, lease_expires_at)
         self.initial_checkpoint = checkpoint
         self.store = mock.Mock(epoch=7, era=client.era)
+        self.may_end = asyncio.Event()
+        self.may_end.set()
 
     def must_stop(self) -> bool:
         """Return whether no more orders may be sent."""
@@ -55,7 +57,10 @@
 
     async def run(self) -> None:
         """Coordinate until cancelled."""
-        await asyncio.Event().wait()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            await self.may_end.wait()
 
 
 class TermTest(unittest.IsolatedAsyncioTestCase):
@@ -124,3 +129,19 @@
         await self.membership._join(clock.now())
         begun = typing.cast(_Coordinator, self.membership.coordinator)
         self.assertIsNone(begun.initial_checkpoint)
+
+    async def test_cancelled_while_its_term_ends(self) -> None:
+        """Guards against a stop that waits for a cancelled task for ever."""
+        assert self.coordinator is not None
+        may_end = typing.cast(_Coordinator, self.coordinator).may_end
+        may_end.clear()
+        self.store.outcome = outcomes.Joined(1, False)
+        running = asyncio.create_task(self.membership.run())
+        async with asyncio.timeout(1.0):
+            while self.membership.coordinator is not None:
+                await asyncio.sleep(0)
+        running.cancel()
+        await asyncio.sleep(0)
+        may_end.set()
+        await asyncio.wait((running,), timeout=1.0)
+        self.assertTrue(running.cancelled())
