Close idle connections of a stop without dropping requests

Cause: the connections that a stopping process closes were not read for 30 ms before they were closed, so that requests which arrived meanwhile were dropped with them; so were requests that arrived between the decision and the next cycle of the event loop, in which the transport closes the socket, and the first requests of connections that had just been accepted.

Change: a connection counts as idle only if no byte of a further request has been read and none waits in the kernel, and its first request can no longer be on its way. The end is sent at the moment of the decision.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -42,8 +42,6 @@
 # Pause between attempts to leave the store's group, which ends the term of a
 # coordinator, while the store is down.
 LEAVE_RETRY_S = 0.3
-# Time for the event loop to pass a request that was read to its handler.
-HANDLER_START_S = 0.03
 # Time from the end of the last connection to the end of the process. Until
 # then the kernel sends what it took, which is lost if the machine is removed
 # with the process.
@@ -298,36 +296,10 @@
         await asyncio.sleep(accept_until - clock.now())
         open_listeners.close_one(FRONT)
         while caller_server.connections and clock.now() < end_at:
-            await self._close_idle(caller_server)
+            caller_server.close_idle()
             await asyncio.sleep(DRAIN_CHECK_S)
         await asyncio.sleep(min(KERNEL_SEND_S, end_at - clock.now()))
 
-    async def _close_idle(
-        self, caller_server: caller_connections.CallerServer
-    ) -> None:
-        """Close idle connections; the others end with their response.
-
-        A request that was read may not have reached its handler yet, so
-        reading is paused for `HANDLER_START_S` before a connection is
-        considered idle. The others are left alone: `close` would make aiohttp
-        discard the rest of a body that is still arriving.
-        """
-        idle = [
-            connection
-            for connection in caller_server.caller_connections()
-            if connection.is_idle()
-        ]
-        for connection in idle:
-            assert connection.transport is not None
-            connection.transport.pause_reading()
-        await asyncio.sleep(HANDLER_START_S)
-        for connection in idle:
-            if connection.is_idle():
-                # `close` would leave an idle connection open and unread.
-                connection.force_close()
-            elif connection.transport is not None:
-                connection.transport.resume_reading()
-
     async def _housekeeping(
         self, caller_server: caller_connections.CallerServer
     ) -> None:
--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import math
+import select
+import socket
 import typing
 
 from aiohttp import streams
@@ -22,6 +24,9 @@
 # body.
 MAX_PREAMBLE_BYTES = 1024 * 1024
 END_OF_HEAD = b'\r\n\r\n'
+# Time after the set-up of a connection in which its first request may still be
+# on its way: a round trip, and what waits in front of it on a busy link.
+FIRST_REQUEST_S = 0.3
 
 
 class CallerConnection(web_protocol.RequestHandler):
@@ -45,6 +50,9 @@
     sending : asyncio.Transport or None
         The transport until the connection is closed, also while it is closing
         and still sends.
+    first_request_until : float
+        Until when its first request may still be on its way, on `clock.now`;
+        -inf once one has arrived.
     """
 
     __slots__ = (
@@ -55,6 +63,7 @@
         'running',
         'content',
         'sending',
+        'first_request_until',
     )
 
     def __init__(
@@ -71,6 +80,7 @@
         self.running = False
         self.content: streams.StreamReader | None = None
         self.sending: asyncio.Transport | None = None
+        self.first_request_until = clock.now() + FIRST_REQUEST_S
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport of a new connection."""
@@ -106,6 +116,7 @@
             Its body, which may still be arriving.
         """
         self.running = True
+        self.first_request_until = -math.inf
         self.content = content
         self.head_since = math.inf
         self.head_bytes = 0
@@ -127,11 +138,40 @@
     def is_idle(self) -> bool:
         """Return whether the connection is open and its caller awaits nothing.
 
-        A request that was received may not have reached its handler yet.
+        A caller awaits a response as soon as it has sent a request, of which
+        some bytes may not be read yet, or not have reached a handler.
         """
         if self.transport is None or self.transport.is_closing():
             return False
-        return not self.is_handling() and not self.unsent_bytes()
+        if self.is_handling() or self.unsent_bytes():
+            return False
+        if self.head_since != math.inf:
+            return False
+        if clock.now() < self.first_request_until:
+            return False
+        return not self._has_unread_bytes()
+
+    def close_now(self) -> None:
+        """Close the idle connection, at once for its caller.
+
+        The transport closes the socket in the next cycle of the event loop. A
+        request that its caller sends until then would be lost.
+        """
+        assert self.transport is not None
+        try:
+            self.transport.get_extra_info('socket').shutdown(socket.SHUT_WR)
+        except OSError as error:
+            # The caller has reset the connection.
+            logs.warning('caller_fault', reason=tasks.describe(error))
+        # `close` would leave an idle connection open and unread.
+        self.force_close()
+
+    def _has_unread_bytes(self) -> bool:
+        """Return whether the kernel has bytes that were not read."""
+        assert self.transport is not None
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info('socket'), select.POLLIN)
+        return bool(poll.poll(0))
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, unless they are too many for a head."""
@@ -171,6 +211,16 @@
         """Return the protocol of a new connection."""
         return CallerConnection(self, loop=self._loop, **self._kwargs)
 
+    def close_idle(self) -> None:
+        """Close the idle connections.
+
+        The others are left alone: `close` would make aiohttp discard the rest
+        of a body that is still arriving.
+        """
+        for connection in self.caller_connections():
+            if connection.is_idle():
+                connection.close_now()
+
     def close_slow(self, head_timeout_s: float) -> int:
         """Close connections whose head takes too long; return their number."""
         began_before = clock.now() - head_timeout_s
--- a/packages/knapweedhall-router/tests/test_planned_stop.py
+++ b/packages/knapweedhall-router/tests/test_planned_stop.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import select
 import signal
 import socket
 import typing
@@ -17,6 +18,9 @@
 GRACE_S = 6.0
 # After the listener is closed, and with it the idle connections.
 AFTER_CLOSE_S = application.ACCEPT_AFTER_STOP_S + 0.4
+# Callers whose requests arrive one after the other around that time.
+IDLE_CALLERS = 120
+AROUND_CLOSE_S = 0.2
 LARGE_BODY_BYTES = 12_000_000
 WINDOW_BYTES = 65536
 TIME_LIMIT_MS = 10_000
@@ -137,6 +141,16 @@
         self.addCleanup(caller.writer.close)
         return caller
 
+    async def ask_if_open(
+        self, caller: Caller, request_id: str
+    ) -> Answer | None:
+        """Send a whole request unless the router has closed the connection."""
+        poll = select.poll()
+        poll.register(caller.writer.get_extra_info('socket'), select.POLLIN)
+        if poll.poll(0):
+            return None
+        return await self.ask(caller, request_id)
+
     async def ask(self, caller: Caller, request_id: str) -> Answer:
         """Send a whole request and read the response."""
         caller.send_head(request_id, 4)
@@ -229,6 +243,54 @@
         self.assertEqual(0, self.run_count('long-body'))
         await self.assert_ended(stopped_at)
 
+    async def test_requests_that_arrive_while_idle_connections_close(
+        self,
+    ) -> None:
+        """Guards against requests that are dropped with their connection.
+
+        Their callers had sent them while the connection was open.
+        """
+        callers = [await self.connect() for _ in range(IDLE_CALLERS)]
+        for number, caller in enumerate(callers):
+            answer = await self.ask(caller, f'first-{number}')
+            self.assertEqual(200, answer.status)
+        stopped_at = self.request_stop()
+
+        async def ask_later(number: int, caller: Caller) -> Answer | None:
+            step_s = 2 * AROUND_CLOSE_S / IDLE_CALLERS
+            await asyncio.sleep(
+                application.ACCEPT_AFTER_STOP_S
+                - AROUND_CLOSE_S
+                + number * step_s
+            )
+            return await self.ask_if_open(caller, f'second-{number}')
+
+        answers = await asyncio.gather(
+            *(ask_later(*numbered) for numbered in enumerate(callers))
+        )
+        statuses = [answer.status for answer in answers if answer]
+        self.assertLess(0, statuses.count(200))
+        self.assertLess(len(statuses), IDLE_CALLERS)
+        self.assertNotIn(0, statuses)
+        await self.assert_ended(stopped_at)
+
+    async def test_first_request_of_a_connection_of_the_last_moment(
+        self,
+    ) -> None:
+        """Guards against connections that close before their first request.
+
+        The request is on its way for a round trip after the set-up.
+        """
+        stopped_at = self.request_stop()
+        await asyncio.sleep(application.ACCEPT_AFTER_STOP_S - 0.1)
+        caller = await self.connect()
+        await asyncio.sleep(0.2)
+        answer = await self.ask_if_open(caller, 'first-request')
+        self.assertIsNotNone(answer)
+        assert answer is not None
+        self.assertEqual(200, answer.status)
+        await self.assert_ended(stopped_at)
+
     async def test_stop_while_the_store_does_not_answer(self) -> None:
         """Guards against a stop that is delayed by calls to the store."""
         await self.fleet.store.stop()
