Read on after a refusal until the caller's time limit

Cause: after a response to a request whose body was still arriving, the server read on for 1 s and closed the connection. With unread bytes that resets it, and a caller that sends its whole body before it reads did not see the refusal.

Change: a refusal before the end of the body discards the rest of it, up to the caller's time limit (30 s at most) and the limit of bodies. A body that ends by then leaves the connection usable. After that the server's 1 s applies as before.

Result: test_upload_that_is_refused_at_its_head sends 30 MB in 2.4 s to a router's process without memory for them. Before: the connection ended without a status. Now: 503, and the connection serves the next request. test_refused_upload_that_does_not_end holds the time limit. test_planned_stop, test_endless and test_notices pass.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -40,6 +40,8 @@
         Last bytes received, which may be the beginning of the end of a head.
     running : bool
         Whether a request is in progress.
+    request_at : float
+        When the last request was passed to its handler, on `clock.now`.
     content : aiohttp.streams.StreamReader or None
         Body of the last request.
     sending : asyncio.Transport or None
@@ -53,6 +55,7 @@
         'head_complete',
         'last_bytes',
         'running',
+        'request_at',
         'content',
         'sending',
     )
@@ -69,6 +72,7 @@
         self.head_complete = False
         self.last_bytes = b''
         self.running = False
+        self.request_at = -math.inf
         self.content: streams.StreamReader | None = None
         self.sending: asyncio.Transport | None = None
 
@@ -106,6 +110,7 @@
             Its body, which may still be arriving.
         """
         self.running = True
+        self.request_at = clock.now()
         self.content = content
         self.head_since = math.inf
         self.head_bytes = 0
--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -9,9 +9,11 @@
 import typing
 import weakref
 
+from aiohttp import streams
 from aiohttp import web
 import aioprometheus
 
+from knapweedhall_adapter import decoding
 from knapweedhall_adapter import names
 from knapweedhall_router import caller_connections
 from knapweedhall_router import calls
@@ -23,10 +25,15 @@
 from knapweedhall_router import selection
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import body_budget
+from knapweedhall_routing import model
 
 # Limit of a line and of a header field in the parser; the configured limits
 # are not known when the server is created.
 MAX_REQUEST_FIELD_BYTES = 65536
+# Longest time for which the rest of a refused body is read, so that a caller
+# that stops sending does not hold its connection. Also applies if the caller
+# states no time limit.
+MAX_DISCARD_S = 30.0
 
 
 class ForwardedResponse(web.Response):
@@ -57,6 +64,46 @@
             self.on_end()
 
 
+class UnreadResponse(web.Response):
+    """A response to a request whose body is still arriving.
+
+    The connection would be reset if it were closed before the body is read,
+    and a caller that is still sending would not see the response.
+
+    Attributes
+    ----------
+    content : aiohttp.streams.StreamReader
+        Body of the request, whose rest is discarded.
+    until : float
+        When to stop reading, on `clock.now`.
+    max_bytes : int
+        How many bytes to read at most.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        text: str,
+        content: streams.StreamReader,
+        until: float,
+        max_bytes: int,
+    ) -> None:
+        super().__init__(status=status, text=text)
+        self.content = content
+        self.until = until
+        self.max_bytes = max_bytes
+
+    async def write_eof(self, data: bytes = b'') -> None:
+        """Send the response and discard the rest of the request."""
+        await super().write_eof(data)
+        count = 0
+        # The server closes the connection if the body is not at its end then.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, self.until - clock.now())):
+                while not self.content.is_eof() and count < self.max_bytes:
+                    count += len(await self.content.readany())
+
+
 class Frontend:
     """Handles the requests of callers.
 
@@ -249,7 +296,23 @@
             status=status,
             reason=reason,
         )
-        return self._refuse(request, status, reason, retry_after_s)
+        connection = request.protocol
+        assert isinstance(connection, caller_connections.CallerConnection)
+        time_left_s = decoding.parse_time_left_s(
+            request.headers.get(names.TIME_LEFT_MS_HEADER)
+        )
+        if time_left_s is None:
+            time_left_s = MAX_DISCARD_S
+        configuration = self.state.configuration
+        limits = configuration.limits if configuration else model.Limits()
+        response = UnreadResponse(
+            status,
+            f'{reason}\n',
+            request.content,
+            connection.request_at + min(time_left_s, MAX_DISCARD_S),
+            limits.body_bytes,
+        )
+        return self._complete_refusal(request, response, reason, retry_after_s)
 
     def _refuse(
         self,
@@ -258,12 +321,21 @@
         reason: str,
         retry_after_s: float | None,
     ) -> web.Response:
-        self._count(f'{status}-{reason}')
         response = web.Response(status=status, text=f'{reason}\n')
+        return self._complete_refusal(request, response, reason, retry_after_s)
+
+    def _complete_refusal(
+        self,
+        request: web.BaseRequest,
+        response: web.Response,
+        reason: str,
+        retry_after_s: float | None,
+    ) -> web.Response:
+        self._count(f'{response.status}-{reason}')
         request_id = request.headers.get(names.REQUEST_ID_HEADER)
         if request_id is not None:
             response.headers[names.REQUEST_ID_HEADER] = request_id
-        if retry_after_s is not None and status == 503:
+        if retry_after_s is not None and response.status == 503:
             response.headers[names.RETRY_AFTER_HEADER] = f'{retry_after_s:.3f}'
         self._close_if_stopping(response)
         return response
--- /dev/null
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -0,0 +1,76 @@
+"""Tests of how requests and connections of callers end.
+
+The router is a process of its own. Each test ends a request in one state:
+while its head or body arrives, before its body is in, while it waits, while it
+runs, and while its response is sent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests import fleet
+from tests import test_planned_stop
+
+# Together they need more memory than the router gives to bodies (0.3 of
+# 300 MB), each alone does not.
+HELD_BODY_BYTES = 63_000_000
+REFUSED_BODY_BYTES = 30_000_000
+PART_COUNT = 30
+# Longer than the time for which the HTTP server reads on after a response.
+UPLOAD_S = 2.4
+READ_ON_S = 1.0
+SHORT_LIMIT_S = 2
+# For the event loops of the test and the router.
+MARGIN_S = 0.5
+
+
+class RefusalTest(test_planned_stop.StopCase):
+    """Requests that are refused before their body is in."""
+
+    async def upload(
+        self, caller: test_planned_stop.Caller, request_id: str
+    ) -> test_planned_stop.Answer:
+        """Send a body slowly, and read only when it is sent."""
+        caller.send_head(request_id, REFUSED_BODY_BYTES)
+        part = bytes(REFUSED_BODY_BYTES // PART_COUNT)
+        for _ in range(PART_COUNT):
+            caller.writer.write(part)
+            await asyncio.sleep(UPLOAD_S / PART_COUNT)
+        return await caller.read_answer()
+
+    async def test_upload_that_is_refused_at_its_head(self) -> None:
+        """Guards against refusals that are lost with a reset connection.
+
+        A connection that is closed before the body was read is reset, and a
+        caller that is still sending does not see the response.
+        """
+        holder, caller = await self.connect(), await self.connect()
+        holder.send_head('held', HELD_BODY_BYTES)
+        await asyncio.sleep(0.1)
+        answer = await self.upload(caller, 'refused')
+        self.assertEqual(503, answer.status)
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(0, self.run_count('refused'))
+        # Its memory is free once the router has noticed that it left.
+        holder.writer.close()
+        await asyncio.sleep(0.1)
+        # The connection can be used again, as the body was read.
+        self.assertEqual(200, (await self.ask(caller, 'next')).status)
+
+    async def test_refused_upload_that_does_not_end(self) -> None:
+        """Guards against callers that hold a connection by sending slowly."""
+        caller = await self.connect()
+        caller.writer.write(
+            f'POST /unknown/x HTTP/1.1\r\nHost: {fleet.HOST}\r\n'
+            f'X-Deadline-Ms: {SHORT_LIMIT_S * 1000}\r\n'
+            'Content-Length: 1000000\r\n\r\n'.encode()
+        )
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        self.assertEqual(404, (await caller.read_answer()).status)
+        async with asyncio.timeout(SHORT_LIMIT_S + READ_ON_S + MARGIN_S):
+            while not caller.reader.at_eof():
+                caller.writer.write(b'slow')
+                await asyncio.sleep(0.02)
+        self.assertGreaterEqual(loop.time() - sent_at, SHORT_LIMIT_S)
