Ask callers that send Expect: 100-continue for their body

Cause: the server has no interim response of its own for this class of requests, and the frontend sent none. A caller that waits for it before it sends its body got 408 at its time limit.

Change: the frontend sends 100 Continue once it is going to read a body of which nothing has arrived. A refusal in its place closes the connection, as the caller may leave out the body.

Result: test_caller_that_waits_before_its_body got no response within 2 s before and gets 100 and 200 now; test_refusal_in_place_of_the_interim_response had no Connection: close before. test_request_ends passes (5 tests).

--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -9,6 +9,7 @@
 import typing
 import weakref
 
+from aiohttp import http
 from aiohttp import streams
 from aiohttp import web
 import aioprometheus
@@ -36,6 +37,9 @@
 MAX_DISCARD_S = 30.0
 
 
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
 class ForwardedResponse(web.Response):
     """A response that drops its body once it has been sent.
 
@@ -270,6 +274,8 @@
         memory_bytes = self.state.settings.memory_mb * 1e6
         if not memory.cover(length or 0, memory_bytes):
             return self._refuse_unread(request, 503, 'memory', 0.2)
+        if _is_body_held_back(request) and request.transport is not None:
+            request.transport.write(CONTINUE)
         # Joining chunks would take the memory twice.
         body = bytearray()
         while chunk := await request.content.readany():
@@ -312,6 +318,9 @@
             connection.request_at + min(time_left_s, MAX_DISCARD_S),
             limits.body_bytes,
         )
+        if _is_body_held_back(request):
+            # The caller must not send another request in place of the body.
+            response.force_close()
         return self._complete_refusal(request, response, reason, retry_after_s)
 
     def _refuse(
@@ -415,6 +424,14 @@
         )
 
 
+def _is_body_held_back(request: web.BaseRequest) -> bool:
+    """Return whether the caller waits for an interim response (RFC 9110)."""
+    expectation = request.headers.get('Expect', '').lower()
+    if expectation != '100-continue' or request.version < http.HttpVersion11:
+        return False
+    return not request.content.is_eof() and not request.content.total_bytes
+
+
 async def handle_readiness(
     state: state_module.State, request: web.BaseRequest
 ) -> web.Response:
--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -25,6 +25,20 @@
 MARGIN_S = 0.5
 
 
+def encode_head(
+    request_id: str, *fields: str, path: str = '/order/x'
+) -> bytes:
+    """Return the head of a POST request with a time limit of 2 s."""
+    lines = (
+        f'POST {path} HTTP/1.1',
+        f'Host: {fleet.HOST}',
+        f'X-Attempt-Id: {request_id}',
+        f'X-Deadline-Ms: {SHORT_LIMIT_S * 1000}',
+        *fields,
+    )
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode()
+
+
 class RefusalTest(test_planned_stop.StopCase):
     """Requests that are refused before their body is in."""
 
@@ -62,9 +76,7 @@
         """Guards against callers that hold a connection by sending slowly."""
         caller = await self.connect()
         caller.writer.write(
-            f'POST /unknown/x HTTP/1.1\r\nHost: {fleet.HOST}\r\n'
-            f'X-Deadline-Ms: {SHORT_LIMIT_S * 1000}\r\n'
-            'Content-Length: 1000000\r\n\r\n'.encode()
+            encode_head('slow', 'Content-Length: 1000000', path='/unknown/x')
         )
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
@@ -74,3 +86,36 @@
                 caller.writer.write(b'slow')
                 await asyncio.sleep(0.02)
         self.assertGreaterEqual(loop.time() - sent_at, SHORT_LIMIT_S)
+
+
+class ExpectTest(test_planned_stop.StopCase):
+    """Callers that wait before they send a body (Expect: 100-continue)."""
+
+    fields = ('Expect: 100-continue', 'Content-Length: 4')
+
+    async def test_caller_that_waits_before_its_body(self) -> None:
+        """Guards against callers that wait until their time limit (408)."""
+        caller = await self.connect()
+        caller.writer.write(encode_head('waits', *self.fields))
+        async with asyncio.timeout(SHORT_LIMIT_S):
+            interim = await caller.reader.readuntil(b'\r\n\r\n')
+        self.assertEqual(b'HTTP/1.1 100 Continue\r\n\r\n', interim)
+        caller.writer.write(b'work')
+        self.assertEqual(200, (await caller.read_answer()).status)
+        self.assertEqual(1, self.run_count('waits'))
+        self.assertEqual(200, (await self.ask(caller, 'next')).status)
+
+    async def test_caller_that_does_not_wait(self) -> None:
+        """Guards against an interim response after the body has arrived."""
+        caller = await self.connect()
+        caller.writer.write(encode_head('sends', *self.fields) + b'work')
+        self.assertEqual(200, (await caller.read_answer()).status)
+
+    async def test_refusal_in_place_of_the_interim_response(self) -> None:
+        """Guards against a next request that is read as the missing body."""
+        caller = await self.connect()
+        head = encode_head('refused', *self.fields, path='/unknown/x')
+        caller.writer.write(head)
+        received = await caller.reader.readuntil(b'\r\n\r\n')
+        self.assertIn(b' 404 ', received)
+        self.assertIn(b'Connection: close', received)
