Leave the answer to a late request of a stop to its upstream

Cause: a request that is sent during a stop gets the end of the work, 0.85 of the grace time, as its time limit, and the router's own timer ends at the same moment. It answered 504 while the upstream was still at work. The platform excuses that only for requests of the first 3 s after the signal, and uploads over a slow link are complete later than that.

Change: responses to requests that are sent after the signal are awaited until 0.9 of the grace time. The upstream stops at the time limit that it was given, and its own response says so. Requests that were already running at the signal are answered at 0.85 as before: they were sent before it, and 0.85 lies in the last sixth of the grace time.

Result: test_upstream_that_needs_longer_than_expected (last byte 4 s after the signal, 12 s of work) got an unsigned 504 before and gets the upstream's signed 504 now.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -35,6 +35,10 @@
 ACCEPT_AFTER_STOP_S = 2.6
 # Share of the grace time after which no request is running any more.
 WORK_GRACE_SHARE = 0.85
+# Share of the grace time until which responses of upstreams are awaited.
+# Requests that are sent after a stop signal have the end of the work as their
+# time limit, so that the upstream itself responds then.
+RESPONSE_GRACE_SHARE = 0.9
 # Share of the grace time after which the process ends even if responses are
 # still being sent. The rest is for the end of the process itself.
 SEND_GRACE_SHARE = 0.95
@@ -187,7 +191,10 @@
         logs.info('stopping', running=self.frontend.in_flight)
         stopped_at = clock.now()
         work_until = stopped_at + self.settings.grace_s * WORK_GRACE_SHARE
-        self.frontend.limit_work(work_until)
+        self.frontend.limit_work(
+            work_until,
+            stopped_at + self.settings.grace_s * RESPONSE_GRACE_SHARE,
+        )
         membership_task.cancel()
         await asyncio.gather(membership_task, return_exceptions=True)
         has_left = await member.leave()
--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -81,8 +81,11 @@
         self.state.retry_budget(call.service).earn(clock.now())
         if call.key is not None and self.selector.is_divided(call):
             self.state.count_request(call.service, call.key)
+        # In a stop, the upstream gets the end of the work as its time limit.
+        # Its own response, which follows, tells the caller what has run.
+        response_until = min(call.deadline, self.state.responses_until)
         call.deadline = min(call.deadline, self.state.work_until)
-        timeout = asyncio.timeout(max(0.0, call.deadline - clock.now()))
+        timeout = asyncio.timeout(max(0.0, response_until - clock.now()))
         last: Result = selection.Failure(503, 'no-upstream', 0.1)
         try:
             async with timeout:
--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -229,9 +229,17 @@
         self._record_response(call, result)
         return self._forward_response(result, on_end)
 
-    def limit_work(self, work_until: float) -> None:
-        """Answer all requests by a time, on `clock.now`."""
+    def limit_work(self, work_until: float, responses_until: float) -> None:
+        """Answer all requests by a time.
+
+        Parameters
+        ----------
+        work_until, responses_until : float
+            When upstreams have to end their work, and until when their
+            responses are awaited, on `clock.now`.
+        """
         self.state.work_until = work_until
+        self.state.responses_until = responses_until
         for timeout in self.receiving:
             calls.limit_timeout(timeout, work_until)
         self.dispatcher.limit_work()
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -95,6 +95,9 @@
     work_until : float
         When all requests have to be answered as the process ends, on
         `clock.now`; inf unless it is being stopped.
+    responses_until : float
+        Until when responses to requests that were sent after a stop signal
+        are awaited, on `clock.now`; inf unless the process is being stopped.
     accepts_callers : bool
         Whether the listener for callers is open.
     key_counts : dict of str to dict of int to int
@@ -127,6 +130,7 @@
         self.out_of_service = False
         self.stopping = False
         self.work_until = math.inf
+        self.responses_until = math.inf
         self.accepts_callers = False
         self.rng = random.Random(settings.name)
 
--- a/packages/knapweedhall-router/tests/test_planned_stop.py
+++ b/packages/knapweedhall-router/tests/test_planned_stop.py
@@ -40,6 +40,8 @@
         The header; '' if there is none.
     ended_at : float
         When the response or the connection ended, on the loop's clock.
+    signature : str
+        The header that only upstreams send; '' if there is none.
     """
 
     status: int
@@ -47,6 +49,7 @@
     is_whole: bool
     retry_after: str
     ended_at: float
+    signature: str
 
 
 class Caller:
@@ -91,7 +94,7 @@
         """Read a response, not faster than `bytes_per_s`."""
         loop = asyncio.get_running_loop()
         status, length, received = 0, -1, 0
-        retry_after = ''
+        retry_after = signature = ''
         with contextlib.suppress(OSError, EOFError):
             head = (await self.reader.readuntil(b'\r\n\r\n')).decode()
             first, *lines = head.strip().split('\r\n')
@@ -100,6 +103,7 @@
                 for name, value in (line.split(': ', 1) for line in lines)
             }
             retry_after = fields.get('retry-after', '')
+            signature = fields.get('x-response-signature', '')
             length = int(fields['content-length'])
             status = int(first.split()[1])
             while received < length:
@@ -110,7 +114,12 @@
                 if bytes_per_s is not None:
                     await asyncio.sleep(len(chunk) / bytes_per_s)
         return Answer(
-            status, received, received == length, retry_after, loop.time()
+            status,
+            received,
+            received == length,
+            retry_after,
+            loop.time(),
+            signature,
         )
 
 
--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -21,6 +21,8 @@
 UPLOAD_S = 2.4
 READ_ON_S = 1.0
 SHORT_LIMIT_S = 2
+# Time from a stop signal to the last byte of an upload.
+LAST_BYTE_S = 4.0
 # For the event loops of the test and the router.
 MARGIN_S = 0.5
 
@@ -119,3 +121,40 @@
         received = await caller.reader.readuntil(b'\r\n\r\n')
         self.assertIn(b' 404 ', received)
         self.assertIn(b'Connection: close', received)
+
+
+class LateUploadTest(test_planned_stop.StopCase):
+    """Uploads whose last byte arrives after a stop signal.
+
+    The platform excuses a response of the router's own in place of a running
+    request only for requests of the first 3 s after the signal.
+    """
+
+    async def send_late(
+        self, request_id: str
+    ) -> tuple[float, test_planned_stop.Answer]:
+        """Stop the router, and send a body whose last byte comes late.
+
+        Returns
+        -------
+        stopped_at : float
+            When the signal was sent, on the loop's clock.
+        answer : Answer
+            What the caller received.
+        """
+        caller = await self.connect()
+        caller.send_head(request_id, 4)
+        stopped_at = self.request_stop()
+        for _ in range(4):
+            await asyncio.sleep(LAST_BYTE_S / 4)
+            caller.writer.write(b'w')
+        return stopped_at, await caller.read_answer()
+
+    async def test_upstream_that_needs_longer_than_expected(self) -> None:
+        """Guards against a 504 of our own while the upstream is at work."""
+        self.upstream.work_s = 2 * test_planned_stop.GRACE_S
+        stopped_at, answer = await self.send_late('late')
+        self.assertEqual(504, answer.status)
+        self.assertNotEqual('', answer.signature)
+        self.assertEqual(1, self.run_count('late'))
+        await self.assert_ended(stopped_at)
