Refuse late requests of a stop as ones for other instances

Cause: a request that a stopping process has no time for was refused as if its caller's time were short, with a Retry-After of up to a third of the rest of the grace time. Other instances have the time.

Change: a refusal for lack of time that the stop causes is the same as that of other requests that a stopping process can't finish.

Result: test_upstream_that_is_known_to_be_slow (last byte 4 s after the signal, 2 s of work): Retry-After 0.208 s before, now below 0.1 s; the upstream ran nothing in both. test_admission passes.

--- a/packages/knapweedhall-router/src/knapweedhall_router/selection.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/selection.py
@@ -162,6 +162,10 @@
         )
         decision = admission.decide(estimate, self.state.rng)
         if isinstance(decision, admission.Refuse):
+            is_late = decision.reason == admission.NO_TIME
+            if is_late and call.deadline >= self.state.work_until:
+                # This process ends too soon; other instances have the time.
+                return self.refuse_stopping()
             return Failure(503, decision.reason, decision.retry_after_s)
         return upstream
 
--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -158,3 +158,19 @@
         self.assertNotEqual('', answer.signature)
         self.assertEqual(1, self.run_count('late'))
         await self.assert_ended(stopped_at)
+
+    async def test_upstream_that_is_known_to_be_slow(self) -> None:
+        """Guards against work that is begun though it can't end in time.
+
+        Other routers can run the request, so it is refused for a short time.
+        """
+        self.upstream.work_s = test_planned_stop.GRACE_S - LAST_BYTE_S
+        caller = await self.connect()
+        for number in range(4):
+            answer = await self.ask(caller, f'slow-{number}')
+            self.assertEqual(200, answer.status)
+        stopped_at, answer = await self.send_late('late')
+        self.assertEqual(503, answer.status)
+        self.assertLess(float(answer.retry_after), 0.1)
+        self.assertEqual(0, self.run_count('late'))
+        await self.assert_ended(stopped_at)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/admission.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/admission.py
@@ -23,6 +23,8 @@
 # rest is reserved for health checks, grants, releases and instances that
 # start or stop.
 CONNECTION_SHARE = 0.75
+# Reason of a refusal as the response would come after the deadline.
+NO_TIME = 'no-time'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -97,7 +99,7 @@
         )
     if estimate.expected_latency_s > left_s:
         return Refuse(
-            'no-time', retry_after(estimate.expected_latency_s, left_s, rng)
+            NO_TIME, retry_after(estimate.expected_latency_s, left_s, rng)
         )
     return Send()
 
