Answer requests that were pipelined before a connection is closed

Cause: a stopping process closes each connection with the response that it sends. A caller may have sent further requests by then, which were read and waited for their turn; they ended without a response or a refusal.

Change: the last response is the one after which no request waits. A stop takes the same decision for forwarded responses and refusals in one place.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -120,6 +120,10 @@
         """Record that the handler has ended."""
         self.running = False
 
+    def has_waiting_request(self) -> bool:
+        """Return whether a further request was read and awaits its turn."""
+        return bool(self._messages)
+
     def is_handling(self) -> bool:
         """Return whether received bytes belong to a request with a handler.
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -164,7 +164,10 @@
         self.busy_connections.add(connection)
         memory = body_budget.Reservation(self.bodies)
         try:
-            return await self._handle(request, memory)
+            response = await self._handle(request, memory)
+            if self.state.stopping and not connection.has_waiting_request():
+                response.force_close()
+            return response
         finally:
             connection.record_response()
             self.busy_connections.discard(connection)
@@ -354,7 +357,6 @@
             response.headers[names.REQUEST_ID_HEADER] = request_id
         if retry_after_s is not None and response.status == 503:
             response.headers[names.RETRY_AFTER_HEADER] = f'{retry_after_s:.3f}'
-        self._close_if_stopping(response)
         return response
 
     def _forward_response(
@@ -372,13 +374,8 @@
             upstream_response.headers
         ):
             response.headers.add(name, value)
-        self._close_if_stopping(response)
         return response
 
-    def _close_if_stopping(self, response: web.Response) -> None:
-        if self.state.stopping:
-            response.force_close()
-
     def _count(self, outcome: str) -> None:
         self.outcome_counts[outcome] = self.outcome_counts.get(outcome, 0) + 1
 
--- a/packages/knapweedhall-router/tests/test_planned_stop.py
+++ b/packages/knapweedhall-router/tests/test_planned_stop.py
@@ -123,6 +123,13 @@
         )
 
 
+def enlarge(request: web.BaseRequest, raw: bytes) -> bytes:
+    """Return a response with a large body."""
+    head, _, _ = raw.partition(b'Content-Length')
+    length = b'Content-Length: %d\r\n\r\n' % LARGE_BODY_BYTES
+    return head + length + bytes(LARGE_BODY_BYTES)
+
+
 class StopCase(test_process.ProcessTest):
     """A router's process, callers on connections, and a single upstream."""
 
@@ -199,12 +206,6 @@
 
     async def test_response_that_is_still_being_sent(self) -> None:
         """Guards against a process that ends before its responses are sent."""
-
-        def enlarge(request: web.BaseRequest, raw: bytes) -> bytes:
-            head, _, _ = raw.partition(b'Content-Length')
-            length = b'Content-Length: %d\r\n\r\n' % LARGE_BODY_BYTES
-            return head + length + bytes(LARGE_BODY_BYTES)
-
         caller = await self.connect()
         self.assertEqual(200, (await self.ask(caller, 'before')).status)
         self.upstream.response_hook = enlarge
--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -174,3 +174,30 @@
         self.assertLess(float(answer.retry_after), 0.1)
         self.assertEqual(0, self.run_count('late'))
         await self.assert_ended(stopped_at)
+
+
+class PipelineTest(test_planned_stop.StopCase):
+    """Callers that send further requests before they have the response."""
+
+    def send(self, caller: test_planned_stop.Caller, name: str) -> None:
+        """Send a whole request."""
+        caller.send_head(name, 4)
+        caller.writer.write(b'work')
+
+    async def test_stop_while_a_further_request_waits(self) -> None:
+        """Guards against whole requests that a stop leaves unanswered.
+
+        The connection was closed after the first response, though the second
+        request had been read long before.
+        """
+        self.upstream.work_s = 1.0
+        caller = await self.connect()
+        for number in range(2):
+            self.send(caller, f'pipelined-{number}')
+        await asyncio.sleep(0.4)
+        stopped_at = self.request_stop()
+        for number in range(2):
+            answer = await caller.read_answer()
+            self.assertEqual(200, answer.status)
+            self.assertEqual(1, self.run_count(f'pipelined-{number}'))
+        await self.assert_ended(stopped_at)
