Do not count a waiting request as a head that takes too long

Cause: the time of a head ran on from the first byte of a request until its handler began. A request that was pipelined while the response to the one before was sent had to wait for that, and its connection was closed after 3 s.

Change: a connection with a whole head that awaits its turn is not slow.

Result: test_response_that_is_sent_slowly (12 MB in 5 s, a further request after 0.5 s): the connection ended after the first response before, and the second response follows now. test_request_ends.PipelineTest passes.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -187,6 +187,7 @@
             connection
             for connection in self.caller_connections()
             if connection.head_since < began_before
+            and not connection.has_waiting_request()
         ]
         for connection in slow:
             connection.force_close()
--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -23,6 +23,8 @@
 SHORT_LIMIT_S = 2
 # Time from a stop signal to the last byte of an upload.
 LAST_BYTE_S = 4.0
+# Longer than a head may take (3 s) and the period in which this is checked.
+SLOW_RESPONSE_S = 5.0
 # For the event loops of the test and the router.
 MARGIN_S = 0.5
 
@@ -201,3 +203,24 @@
             self.assertEqual(200, answer.status)
             self.assertEqual(1, self.run_count(f'pipelined-{number}'))
         await self.assert_ended(stopped_at)
+
+    async def test_response_that_is_sent_slowly(self) -> None:
+        """Guards against a waiting request that counts as a slow head.
+
+        The connection was closed when the first response took longer than a
+        head may.
+        """
+        self.upstream.response_hook = test_planned_stop.enlarge
+        caller = await self.connect()
+        self.send(caller, 'large')
+        # The first response is being sent by then.
+        await asyncio.sleep(0.5)
+        self.send(caller, 'next')
+        large = test_planned_stop.LARGE_BODY_BYTES
+        received = 0
+        while received < 2 * large:
+            chunk = await caller.reader.read(test_planned_stop.WINDOW_BYTES)
+            self.assertTrue(chunk, f'closed after {received} bytes')
+            received += len(chunk)
+            if received < large:
+                await asyncio.sleep(len(chunk) * SLOW_RESPONSE_S / large)
