Let heads that are arriving end when a stop closes idle connections

Cause: a connection on which only a part of a head had arrived counted as idle, so a stop closed it 2.6 s after the signal. Heads arrive in parts over links that are full.

Change: such a connection ends with its response, or when the head takes too long (header timeout of the configuration).

Result: HeadTest.test_head_in_two_parts (1 s between the parts, across the close): closed without a status before, 200 now. test_planned_stop and PipelineTest pass.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -140,6 +140,9 @@
         """
         if self.transport is None or self.transport.is_closing():
             return False
+        if self.head_since < math.inf:
+            # It ends with the response, or when the head takes too long.
+            return False
         return not self.is_handling() and not self.unsent_bytes()
 
     def data_received(self, data: bytes) -> None:
--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -9,6 +9,7 @@
 
 import asyncio
 
+from knapweedhall_router import application
 from tests import fleet
 from tests import test_planned_stop
 
@@ -224,3 +225,20 @@
             received += len(chunk)
             if received < large:
                 await asyncio.sleep(len(chunk) * SLOW_RESPONSE_S / large)
+
+
+class HeadTest(test_planned_stop.StopCase):
+    """Heads that are still arriving when a stop closes idle connections."""
+
+    async def test_head_in_two_parts(self) -> None:
+        """Guards against a request that is cut as if nothing were arriving."""
+        caller = await self.connect()
+        stopped_at = self.request_stop()
+        head = encode_head('two-parts', 'Content-Length: 4')
+        await asyncio.sleep(application.ACCEPT_AFTER_STOP_S - 0.5)
+        caller.writer.write(head[:30])
+        await asyncio.sleep(1.0)
+        caller.writer.write(head[30:] + b'work')
+        self.assertEqual(200, (await caller.read_answer()).status)
+        self.assertEqual(1, self.run_count('two-parts'))
+        await self.assert_ended(stopped_at)
