Test requests in each state beside reloads, configurations and faults

A head, a body and a response are in progress, and a connection is idle, while the settings are reloaded three times, while the route is dropped and comes back, while the store goes away, and while the upstream drains.

Result: all requests run once and get 200, and each connection serves another request. No fault was found; the tests guard what was only read from the code so far.

--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -8,6 +8,9 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
+import signal
+import typing
 
 from knapweedhall_router import application
 from tests import fleet
@@ -26,6 +29,10 @@
 LAST_BYTE_S = 4.0
 # Longer than a head may take (3 s) and the period in which this is checked.
 SLOW_RESPONSE_S = 5.0
+# Time that an upstream works while something else happens.
+WORK_S = 0.6
+# Pace of reading a response.
+WINDOWS_PER_S = 100 * test_planned_stop.WINDOW_BYTES
 # For the event loops of the test and the router.
 MARGIN_S = 0.5
 
@@ -227,6 +234,112 @@
                 await asyncio.sleep(len(chunk) * SLOW_RESPONSE_S / large)
 
 
+class DisturbanceTest(test_planned_stop.StopCase):
+    """Requests in each state while something else happens to the router."""
+
+    async def asyncSetUp(self) -> None:
+        """Let responses take longer than the disturbances."""
+        await super().asyncSetUp()
+        self.upstream.work_s = WORK_S
+        self.answers: dict[str, test_planned_stop.Answer] = {}
+        self.callers: dict[str, test_planned_stop.Caller] = {}
+
+    async def send(
+        self, state: str, parts: collections.abc.Sequence[bytes]
+    ) -> None:
+        """Send a request in parts and read the response slowly."""
+        caller = self.callers[state] = await self.connect()
+        for part in parts:
+            caller.writer.write(part)
+            await asyncio.sleep(WORK_S)
+        self.answers[state] = await caller.read_answer(WINDOWS_PER_S)
+
+    async def assert_undisturbed(
+        self, disturb: collections.abc.Callable[[], typing.Awaitable[None]]
+    ) -> None:
+        """Check that all requests are answered and all connections kept.
+
+        Parameters
+        ----------
+        disturb : callable
+            What happens once while requests are in all states.
+        """
+        idle = self.callers['idle'] = await self.connect()
+        self.assertEqual(200, (await self.ask(idle, 'idle')).status)
+        heads = {
+            state: encode_head(state, 'Content-Length: 4')
+            for state in ('head', 'body', 'upstream')
+        }
+        tasks = [
+            asyncio.create_task(self.send(state, parts))
+            for state, parts in (
+                ('head', (heads['head'][:30], heads['head'][30:] + b'work')),
+                ('body', (heads['body'] + b'wo', b'rk')),
+                ('upstream', (heads['upstream'] + b'work',)),
+            )
+        ]
+        await asyncio.sleep(WORK_S / 2)
+        await disturb()
+        await asyncio.gather(*tasks)
+        for state, answer in self.answers.items():
+            self.assertEqual(200, answer.status, state)
+            self.assertEqual(1, self.run_count(state), state)
+        for state, caller in self.callers.items():
+            answer = await self.ask(caller, f'{state}-again')
+            self.assertEqual(200, answer.status, state)
+
+    async def test_reload(self) -> None:
+        """Guards against a reload that disturbs what is in progress."""
+
+        async def reload() -> None:
+            for drain_s in (3, 2, 4):
+                self.write_settings(
+                    bounds={
+                        'retryBudgetRatio': 0.2,
+                        'budgetWindowS': 10,
+                        'budgetExtra': 62,
+                        'drainS': drain_s,
+                        'graceS': 6,
+                    }
+                )
+                self.router.send(signal.SIGHUP)
+                await asyncio.sleep(0.1)
+            await self.router.wait_for_event('settings_reloaded')
+
+        await self.assert_undisturbed(reload)
+
+    async def test_configurations_in_series(self) -> None:
+        """Guards against a configuration that cuts what an older one began.
+
+        The route is dropped for a moment, and its time limit changes.
+        """
+
+        async def configure() -> None:
+            route = self.fleet.route('order', '/order/', 'unsafe', 'orders')
+            other = self.fleet.route('other', '/other/', 'safe', 'orders')
+            for routes in ([route], [other], [other, route]):
+                self.fleet.configure(routes)
+                await asyncio.sleep(0.05)
+
+        await self.assert_undisturbed(configure)
+
+    async def test_store_that_goes_away(self) -> None:
+        """Guards against requests that wait for the store."""
+        await self.assert_undisturbed(self.fleet.store.stop)
+
+    async def test_upstream_that_is_draining(self) -> None:
+        """Guards against requests that are cut as their upstream leaves."""
+        other = await self.fleet.add_upstream('orders', False)
+
+        async def drain() -> None:
+            self.upstream.drain()
+
+        runs = self.upstream.runs
+        # Counted together, as either may run what is sent later.
+        other.runs = runs
+        await self.assert_undisturbed(drain)
+
+
 class HeadTest(test_planned_stop.StopCase):
     """Heads that are still arriving when a stop closes idle connections."""
 
