Answer a body whose framing is not valid at once

Cause: the server's parser queues an error behind the request and does not tell the reader of the body. The request waited for the rest of its body until its time limit and got 408.

Change: what waits behind a body that is not complete is such an error, as no further request begins there. The body ends, and the request gets 400 and is not sent. A body that is being discarded after a refusal closes the connection.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -44,6 +44,8 @@
         When the last request was passed to its handler, on `clock.now`.
     content : aiohttp.streams.StreamReader or None
         Body of the last request.
+    malformed : bool
+        Whether the framing of the last body is not valid.
     sending : asyncio.Transport or None
         The transport until the connection is closed, also while it is closing
         and still sends.
@@ -57,6 +59,7 @@
         'running',
         'request_at',
         'content',
+        'malformed',
         'sending',
     )
 
@@ -74,6 +77,7 @@
         self.running = False
         self.request_at = -math.inf
         self.content: streams.StreamReader | None = None
+        self.malformed = False
         self.sending: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -115,6 +119,24 @@
         self.head_since = math.inf
         self.head_bytes = 0
         self.head_complete = False
+        self._end_malformed_body()
+
+    def _end_malformed_body(self) -> None:
+        """End a body whose framing is not valid; the parser does not go on.
+
+        No further request begins before the end of a body, so what waits then
+        is the parser's error.
+        """
+        if self.content is None or self.content.is_eof():
+            return
+        if not self.has_waiting_request():
+            return
+        self.malformed = True
+        if self.running:
+            self.content.feed_eof()
+        else:
+            # The response has been sent.
+            self.force_close()
 
     def record_response(self) -> None:
         """Record that the handler has ended."""
@@ -162,6 +184,7 @@
         if data:
             self.last_bytes = data[1 - len(END_OF_HEAD) :]
         super().data_received(data)
+        self._end_malformed_body()
 
 
 class CallerServer(web.Server):
--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -297,6 +297,14 @@
                 )
             if not memory.cover(len(body), memory_bytes):
                 return self._refuse_unread(request, 503, 'memory', 0.2)
+        connection = request.protocol
+        assert isinstance(connection, caller_connections.CallerConnection)
+        if connection.malformed:
+            response = self._refuse_unread(
+                request, 400, 'body-malformed', None
+            )
+            response.force_close()
+            return response
         return body
 
     def _refuse_unread(
--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -355,3 +355,26 @@
         self.assertEqual(200, (await caller.read_answer()).status)
         self.assertEqual(1, self.run_count('two-parts'))
         await self.assert_ended(stopped_at)
+
+
+class MalformedBodyTest(test_planned_stop.StopCase):
+    """Bodies whose framing is not valid."""
+
+    async def test_chunk_sizes_that_are_not_valid(self) -> None:
+        """Guards against callers that wait until their time limit (408)."""
+        field = 'Transfer-Encoding: chunked'
+        for name, first, second in (
+            ('size', b'4\r\nwork\r\n', b'zz\r\n'),
+            ('end-of-chunk', b'4\r\nwo', b'rkXX\r\n0\r\n\r\n'),
+            ('at-once', b'zz\r\nwork\r\n0\r\n\r\n', b''),
+        ):
+            with self.subTest(body=name):
+                caller = await self.connect()
+                caller.writer.write(encode_head(name, field) + first)
+                await asyncio.sleep(0.2)
+                caller.writer.write(second)
+                async with asyncio.timeout(MARGIN_S):
+                    answer = await caller.read_answer()
+                self.assertEqual(400, answer.status)
+                self.assertEqual(b'', await caller.reader.read())
+                self.assertEqual(0, self.run_count(name))
