Test callers in all states through all phases of a stop

Uploads that end 1.5 s, 3.5 s and 5.3 s after the signal, a connection that is used, one that is idle, one that was opened and not used, and one whose caller does not read its response.

Result: 200, 200 and 503 (not run), 200, closed before their requests, and the process ends within the grace time. No fault was found by it.

--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -378,3 +378,55 @@
                 self.assertEqual(400, answer.status)
                 self.assertEqual(b'', await caller.reader.read())
                 self.assertEqual(0, self.run_count(name))
+
+
+class StopPhasesTest(test_planned_stop.StopCase):
+    """Requests that end in each phase of a stop."""
+
+    async def upload(
+        self, name: str, seconds: float
+    ) -> test_planned_stop.Answer:
+        """Send a body evenly over a time and read the response."""
+        caller = await self.connect()
+        caller.send_head(name, PART_COUNT)
+        for _ in range(PART_COUNT):
+            caller.writer.write(b'w')
+            await asyncio.sleep(seconds / PART_COUNT)
+        return await caller.read_answer()
+
+    async def test_callers_in_all_states(self) -> None:
+        """Guards against whole requests that get no response or a wrong one.
+
+        One caller never reads a large response, which must not keep the
+        process from its end.
+        """
+        self.upstream.response_hook = test_planned_stop.enlarge
+        unread = await self.connect()
+        unread.writer.transport.pause_reading()
+        unread.send_head('unread', 4)
+        unread.writer.write(b'work')
+        await asyncio.sleep(0.5)
+        self.upstream.response_hook = None
+        self.upstream.work_s = WORK_S
+        idle, used = await self.connect(), await self.connect()
+        self.assertEqual(200, (await self.ask(idle, 'before')).status)
+        stopped_at = self.request_stop()
+        uploads = {
+            name: asyncio.create_task(self.upload(name, seconds))
+            for name, seconds in (('early', 1.5), ('late', 3.5), ('over', 5.3))
+        }
+        await asyncio.sleep(1.0)
+        self.assertEqual(200, (await self.ask(used, 'used')).status)
+        late_connection = await self.connect()
+        await asyncio.sleep(test_planned_stop.AFTER_CLOSE_S - 1.0 - WORK_S)
+        for name, caller in (('idle', idle), ('unused', late_connection)):
+            # The connection was closed before the request was sent.
+            self.assertEqual(0, (await self.ask(caller, name)).status)
+            self.assertEqual(0, self.run_count(name))
+        for name, task in uploads.items():
+            answer = await task
+            is_over = name == 'over'
+            self.assertEqual(503 if is_over else 200, answer.status, name)
+            self.assertEqual(0 if is_over else 1, self.run_count(name), name)
+        await self.assert_ended(stopped_at)
+        self.assertEqual(1, self.run_count('unread'))
