--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -45,8 +45,12 @@
         Last bytes received, which may be the beginning of the end of a head.
     running : bool
         Whether a request is in progress.
+    request_at : float
+        When the last request was passed to its handler, on `clock.now`.
     content : aiohttp.streams.StreamReader or None
         Body of the last request.
+    malformed : bool
+        Whether the framing of the last body is not valid.
     sending : asyncio.Transport or None
         The transport until the connection is closed, also while it is closing
         and still sends.
@@ -61,7 +65,9 @@
         'head_complete',
         'last_bytes',
         'running',
+        'request_at',
         'content',
+        'malformed',
         'sending',
         'first_request_until',
     )
@@ -78,7 +84,9 @@
         self.head_complete = False
         self.last_bytes = b''
         self.running = False
+        self.request_at = -math.inf
         self.content: streams.StreamReader | None = None
+        self.malformed = False
         self.sending: asyncio.Transport | None = None
         self.first_request_until = clock.now() + FIRST_REQUEST_S
 
@@ -117,15 +125,38 @@
         """
         self.running = True
         self.first_request_until = -math.inf
+        self.request_at = clock.now()
         self.content = content
         self.head_since = math.inf
         self.head_bytes = 0
         self.head_complete = False
+        self._end_malformed_body()
+
+    def _end_malformed_body(self) -> None:
+        """End a body whose framing is not valid; the parser does not go on.
+
+        No further request begins before the end of a body, so what waits then
+        is the parser's error.
+        """
+        if self.content is None or self.content.is_eof():
+            return
+        if not self.has_waiting_request():
+            return
+        self.malformed = True
+        if self.running:
+            self.content.feed_eof()
+        else:
+            # The response has been sent.
+            self.force_close()
 
     def record_response(self) -> None:
         """Record that the handler has ended."""
         self.running = False
 
+    def has_waiting_request(self) -> bool:
+        """Return whether a further request was read and awaits its turn."""
+        return bool(self._messages)
+
     def is_handling(self) -> bool:
         """Return whether received bytes belong to a request with a handler.
 
@@ -145,7 +176,9 @@
             return False
         if self.is_handling() or self.unsent_bytes():
             return False
-        if self.head_since != math.inf:
+        if self.has_waiting_request() or self.head_since < math.inf:
+            # A head that is arriving ends with the response, or when it takes
+            # too long.
             return False
         if clock.now() < self.first_request_until:
             return False
@@ -190,6 +223,7 @@
         if data:
             self.last_bytes = data[1 - len(END_OF_HEAD) :]
         super().data_received(data)
+        self._end_malformed_body()
 
 
 class CallerServer(web.Server):
@@ -228,6 +262,7 @@
             connection
             for connection in self.caller_connections()
             if connection.head_since < began_before
+            and not connection.has_waiting_request()
         ]
         for connection in slow:
             connection.force_close()
--- a/packages/knapweedhall-router/tests/test_planned_stop.py
+++ b/packages/knapweedhall-router/tests/test_planned_stop.py
@@ -44,6 +44,8 @@
         The header; '' if there is none.
     ended_at : float
         When the response or the connection ended, on the loop's clock.
+    signature : str
+        The header that only upstreams send; '' if there is none.
     """
 
     status: int
@@ -51,6 +53,7 @@
     is_whole: bool
     retry_after: str
     ended_at: float
+    signature: str
 
 
 class Caller:
@@ -95,7 +98,7 @@
         """Read a response, not faster than `bytes_per_s`."""
         loop = asyncio.get_running_loop()
         status, length, received = 0, -1, 0
-        retry_after = ''
+        retry_after = signature = ''
         with contextlib.suppress(OSError, EOFError):
             head = (await self.reader.readuntil(b'\r\n\r\n')).decode()
             first, *lines = head.strip().split('\r\n')
@@ -104,6 +107,7 @@
                 for name, value in (line.split(': ', 1) for line in lines)
             }
             retry_after = fields.get('retry-after', '')
+            signature = fields.get('x-response-signature', '')
             length = int(fields['content-length'])
             status = int(first.split()[1])
             while received < length:
@@ -114,10 +118,22 @@
                 if bytes_per_s is not None:
                     await asyncio.sleep(len(chunk) / bytes_per_s)
         return Answer(
-            status, received, received == length, retry_after, loop.time()
+            status,
+            received,
+            received == length,
+            retry_after,
+            loop.time(),
+            signature,
         )
 
 
+def enlarge(request: web.BaseRequest, raw: bytes) -> bytes:
+    """Return a response with a large body."""
+    head, _, _ = raw.partition(b'Content-Length')
+    length = b'Content-Length: %d\r\n\r\n' % LARGE_BODY_BYTES
+    return head + length + bytes(LARGE_BODY_BYTES)
+
+
 class StopCase(test_process.ProcessTest):
     """A router's process, callers on connections, and a single upstream."""
 
@@ -204,12 +220,6 @@
 
     async def test_response_that_is_still_being_sent(self) -> None:
         """Guards against a process that ends before its responses are sent."""
-
-        def enlarge(request: web.BaseRequest, raw: bytes) -> bytes:
-            head, _, _ = raw.partition(b'Content-Length')
-            length = b'Content-Length: %d\r\n\r\n' % LARGE_BODY_BYTES
-            return head + length + bytes(LARGE_BODY_BYTES)
-
         caller = await self.connect()
         self.assertEqual(200, (await self.ask(caller, 'before')).status)
         self.upstream.response_hook = enlarge
--- /dev/null
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -0,0 +1,432 @@
+"""Tests of how requests and connections of callers end.
+
+The router is a process of its own. Each test ends a request in one state:
+while its head or body arrives, before its body is in, while it waits, while it
+runs, and while its response is sent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import signal
+import typing
+
+from knapweedhall_router import application
+from tests import fleet
+from tests import test_planned_stop
+
+# Together they need more memory than the router gives to bodies (0.3 of
+# 300 MB), each alone does not.
+HELD_BODY_BYTES = 63_000_000
+REFUSED_BODY_BYTES = 30_000_000
+PART_COUNT = 30
+# Longer than the time for which the HTTP server reads on after a response.
+UPLOAD_S = 2.4
+READ_ON_S = 1.0
+SHORT_LIMIT_S = 2
+# Time from a stop signal to the last byte of an upload.
+LAST_BYTE_S = 4.0
+# Longer than a head may take (3 s) and the period in which this is checked.
+SLOW_RESPONSE_S = 5.0
+# Time that an upstream works while something else happens.
+WORK_S = 0.6
+# Pace of reading a response.
+WINDOWS_PER_S = 100 * test_planned_stop.WINDOW_BYTES
+# For the event loops of the test and the router.
+MARGIN_S = 0.5
+
+
+def encode_head(
+    request_id: str, *fields: str, path: str = '/order/x'
+) -> bytes:
+    """Return the head of a POST request with a time limit of 2 s."""
+    lines = (
+        f'POST {path} HTTP/1.1',
+        f'Host: {fleet.HOST}',
+        f'X-Attempt-Id: {request_id}',
+        f'X-Deadline-Ms: {SHORT_LIMIT_S * 1000}',
+        *fields,
+    )
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode()
+
+
+class RefusalTest(test_planned_stop.StopCase):
+    """Requests that are refused before their body is in."""
+
+    async def upload(
+        self, caller: test_planned_stop.Caller, request_id: str
+    ) -> test_planned_stop.Answer:
+        """Send a body slowly, and read only when it is sent."""
+        caller.send_head(request_id, REFUSED_BODY_BYTES)
+        part = bytes(REFUSED_BODY_BYTES // PART_COUNT)
+        for _ in range(PART_COUNT):
+            caller.writer.write(part)
+            await asyncio.sleep(UPLOAD_S / PART_COUNT)
+        return await caller.read_answer()
+
+    async def test_upload_that_is_refused_at_its_head(self) -> None:
+        """Guards against refusals that are lost with a reset connection.
+
+        A connection that is closed before the body was read is reset, and a
+        caller that is still sending does not see the response.
+        """
+        holder, caller = await self.connect(), await self.connect()
+        holder.send_head('held', HELD_BODY_BYTES)
+        await asyncio.sleep(0.1)
+        answer = await self.upload(caller, 'refused')
+        self.assertEqual(503, answer.status)
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(0, self.run_count('refused'))
+        # Its memory is free once the router has noticed that it left.
+        holder.writer.close()
+        await asyncio.sleep(0.1)
+        # The connection can be used again, as the body was read.
+        self.assertEqual(200, (await self.ask(caller, 'next')).status)
+
+    async def test_refused_upload_that_does_not_end(self) -> None:
+        """Guards against callers that hold a connection by sending slowly."""
+        caller = await self.connect()
+        caller.writer.write(
+            encode_head('slow', 'Content-Length: 1000000', path='/unknown/x')
+        )
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        self.assertEqual(404, (await caller.read_answer()).status)
+        async with asyncio.timeout(SHORT_LIMIT_S + READ_ON_S + MARGIN_S):
+            while not caller.reader.at_eof():
+                caller.writer.write(b'slow')
+                await asyncio.sleep(0.02)
+        self.assertGreaterEqual(loop.time() - sent_at, SHORT_LIMIT_S)
+
+
+class ExpectTest(test_planned_stop.StopCase):
+    """Callers that wait before they send a body (Expect: 100-continue)."""
+
+    fields = ('Expect: 100-continue', 'Content-Length: 4')
+
+    async def test_caller_that_waits_before_its_body(self) -> None:
+        """Guards against callers that wait until their time limit (408)."""
+        caller = await self.connect()
+        caller.writer.write(encode_head('waits', *self.fields))
+        async with asyncio.timeout(SHORT_LIMIT_S):
+            interim = await caller.reader.readuntil(b'\r\n\r\n')
+        self.assertEqual(b'HTTP/1.1 100 Continue\r\n\r\n', interim)
+        caller.writer.write(b'work')
+        self.assertEqual(200, (await caller.read_answer()).status)
+        self.assertEqual(1, self.run_count('waits'))
+        self.assertEqual(200, (await self.ask(caller, 'next')).status)
+
+    async def test_caller_that_does_not_wait(self) -> None:
+        """Guards against an interim response after the body has arrived."""
+        caller = await self.connect()
+        caller.writer.write(encode_head('sends', *self.fields) + b'work')
+        self.assertEqual(200, (await caller.read_answer()).status)
+
+    async def test_refusal_in_place_of_the_interim_response(self) -> None:
+        """Guards against a next request that is read as the missing body."""
+        caller = await self.connect()
+        head = encode_head('refused', *self.fields, path='/unknown/x')
+        caller.writer.write(head)
+        received = await caller.reader.readuntil(b'\r\n\r\n')
+        self.assertIn(b' 404 ', received)
+        self.assertIn(b'Connection: close', received)
+
+
+class LateUploadTest(test_planned_stop.StopCase):
+    """Uploads whose last byte arrives after a stop signal.
+
+    The platform excuses a response of the router's own in place of a running
+    request only for requests of the first 3 s after the signal.
+    """
+
+    async def send_late(
+        self, request_id: str
+    ) -> tuple[float, test_planned_stop.Answer]:
+        """Stop the router, and send a body whose last byte comes late.
+
+        Returns
+        -------
+        stopped_at : float
+            When the signal was sent, on the loop's clock.
+        answer : Answer
+            What the caller received.
+        """
+        caller = await self.connect()
+        caller.send_head(request_id, 4)
+        stopped_at = self.request_stop()
+        for _ in range(4):
+            await asyncio.sleep(LAST_BYTE_S / 4)
+            caller.writer.write(b'w')
+        return stopped_at, await caller.read_answer()
+
+    async def test_upstream_that_needs_longer_than_expected(self) -> None:
+        """Guards against a 504 of our own while the upstream is at work."""
+        self.upstream.work_s = 2 * test_planned_stop.GRACE_S
+        stopped_at, answer = await self.send_late('late')
+        self.assertEqual(504, answer.status)
+        self.assertNotEqual('', answer.signature)
+        self.assertEqual(1, self.run_count('late'))
+        await self.assert_ended(stopped_at)
+
+    async def test_upstream_that_is_known_to_be_slow(self) -> None:
+        """Guards against work that is begun though it can't end in time.
+
+        Other routers can run the request, so it is refused for a short time.
+        """
+        self.upstream.work_s = test_planned_stop.GRACE_S - LAST_BYTE_S
+        caller = await self.connect()
+        for number in range(4):
+            answer = await self.ask(caller, f'slow-{number}')
+            self.assertEqual(200, answer.status)
+        stopped_at, answer = await self.send_late('late')
+        self.assertEqual(503, answer.status)
+        self.assertLess(float(answer.retry_after), 0.1)
+        self.assertEqual(0, self.run_count('late'))
+        await self.assert_ended(stopped_at)
+
+
+class PipelineTest(test_planned_stop.StopCase):
+    """Callers that send further requests before they have the response."""
+
+    def send(self, caller: test_planned_stop.Caller, name: str) -> None:
+        """Send a whole request."""
+        caller.send_head(name, 4)
+        caller.writer.write(b'work')
+
+    async def test_stop_while_a_further_request_waits(self) -> None:
+        """Guards against whole requests that a stop leaves unanswered.
+
+        The connection was closed after the first response, though the second
+        request had been read long before.
+        """
+        self.upstream.work_s = 1.0
+        caller = await self.connect()
+        for number in range(2):
+            self.send(caller, f'pipelined-{number}')
+        await asyncio.sleep(0.4)
+        stopped_at = self.request_stop()
+        for number in range(2):
+            answer = await caller.read_answer()
+            self.assertEqual(200, answer.status)
+            self.assertEqual(1, self.run_count(f'pipelined-{number}'))
+        await self.assert_ended(stopped_at)
+
+    async def test_response_that_is_sent_slowly(self) -> None:
+        """Guards against a waiting request that counts as a slow head.
+
+        The connection was closed when the first response took longer than a
+        head may.
+        """
+        self.upstream.response_hook = test_planned_stop.enlarge
+        caller = await self.connect()
+        self.send(caller, 'large')
+        # The first response is being sent by then.
+        await asyncio.sleep(0.5)
+        self.send(caller, 'next')
+        large = test_planned_stop.LARGE_BODY_BYTES
+        received = 0
+        while received < 2 * large:
+            chunk = await caller.reader.read(test_planned_stop.WINDOW_BYTES)
+            self.assertTrue(chunk, f'closed after {received} bytes')
+            received += len(chunk)
+            if received < large:
+                await asyncio.sleep(len(chunk) * SLOW_RESPONSE_S / large)
+
+
+class DisturbanceTest(test_planned_stop.StopCase):
+    """Requests in each state while something else happens to the router."""
+
+    async def asyncSetUp(self) -> None:
+        """Let responses take longer than the disturbances."""
+        await super().asyncSetUp()
+        self.upstream.work_s = WORK_S
+        self.answers: dict[str, test_planned_stop.Answer] = {}
+        self.callers: dict[str, test_planned_stop.Caller] = {}
+
+    async def send(
+        self, state: str, parts: collections.abc.Sequence[bytes]
+    ) -> None:
+        """Send a request in parts and read the response slowly."""
+        caller = self.callers[state] = await self.connect()
+        for part in parts:
+            caller.writer.write(part)
+            await asyncio.sleep(WORK_S)
+        self.answers[state] = await caller.read_answer(WINDOWS_PER_S)
+
+    async def assert_undisturbed(
+        self, disturb: collections.abc.Callable[[], typing.Awaitable[None]]
+    ) -> None:
+        """Check that all requests are answered and all connections kept.
+
+        Parameters
+        ----------
+        disturb : callable
+            What happens once while requests are in all states.
+        """
+        idle = self.callers['idle'] = await self.connect()
+        self.assertEqual(200, (await self.ask(idle, 'idle')).status)
+        heads = {
+            state: encode_head(state, 'Content-Length: 4')
+            for state in ('head', 'body', 'upstream')
+        }
+        tasks = [
+            asyncio.create_task(self.send(state, parts))
+            for state, parts in (
+                ('head', (heads['head'][:30], heads['head'][30:] + b'work')),
+                ('body', (heads['body'] + b'wo', b'rk')),
+                ('upstream', (heads['upstream'] + b'work',)),
+            )
+        ]
+        await asyncio.sleep(WORK_S / 2)
+        await disturb()
+        await asyncio.gather(*tasks)
+        for state, answer in self.answers.items():
+            self.assertEqual(200, answer.status, state)
+            self.assertEqual(1, self.run_count(state), state)
+        for state, caller in self.callers.items():
+            answer = await self.ask(caller, f'{state}-again')
+            self.assertEqual(200, answer.status, state)
+
+    async def test_reload(self) -> None:
+        """Guards against a reload that disturbs what is in progress."""
+
+        async def reload() -> None:
+            for drain_s in (3, 2, 4):
+                self.write_settings(
+                    bounds={
+                        'retryBudgetRatio': 0.2,
+                        'budgetWindowS': 10,
+                        'budgetExtra': 62,
+                        'drainS': drain_s,
+                        'graceS': 6,
+                    }
+                )
+                self.router.send(signal.SIGHUP)
+                await asyncio.sleep(0.1)
+            await self.router.wait_for_event('settings_reloaded')
+
+        await self.assert_undisturbed(reload)
+
+    async def test_configurations_in_series(self) -> None:
+        """Guards against a configuration that cuts what an older one began.
+
+        The route is dropped for a moment, and its time limit changes.
+        """
+
+        async def configure() -> None:
+            route = self.fleet.route('order', '/order/', 'unsafe', 'orders')
+            other = self.fleet.route('other', '/other/', 'safe', 'orders')
+            for routes in ([route], [other], [other, route]):
+                self.fleet.configure(routes)
+                await asyncio.sleep(0.05)
+
+        await self.assert_undisturbed(configure)
+
+    async def test_store_that_goes_away(self) -> None:
+        """Guards against requests that wait for the store."""
+        await self.assert_undisturbed(self.fleet.store.stop)
+
+    async def test_upstream_that_is_draining(self) -> None:
+        """Guards against requests that are cut as their upstream leaves."""
+        other = await self.fleet.add_upstream('orders', False)
+
+        async def drain() -> None:
+            self.upstream.drain()
+
+        runs = self.upstream.runs
+        # Counted together, as either may run what is sent later.
+        other.runs = runs
+        await self.assert_undisturbed(drain)
+
+
+class HeadTest(test_planned_stop.StopCase):
+    """Heads that are still arriving when a stop closes idle connections."""
+
+    async def test_head_in_two_parts(self) -> None:
+        """Guards against a request that is cut as if nothing were arriving."""
+        caller = await self.connect()
+        stopped_at = self.request_stop()
+        head = encode_head('two-parts', 'Content-Length: 4')
+        await asyncio.sleep(application.ACCEPT_AFTER_STOP_S - 0.5)
+        caller.writer.write(head[:30])
+        await asyncio.sleep(1.0)
+        caller.writer.write(head[30:] + b'work')
+        self.assertEqual(200, (await caller.read_answer()).status)
+        self.assertEqual(1, self.run_count('two-parts'))
+        await self.assert_ended(stopped_at)
+
+
+class MalformedBodyTest(test_planned_stop.StopCase):
+    """Bodies whose framing is not valid."""
+
+    async def test_chunk_sizes_that_are_not_valid(self) -> None:
+        """Guards against callers that wait until their time limit (408)."""
+        field = 'Transfer-Encoding: chunked'
+        for name, first, second in (
+            ('size', b'4\r\nwork\r\n', b'zz\r\n'),
+            ('end-of-chunk', b'4\r\nwo', b'rkXX\r\n0\r\n\r\n'),
+            ('at-once', b'zz\r\nwork\r\n0\r\n\r\n', b''),
+        ):
+            with self.subTest(body=name):
+                caller = await self.connect()
+                caller.writer.write(encode_head(name, field) + first)
+                await asyncio.sleep(0.2)
+                caller.writer.write(second)
+                async with asyncio.timeout(MARGIN_S):
+                    answer = await caller.read_answer()
+                self.assertEqual(400, answer.status)
+                self.assertEqual(b'', await caller.reader.read())
+                self.assertEqual(0, self.run_count(name))
+
+
+class StopPhasesTest(test_planned_stop.StopCase):
+    """Requests that end in each phase of a stop."""
+
+    async def upload(
+        self, name: str, seconds: float
+    ) -> test_planned_stop.Answer:
+        """Send a body evenly over a time and read the response."""
+        caller = await self.connect()
+        caller.send_head(name, PART_COUNT)
+        for _ in range(PART_COUNT):
+            caller.writer.write(b'w')
+            await asyncio.sleep(seconds / PART_COUNT)
+        return await caller.read_answer()
+
+    async def test_callers_in_all_states(self) -> None:
+        """Guards against whole requests that get no response or a wrong one.
+
+        One caller never reads a large response, which must not keep the
+        process from its end.
+        """
+        self.upstream.response_hook = test_planned_stop.enlarge
+        unread = await self.connect()
+        unread.writer.transport.pause_reading()
+        unread.send_head('unread', 4)
+        unread.writer.write(b'work')
+        await asyncio.sleep(0.5)
+        self.upstream.response_hook = None
+        self.upstream.work_s = WORK_S
+        idle, used = await self.connect(), await self.connect()
+        self.assertEqual(200, (await self.ask(idle, 'before')).status)
+        stopped_at = self.request_stop()
+        uploads = {
+            name: asyncio.create_task(self.upload(name, seconds))
+            for name, seconds in (('early', 1.5), ('late', 3.5), ('over', 5.3))
+        }
+        await asyncio.sleep(1.0)
+        self.assertEqual(200, (await self.ask(used, 'used')).status)
+        late_connection = await self.connect()
+        await asyncio.sleep(test_planned_stop.AFTER_CLOSE_S - 1.0 - WORK_S)
+        for name, caller in (('idle', idle), ('unused', late_connection)):
+            # The connection was closed before the request was sent.
+            self.assertEqual(0, (await self.ask(caller, name)).status)
+            self.assertEqual(0, self.run_count(name))
+        for name, task in uploads.items():
+            answer = await task
+            is_over = name == 'over'
+            self.assertEqual(503 if is_over else 200, answer.status, name)
+            self.assertEqual(0 if is_over else 1, self.run_count(name), name)
+        await self.assert_ended(stopped_at)
+        self.assertEqual(1, self.run_count('unread'))
