Reject responses whose status is not valid

Callers got a status of 600 to 999 of an upstream as an answer. One below 100 counted as an interim response: the caller waited until its time limit and got 504, though the whole response had arrived.

Cause: the parser accepts any three digits, and the exchange took all statuses below 200 as interim and all others as final. Now a status outside of 100 to 599 (RFC 9110, 15) breaks the exchange before anything else in the response is evaluated: 502, or a retry of an idempotent request.

--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -17,6 +17,8 @@
 from knapweedhall_router import connections
 from knapweedhall_router import response_buffers
 
+# Valid statuses (RFC 9110, 15); the parser lets all of three digits pass.
+VALID_STATUSES = range(100, 600)
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS_STATUS = 101
 # Headers that apply to one connection only (RFC 9110, 7.6.1), and those that
@@ -241,6 +243,8 @@
 ) -> Outcome:
     for _ in range(MAX_RESPONSES_READ):
         message, stream = await connection.read_response()
+        if message.code not in VALID_STATUSES:
+            return Broken('invalid-status', True)
         if message.code == SWITCHING_PROTOCOLS_STATUS:
             return Broken('upgrade', True)
         if message.code < FIRST_FINAL_STATUS:
--- /dev/null
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -0,0 +1,384 @@
+"""Tests of responses that are cut, early, or have no valid status."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import itertools
+import socket
+import struct
+import time
+import typing
+
+from knapweedhall_standins import upstream
+from tests import fleet
+from tests import test_process
+
+ZERO_LINGER = struct.pack('ii', 1, 0)
+WINDOW_BYTES = 65536
+TIME_LIMIT_MS = 6000
+# A response that can't be used ends its request at once, long before the time
+# limit. The bound allows for a busy machine.
+MAX_WAIT_S = 2.0
+# More than the send buffer of a socket on loopback takes.
+LONG_BODY_BYTES = 24_000_000
+# More than a window, but the sender's kernel takes all of it.
+MEDIUM_BODY_BYTES = 400_000
+PART = b'part of the body'
+
+
+class End(enum.Enum):
+    """What an upstream does after it has sent its bytes."""
+
+    KEEP = 'keep'
+    FIN = 'fin'
+    RST = 'rst'
+    # Ends its stream, neither reads nor closes.
+    HALF_CLOSE = 'half-close'
+    # Closes after it has read what has arrived, while more is sent.
+    CLOSE = 'close'
+
+
+class Script(typing.NamedTuple):
+    """How an upstream responds to one request.
+
+    Attributes
+    ----------
+    response : bytes
+        What is sent; `@ID` stands for the ID of the request.
+    end : End
+        What follows.
+    is_early : bool
+        Whether it responds before it reads the body of the request.
+    pause_s : float
+        Time between the response and the end, seconds.
+    """
+
+    response: bytes
+    end: End = End.KEEP
+    is_early: bool = False
+    pause_s: float = 0.02
+
+
+def response(
+    *fields: str,
+    status: str = '200 OK',
+    body: bytes = b'',
+    signed: bool = True,
+) -> bytes:
+    """Return the bytes of a response."""
+    lines = [f'HTTP/1.1 {status}']
+    if signed:
+        lines += ['X-Attempt-Id: @ID', 'X-Response-Signature: s.1']
+    lines += fields
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode() + body
+
+
+SOUND = response('Content-Length: 5', body=b'sound')
+
+
+class ScriptedUpstream:
+    """An upstream that sends the bytes that it is told to send.
+
+    Attributes
+    ----------
+    script : Script or None
+        How it responds to the next request; None for sound responses.
+    kept : bool
+        Whether the last request came over a connection that was used before.
+    """
+
+    def __init__(self, registry: upstream.Registry) -> None:
+        self.registry = registry
+        self.script: Script | None = None
+        self.kept = False
+        self.open = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.listener = socket.socket()
+
+    def start(self) -> None:
+        """Listen, and register in the store."""
+        self.listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES
+        )
+        self.listener.bind(('127.0.0.1', 0))
+        self.listener.listen(64)
+        self.listener.setblocking(False)
+        host, port = self.listener.getsockname()
+        self.registry.put(
+            upstream.UPSTREAM_TOPIC,
+            'i-scripted',
+            {
+                'address': f'{host}:{port}',
+                'info': {
+                    'service': 'orders',
+                    'version': 'v1',
+                    'zone': 'a',
+                    'slots': 8,
+                },
+                'status': {
+                    'state': 'ready',
+                    'sequence': 1,
+                    'warmupLeftS': 0.0,
+                },
+                'born': int(time.time() * 1000),
+            },
+        )
+        self._run(self._accept())
+
+    async def stop(self) -> None:
+        """Close everything."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.listener.close()
+
+    def _run(
+        self, work: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            connection, _ = await loop.sock_accept(self.listener)
+            connection.setblocking(False)
+            self._run(self._serve(connection))
+
+    async def _serve(self, connection: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        self.open += 1
+        try:
+            with contextlib.suppress(OSError):
+                for number in itertools.count():
+                    received = b''
+                    while b'\r\n\r\n' not in received:
+                        data = await loop.sock_recv(connection, 16384)
+                        if not data:
+                            return
+                        received += data
+                    self.kept = number > 0
+                    await self._respond(connection, received)
+        finally:
+            self.open -= 1
+            connection.close()
+
+    async def _discard(self, connection: socket.socket, size: int) -> None:
+        loop = asyncio.get_running_loop()
+        while size > 0:
+            data = await loop.sock_recv(connection, min(size, 65536))
+            if not data:
+                raise ConnectionError('ended')
+            size -= len(data)
+
+    async def _respond(
+        self, connection: socket.socket, received: bytes
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        script, self.script = self.script or Script(SOUND), None
+        head, _, body = received.partition(b'\r\n\r\n')
+        fields = dict(
+            line.lower().split(': ', 1)
+            for line in head.decode().split('\r\n')[1:]
+        )
+        left = int(fields.get('content-length', 0)) - len(body)
+        if not script.is_early:
+            await self._discard(connection, left)
+        request_id = fields['x-attempt-id'].encode()
+        await loop.sock_sendall(
+            connection, script.response.replace(b'@ID', request_id)
+        )
+        if script.end is End.KEEP:
+            if script.is_early:
+                await self._discard(connection, left)
+            return
+        await asyncio.sleep(script.pause_s)
+        if script.end is End.HALF_CLOSE:
+            connection.shutdown(socket.SHUT_WR)
+            await asyncio.sleep(TIME_LIMIT_MS / 1000 + 1)
+        if script.end is End.CLOSE:
+            with contextlib.suppress(BlockingIOError):
+                while connection.recv(65536):
+                    pass
+        if script.end is End.RST:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, ZERO_LINGER
+            )
+        connection.close()
+        raise ConnectionError('ended')
+
+
+class Answer(typing.NamedTuple):
+    """What a caller received; status 0 if the connection ended without one."""
+
+    status: int
+    body: bytes
+    waited_s: float
+
+
+class InvalidResponseTest(test_process.ProcessTest):
+    """A router's process beside an upstream with scripted responses."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the router with one upstream."""
+        await super().asyncSetUp()
+        self.numbers = itertools.count(1)
+        self.upstream = ScriptedUpstream(self.fleet.store)
+        self.upstream.start()
+        self.addAsyncCleanup(self.upstream.stop)
+        routes = [
+            self.fleet.route('order', '/order/', 'unsafe', 'orders'),
+            self.fleet.route('read', '/read/', 'safe', 'orders'),
+        ]
+        for route in routes:
+            route[4] = TIME_LIMIT_MS / 1000
+        self.fleet.configure(routes)
+        self.router.start()
+        await self.wait_until_ready()
+        async with asyncio.timeout(10):
+            while (await self.ask('GET')).status != 200:
+                await asyncio.sleep(0.02)
+
+    async def ask(self, method: str, body_bytes: int = 0) -> Answer:
+        """Send a request over a new connection; return what comes back."""
+        reader, writer = await asyncio.open_connection(
+            self.host, self.ports[0]
+        )
+        path = '/order/x' if method == 'POST' else '/read/x'
+        lines = [
+            f'{method} {path} HTTP/1.1',
+            f'Host: {fleet.HOST}',
+            f'X-Attempt-Id: a{next(self.numbers)}',
+            f'X-Deadline-Ms: {TIME_LIMIT_MS}',
+        ]
+        if method == 'POST':
+            lines.append(f'Content-Length: {body_bytes}')
+        loop = asyncio.get_running_loop()
+        status, body = 0, b''
+        try:
+            writer.write(('\r\n'.join(lines) + '\r\n\r\n').encode())
+            writer.write(bytes(body_bytes if method == 'POST' else 0))
+            await writer.drain()
+            started_at = loop.time()
+            with contextlib.suppress(OSError, EOFError):
+                head = (await reader.readuntil(b'\r\n\r\n')).decode()
+                if method != 'HEAD':
+                    _, _, length = head.lower().partition('content-length: ')
+                    body = await reader.readexactly(int(length.split()[0]))
+                status = int(head.split()[1])
+        finally:
+            writer.transport.abort()
+        return Answer(status, body, loop.time() - started_at)
+
+    async def play(
+        self, script: Script, method: str, body_bytes: int, kept: bool
+    ) -> Answer:
+        """Let the upstream respond as scripted to one request.
+
+        Parameters
+        ----------
+        script : Script
+            The response.
+        method, body_bytes : str, int
+            Request.
+        kept : bool
+            Whether it is sent over a connection that was used before.
+        """
+        await asyncio.sleep(0.05)
+        if kept:
+            # Without an idle connection that was used just before, the
+            # request would be sent over a new one.
+            sound = await self.ask('GET')
+            self.assertEqual((200, b'sound'), sound[:2])
+        else:
+            await self.drop_connections()
+        self.upstream.script = script
+        answer = await self.ask(method, body_bytes)
+        script_left, self.upstream.script = self.upstream.script, None
+        self.assertIsNone(script_left, answer)
+        return answer
+
+    async def drop_connections(self) -> None:
+        """Let the router close its idle connection to the upstream."""
+        self.upstream.script = Script(
+            response('Content-Length: 5', 'Connection: close', body=b'sound')
+        )
+        self.assertEqual(200, (await self.ask('GET')).status)
+
+    async def assert_unusable(
+        self, script: Script, method: str, body_bytes: int, kept: bool
+    ) -> None:
+        """Check that a response ends its request at once, not as an answer.
+
+        A request that may run once gets 502. One that may run again is
+        refused after it, as there is no other upstream.
+        """
+        answer = await self.play(script, method, body_bytes, kept)
+        self.assertIn(
+            answer.status, (502,) if method == 'POST' else (502, 503)
+        )
+        self.assertLess(answer.waited_s, MAX_WAIT_S)
+        self.assertNotIn(PART, answer.body)
+
+
+class StatusTest(InvalidResponseTest):
+    """Responses whose status is none."""
+
+    async def test_statuses_that_are_none(self) -> None:
+        """Guards against answers with a status that HTTP does not have.
+
+        Callers got 600 and above as an answer. Those below 100 counted as
+        interim, so that the caller waited until the time limit.
+        """
+        for status in (
+            '000 None',
+            '001 Low',
+            '099 Low',
+            '600 High',
+            '999 High',
+            '1000 Long',
+            '20 Short',
+            '2xx Letters',
+            '-20 Negative',
+            '-200 Negative',
+            '',
+        ):
+            for fields, body in (
+                (('Content-Length: 16',), PART),
+                (('X-Not-Executed: 1', 'Content-Length: 16'), PART),
+                (
+                    ('Transfer-Encoding: chunked',),
+                    b'10\r\n' + PART + b'\r\n0\r\n\r\n',
+                ),
+                ((), PART),
+            ):
+                for method, kept in (
+                    ('GET', False),
+                    ('HEAD', True),
+                    ('POST', True),
+                ):
+                    raw = response(
+                        *fields,
+                        status=status,
+                        body=b'' if method == 'HEAD' else body,
+                    )
+                    end = End.KEEP if fields else End.FIN
+                    with self.subTest(
+                        status=status, fields=fields, method=method
+                    ):
+                        await self.assert_unusable(
+                            Script(raw, end), method, 4, kept
+                        )
+
+    async def test_early_status_that_is_none(self) -> None:
+        """Guards against such a response before the request is received."""
+        for status in ('000 None', '600 High'):
+            for end in (End.KEEP, End.FIN, End.RST):
+                raw = response('Content-Length: 16', status=status, body=PART)
+                with self.subTest(status=status, end=end):
+                    await self.assert_unusable(
+                        Script(raw, end, True), 'POST', LONG_BODY_BYTES, True
+                    )
