Keep the instances connected when a restore ends the term

Cause: three waits in series. The term ended at the coordinator's next join, up to 0.3 s after another call had shown the restore. With the term, the coordinator closed its connections, although the next term was its own and began 0.08 s later. The instances paused for up to 0.6 s, searched the store for the coordinator and connected to it again; until then none of them learned the new owner. If a join took longer than the lease, the term ended once more and all of this was repeated.

Change: the store client reports a restore to the membership, which joins at once. A term that follows a restore in the same process takes over the connections of the former one and goes on relaying records over them; it sends its tables before anything else. Where a stop cancels this, the connections are closed.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -62,6 +62,9 @@
         Until when upstreams want no requests, by name, seconds.
     links : instance_links.InstanceLinks
         Connections to the instances.
+    keeps_links : bool
+        Whether the connections outlast the term, as the next term of this
+        process begins at once.
     tasks : set of asyncio.Task
         Running moves and renewals.
     mover : moves.Mover
@@ -80,6 +83,7 @@
         state: state_module.State,
         lease_expires_at: float,
         checkpoint: coordinator_store.Checkpoint | None = None,
+        links: instance_links.InstanceLinks | None = None,
     ) -> None:
         self.initial_checkpoint = checkpoint
         self.store = coordinator_store.CoordinatorStore(client, state.settings)
@@ -91,9 +95,18 @@
         self.services: dict[str, service_state.ServiceState] = {}
         self.service_times = rates.ServiceTimes()
         self.pauses: dict[str, float] = {}
-        self.links = instance_links.InstanceLinks(
-            self.initial_messages, self.record_report, self.make_heartbeat
-        )
+        self.keeps_links = False
+        if links is None:
+            links = instance_links.InstanceLinks(
+                self.initial_messages, self.record_report, self.make_heartbeat
+            )
+        else:
+            links.initial_messages = self.initial_messages
+            links.on_report = self.record_report
+            links.make_heartbeat = self.make_heartbeat
+            # Nobody reads again what is not relayed over these connections.
+            state.feed.relay = self.relay_records
+        self.links = links
         self.tasks: set[asyncio.Task[None]] = set()
         self.mover = moves.Mover(
             self.store, self.sender, self.state, self.lease
@@ -146,11 +159,17 @@
                 group.create_task(self._renew())
                 group.create_task(self._plan())
         finally:
-            self.state.feed.relay = None
+            if not self.keeps_links:
+                self.close_links()
             for task in list(self.tasks):
                 task.cancel()
             logs.info('tenure_ended', epoch=self.store.epoch)
 
+    def close_links(self) -> None:
+        """Stop relaying records and close the connections."""
+        self.state.feed.relay = None
+        self.links.close()
+
     async def _begin_term(self) -> None:
         assignments = await self.store.begin(self.initial_checkpoint)
         self.sender.fences = holdings.FencingTokens(self.store.epoch)
--- a/packages/knapweedhall-router/src/knapweedhall_router/instance_links.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/instance_links.py
@@ -105,14 +105,15 @@
         self.sent_at: dict[int, float] = {}
 
     async def run(self) -> None:
-        """Send heartbeats until cancelled, then close all connections."""
-        try:
-            while True:
-                self.send_heartbeat()
-                await asyncio.sleep(HEARTBEAT_PERIOD_S)
-        finally:
-            for link in list(self.active):
-                link.writer.transport.abort()
+        """Send heartbeats until cancelled."""
+        while True:
+            self.send_heartbeat()
+            await asyncio.sleep(HEARTBEAT_PERIOD_S)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for link in list(self.active):
+            link.writer.transport.abort()
 
     def instances(self) -> list[str]:
         """Return the names of the connected instances."""
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -17,6 +17,7 @@
 from knapweedhall_router import coordinator as coordinator_module
 from knapweedhall_router import coordinator_link
 from knapweedhall_router import coordinator_store
+from knapweedhall_router import instance_links
 from knapweedhall_router import logs
 from knapweedhall_router import state as state_module
 from knapweedhall_router import tasks
@@ -100,6 +101,8 @@
             or settings.link_mbps < MIN_LINK_MBPS
         )
         self.last_connected_at = clock.now()
+        # The term's end need not wait for the next join.
+        client.on_restored = link.status_changed.notify
         self.coordinator_timeout_s = max(COORDINATOR_TIMEOUT_S, min_timeout_s)
         self.candidate_timeout_s = max(CANDIDATE_TIMEOUT_S, min_timeout_s)
 
@@ -181,12 +184,22 @@
         lease_expires_at = (
             sent_at + self.coordinator_timeout_s - LEASE_MARGIN_S
         )
-        if self._is_interrupted():
-            await self._stop()
-        if self.coordinator is None:
+        current = self.coordinator
+        if current is None:
             self._start(lease_expires_at)
+        elif not self._is_interrupted():
+            current.lease.expires_at = lease_expires_at
         else:
-            self.coordinator.lease.expires_at = lease_expires_at
+            # Otherwise the keys that wait for a new owner would also wait
+            # until the instances have found this coordinator again.
+            current.keeps_links = self._is_restored()
+            try:
+                await self._stop()
+            except asyncio.CancelledError:
+                current.close_links()
+                raise
+            links = current.links if current.keeps_links else None
+            self._start(lease_expires_at, links)
 
     async def _call_join(self) -> outcomes.JoinOutcome:
         if self.generation_era != self.client.era:
@@ -233,7 +246,11 @@
             if self.checkpoint is None:
                 self.checkpoint = self.coordinator.checkpoint()
 
-    def _start(self, lease_expires_at: float) -> None:
+    def _start(
+        self,
+        lease_expires_at: float,
+        links: instance_links.InstanceLinks | None = None,
+    ) -> None:
         checkpoint, self.checkpoint = self.checkpoint, None
         self.coordinator = coordinator_module.Coordinator(
             self.client,
@@ -241,6 +258,7 @@
             self.state,
             lease_expires_at,
             checkpoint,
+            links,
         )
         self.task = asyncio.create_task(self.coordinator.run())
 
--- a/packages/knapweedhall-router/tests/test_membership.py
+++ b/packages/knapweedhall-router/tests/test_membership.py
@@ -40,9 +40,13 @@
         state: state_module.State,
         lease_expires_at: float,
         checkpoint: object,
+        links: object,
     ) -> None:
         self.lease = lease.Lease(state, lease_expires_at)
         self.initial_checkpoint = checkpoint
+        self.links = links or object()
+        self.keeps_links = False
+        self.close_links = mock.Mock()
         self.store = mock.Mock(epoch=7, era=client.era)
         self.may_end = asyncio.Event()
         self.may_end.set()
@@ -102,6 +106,9 @@
         await self.membership._join(clock.now())
         self.assertIsNotNone(self.membership.coordinator)
         self.assertIsNot(self.coordinator, self.membership.coordinator)
+        former = typing.cast(_Coordinator, self.coordinator)
+        begun = typing.cast(_Coordinator, self.membership.coordinator)
+        self.assertIsNot(former.links, begun.links)
 
     async def restore(self) -> None:
         """Restore the store, so that the next join counts as unanswered."""
@@ -117,6 +124,8 @@
         begun = typing.cast(_Coordinator, self.membership.coordinator)
         self.assertIsNot(self.coordinator, begun)
         self.assertEqual('term 7', begun.initial_checkpoint)
+        former = typing.cast(_Coordinator, self.coordinator)
+        self.assertIs(former.links, begun.links)
         await self.membership._join(clock.now())
         self.assertIs(begun, self.membership.coordinator)
 
@@ -130,6 +139,20 @@
         begun = typing.cast(_Coordinator, self.membership.coordinator)
         self.assertIsNone(begun.initial_checkpoint)
 
+    async def test_cancelled_while_the_next_term_takes_the_links(self) -> None:
+        """Guards against instances that stay connected to a stopped one."""
+        former = typing.cast(_Coordinator, self.coordinator)
+        former.may_end.clear()
+        await self.restore()
+        joining = asyncio.create_task(self.membership._join(clock.now()))
+        async with asyncio.timeout(1.0):
+            while self.membership.coordinator is not None:
+                await asyncio.sleep(0)
+        joining.cancel()
+        await asyncio.wait((joining,))
+        former.may_end.set()
+        former.close_links.assert_called_once_with()
+
     async def test_cancelled_while_its_term_ends(self) -> None:
         """Guards against a stop that waits for a cancelled task for ever."""
         assert self.coordinator is not None
--- a/packages/knapweedhall-router/tests/test_restored_store.py
+++ b/packages/knapweedhall-router/tests/test_restored_store.py
@@ -166,6 +166,34 @@
         await self.fleet.wait_until(lambda: self.fleet.store.era > 0)
         await self.check_keys()
 
+    async def test_instances_stay_connected(self) -> None:
+        """Guards against keys that wait until instances are connected again.
+
+        The coordinator stays the same, so nothing else has changed for them.
+        The coordinator's next join is not awaited either.
+        """
+        member = self.coordinator().member
+        assert member is not None and member.coordinator is not None
+        former = member.coordinator
+        self.restore(0.5)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + SERVED_AGAIN_S
+        while loop.time() < until:
+            for router in self.fleet.routers:
+                assert router.member is not None
+                self.assertTrue(router.member.link.connected)
+            await asyncio.sleep(0.01)
+        begun = member.coordinator
+        assert begun is not None
+        self.assertIsNot(former, begun)
+        self.assertGreater(begun.store.epoch, former.store.epoch)
+        for router in self.fleet.routers:
+            table = router.state.owner_table('views')
+            self.assertEqual(begun.store.epoch, table.version[0])
+            self.assertTrue(
+                all(owned.upstream for owned in table.owned_ranges)
+            )
+
     async def test_keys_under_the_next_coordinator(self) -> None:
         """Guards against two owners after the coordinator has ended, too.
 
