Renew all grants before a stopped coordinator leaves

In a series of stops, each of a coordinator that had just taken over, with a store that answers in 0.3 s, upstreams lost keys that they had been granted: of 64 keys that are checked every 20 ms, 4,544 and 3,798 checks found no owner in two runs of six stops.

Cause: a grant lasts for 2.5 s and is renewed by the current term only. From the signal to the first renewal of the next term it took 1.1 s (leave, join, list, append). A coordinator that is stopped left at once, whether or not it had renewed a grant, and with it each move that was between the release and the new owner's grant. When terms follow one another faster than each can renew all grants, those that it does not get to expire, with no limit.

Change: a coordinator that is stopped begins no more moves, ends those that run, renews each grant once more and then leaves; it keeps its membership until then. It gives up after 1.5 s, which is as long as a release may take and less than the 2.6 s for which its listener stays open. An upstream that does not answer is not waited for. Each term that ends in order so leaves 2.5 s for the next one, however short it was.

Result: test_keys_stay_granted and test_grants_are_renewed_before_it_leaves failed before, two runs each, and pass, two runs each and one in the series of the module.

--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -167,6 +167,9 @@
 timed out during its first message or the reply.
 coordinator_fault | WARNING | reason | A background task of the coordinator \
 failed.
+tenure_handed_over | INFO | epoch complete | A coordinator that is being \
+stopped renewed the grants of its term once more; `complete` tells whether \
+all were sent and all moves ended within its time limit.
 """,
     ),
     _Group(
--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -39,6 +39,9 @@
 # still being sent. The rest is for the end of the process itself.
 SEND_GRACE_SHARE = 0.95
 DRAIN_CHECK_S = 0.05
+# Time for a coordinator that is stopped to end its moves and to renew all
+# grants. As long as a release may take; the listener is open for longer.
+HAND_OVER_S = 1.5
 # Pause between attempts to leave the store's group, which ends the term of a
 # coordinator, while the store is down.
 LEAVE_RETRY_S = 0.3
@@ -188,6 +191,7 @@
         stopped_at = clock.now()
         work_until = stopped_at + self.settings.grace_s * WORK_GRACE_SHARE
         self.frontend.limit_work(work_until)
+        await member.hand_over(stopped_at + HAND_OVER_S)
         membership_task.cancel()
         await asyncio.gather(membership_task, return_exceptions=True)
         has_left = await member.leave()
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -71,6 +71,10 @@
         Executes moves.
     renewer : renewals.Renewer
         Renews grants.
+    has_begun : bool
+        Whether the assignments were read.
+    hand_over_at : float or None
+        When the coordinator was requested to hand over, seconds; None before.
     initial_checkpoint : coordinator_store.Checkpoint or None
         Assignments of this instance's last term, which ended with the store's
         era.
@@ -96,6 +100,8 @@
         self.service_times = rates.ServiceTimes()
         self.pauses: dict[str, float] = {}
         self.keeps_links = False
+        self.has_begun = False
+        self.hand_over_at: float | None = None
         if links is None:
             links = instance_links.InstanceLinks(
                 self.initial_messages, self.record_report, self.make_heartbeat
@@ -187,6 +193,7 @@
         # Instances may have connected while the records were read.
         for table in self.tables():
             self.links.send(table)
+        self.has_begun = True
         logs.info('tenure_begun', epoch=self.store.epoch)
 
     def _known_services(self) -> set[str]:
@@ -330,6 +337,33 @@
                     )
             await asyncio.sleep(RENEWAL_CHECK_PERIOD_S)
 
+    def request_hand_over(self) -> None:
+        """Begin no more moves, and renew each grant once more."""
+        now = self.hand_over_at = clock.now()
+        for service in self.services.values():
+            for holding in service.holdings.items:
+                holding.renew_at = min(holding.renew_at, now)
+
+    def is_handed_over(self) -> bool:
+        """Return whether the next term finds grants that were just renewed.
+
+        An upstream that did not answer its last grant is not waited for.
+        """
+        if not self.has_begun or self.hand_over_at is None:
+            return False
+        now = clock.now()
+        return not any(
+            holding.moving
+            or holding.in_flight
+            or (
+                holding.sent_at < self.hand_over_at
+                and holding.upstream not in self.sender.backoffs
+                and self.renewer.is_renewable(holding, now)
+            )
+            for service in self.services.values()
+            for holding in service.holdings.items
+        )
+
     def _start_task(
         self, coroutine: typing.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
@@ -355,6 +389,8 @@
     async def _plan(self) -> None:
         while True:
             await asyncio.sleep(PLAN_PERIOD_S)
+            if self.hand_over_at is not None:
+                continue
             if self.lease.is_expired() or self.lease.is_store_unresponsive():
                 continue
             if not self.state.upstreams_listed:
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -48,6 +48,8 @@
 # become the next coordinator.
 DISCONNECTED_JOIN_PERIOD_S = 0.25
 CALL_TIMEOUT_S = 0.6
+# Period of the check whether the grants are renewed before a planned stop.
+HAND_OVER_CHECK_PERIOD_S = 0.05
 # Subtracted from a lease for the delay until an order arrives.
 LEASE_MARGIN_S = 0.1
 
@@ -284,6 +286,32 @@
             logs.info('tenure_yielded', epoch=current.store.epoch, to=epoch)
             await self._stop()
 
+    async def hand_over(self, until: float) -> None:
+        """Prepare the end of the current term, while the membership goes on.
+
+        Terms may follow one another faster than each of them can renew all
+        grants. Each one that ends in order therefore renews them at its end.
+
+        Parameters
+        ----------
+        until : float
+            When to give up, seconds.
+        """
+        current, task = self.coordinator, self.task
+        if current is None or task is None:
+            return
+        current.request_hand_over()
+        while self.coordinator is current and not task.done():
+            is_complete = current.is_handed_over()
+            if is_complete or clock.now() >= until:
+                logs.info(
+                    'tenure_handed_over',
+                    epoch=current.store.epoch,
+                    complete=is_complete,
+                )
+                return
+            await asyncio.sleep(HAND_OVER_CHECK_PERIOD_S)
+
     async def leave(self) -> bool:
         """Leave the group and end the term, so that another member takes over.
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/renewals.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/renewals.py
@@ -51,16 +51,16 @@
                 and not holding.moving
                 and not holding.in_flight
             ):
-                if holding.renew_at <= now and self._is_renewable(
-                    holding, now
-                ):
+                if holding.renew_at <= now and self.is_renewable(holding, now):
                     due_by_upstream.setdefault(holding.upstream, []).append(
                         holding
                     )
         return list(due_by_upstream.values())
 
-    def _is_renewable(self, holding: holdings.Holding, now: float) -> bool:
+    def is_renewable(self, holding: holdings.Holding, now: float) -> bool:
         """Return whether a grant may be sent to the holder of a range."""
+        if not holding.upstream:
+            return False
         if not holding.confirmed and self.lease.is_expired():
             # It needs a new token, so it would be a new grant, not a renewal.
             return False
--- /dev/null
+++ b/packages/knapweedhall-router/tests/test_coordinator_stops.py
@@ -0,0 +1,122 @@
+"""Tests of coordinators that are stopped in series."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from knapweedhall_router import application
+from knapweedhall_routing import holdings
+from knapweedhall_routing import model
+from tests import fleet_case
+
+# A slow answer of the store, as the platform states it.
+SLOW_STORE_S = 0.3
+STOPS = 6
+KEYS = range(0, model.KEY_COUNT, 1024)
+CHECK_PERIOD_S = 0.02
+
+
+class StopsInSeriesTest(fleet_case.FleetTest):
+    """Each coordinator is stopped as soon as it coordinates."""
+
+    routers = 4
+
+    async def test_keys_stay_granted(self) -> None:
+        """Guards against grants that expire during a series of stops.
+
+        The fleet has a new coordinator about once a second, which is stopped
+        before it has renewed a grant.
+        """
+        running = self.fleet
+        await running.wait_until(
+            lambda: self.has_recorded(running.routers), 3.0
+        )
+        for path in ('/log-newest', '/log-append', '/log-join', '/log-leave'):
+            running.store.faults.delays[path] = SLOW_STORE_S
+        checking = asyncio.create_task(self.check_keys())
+        traffic = asyncio.create_task(self.send_requests())
+        for _ in range(STOPS):
+            await running.wait_until(lambda: self.current() is not None)
+            stopped = self.current()
+            assert stopped is not None
+            running.routers.remove(stopped)
+            running.add_router()
+            stopped.stop.set()
+            # Its term may last until it has left.
+            await running.wait_until(
+                lambda: stopped.member is None
+                or stopped.member.coordinator is None
+            )
+        await running.wait_until(lambda: self.current() is not None)
+        await running.wait_until(running.is_serving)
+        checking.cancel()
+        traffic.cancel()
+        self.assertEqual(0, await checking)
+        self.assertEqual({200}, await traffic)
+
+    def current(self) -> application.Application | None:
+        """Return the router that coordinates; None if there is none."""
+        for router in self.fleet.routers:
+            if router.member is not None and router.member.coordinator:
+                return router
+        return None
+
+    async def check_keys(self) -> int:
+        """Return how often a key had no owner, until cancelled."""
+        count = 0
+        try:
+            while True:
+                self.assert_one_owner()
+                count += sum(
+                    not any(each.holds(key) for each in self.fleet.upstreams)
+                    for key in KEYS
+                )
+                await asyncio.sleep(CHECK_PERIOD_S)
+        except asyncio.CancelledError:
+            return count
+
+    async def send_requests(self) -> set[int]:
+        """Send requests to routers that serve, until cancelled."""
+        statuses: set[int] = set()
+        try:
+            while True:
+                ready = [
+                    router
+                    for router in self.fleet.routers
+                    if router.state.is_ready()
+                ]
+                router = self.fleet.rng.choice(ready)
+                key = self.fleet.rng.randrange(model.KEY_COUNT)
+                response = await self.fleet.send_request(
+                    router, '/view/x', key
+                )
+                statuses.add(response.status)
+                await asyncio.sleep(CHECK_PERIOD_S)
+        except asyncio.CancelledError:
+            return statuses
+
+
+class HandOverTest(fleet_case.FleetTest):
+    """A coordinator that is stopped while nothing else happens."""
+
+    routers = 2
+
+    async def test_grants_are_renewed_before_it_leaves(self) -> None:
+        """Guards against a next term that begins with grants about to end."""
+        store = self.fleet.store
+        store.faults.delays['/log-leave'] = SLOW_STORE_S
+        stopped = self.coordinator()
+        self.fleet.routers.remove(stopped)
+        stopped_at = time.monotonic()
+        stopped.stop.set()
+        await self.fleet.wait_until(lambda: store.calls['/log-leave'] > 0)
+        expiries = [
+            grant.expires_at
+            for each in self.fleet.upstreams
+            for grant in each.grants
+        ]
+        self.assertTrue(expiries)
+        self.assertGreaterEqual(
+            min(expiries), stopped_at + holdings.GRANT_DURATION_S
+        )
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
@@ -74,6 +74,9 @@
         Until when the range is not moved for rebalancing, seconds.
     renew_at : float
         When the grant is sent again, seconds.
+    sent_at : float
+        When the current term last sent a grant of all these keys, seconds; 0
+        before the first.
     handover : str
         Token that the previous holder returned for its release; it is sent
         with the next grant.
@@ -94,6 +97,7 @@
     in_flight: int = 0
     cooldown_until: float = 0.0
     renew_at: float = 0.0
+    sent_at: float = 0.0
     handover: str = ''
 
     def to_owned_range(self) -> model.OwnedRange:
@@ -233,6 +237,7 @@
         holding.in_flight += 1
         holding.held_until = max(holding.held_until, grant_expiry(now))
         holding.renew_at = now + RENEWAL_PERIOD_S
+        holding.sent_at = now
         return grant
 
     def record_accepted(self, grant: SentGrant) -> None:
@@ -363,6 +368,7 @@
                     previous.unanswered_until, holding.unanswered_until
                 )
                 previous.renew_at = min(previous.renew_at, holding.renew_at)
+                previous.sent_at = min(previous.sent_at, holding.sent_at)
                 previous.cooldown_until = max(
                     previous.cooldown_until, holding.cooldown_until
                 )
