Wake only the coordinator when the store was restored

Cause: a store that comes back from a copy may have lost the group and then names the first member that joins. Only the coordinator knows the assignments that the copy lacks; under another one, keys wait up to 9 s. With a join of all at the same moment, the coordinator loses its lead over the candidates, which join once a second.

Change: only an instance that coordinates joins at once.

Result: test_only_the_coordinator_joins_at_once failed before ("True is not false") and passes. Found by reading; not seen in a run.

--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -103,8 +103,7 @@
             or settings.link_mbps < MIN_LINK_MBPS
         )
         self.last_connected_at = clock.now()
-        # The term's end need not wait for the next join.
-        client.on_restored = link.status_changed.notify
+        client.on_restored = self._join_after_restore
         self.coordinator_timeout_s = max(COORDINATOR_TIMEOUT_S, min_timeout_s)
         self.candidate_timeout_s = max(CANDIDATE_TIMEOUT_S, min_timeout_s)
 
@@ -164,6 +163,16 @@
         if not isinstance(outcome, outcomes.Unavailable):
             self.state.store_answered_at = sent_at
 
+    def _join_after_restore(self) -> None:
+        """Let a coordinator begin its next term without delay.
+
+        The store may have lost the group and name the first member that joins,
+        and only the coordinator knows its assignments. The others are not
+        woken.
+        """
+        if self.coordinator is not None:
+            self.link.status_changed.notify()
+
     async def _join(self, sent_at: float) -> None:
         outcome = await self._call_join()
         if outcome == store.RESTORED:
--- a/packages/knapweedhall-router/tests/test_membership.py
+++ b/packages/knapweedhall-router/tests/test_membership.py
@@ -129,6 +129,24 @@
         await self.membership._join(clock.now())
         self.assertIs(begun, self.membership.coordinator)
 
+    async def test_only_the_coordinator_joins_at_once(self) -> None:
+        """Guards against keys without an owner for 9 s after a restore.
+
+        The store may name the first member that joins as the coordinator, and
+        only the former one knows the assignments that the copy lacks.
+        """
+        client = typing.cast(typing.Any, self.membership.client)
+        signal = self.membership.link.status_changed
+        woken = asyncio.create_task(signal.wait(1.0))
+        await asyncio.sleep(0)
+        client.on_restored()
+        self.assertTrue(await woken)
+        await self.membership.end()
+        woken = asyncio.create_task(signal.wait(0.05))
+        await asyncio.sleep(0)
+        client.on_restored()
+        self.assertFalse(await woken)
+
     async def test_assignments_are_dropped_with_the_term(self) -> None:
         """Guards against assignments that another coordinator changed."""
         await self.restore()
