--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -62,12 +62,19 @@
         Until when upstreams want no requests, by name, seconds.
     links : instance_links.InstanceLinks
         Connections to the instances.
+    keeps_links : bool
+        Whether the connections outlast the term, as the next term of this
+        process begins at once.
     tasks : set of asyncio.Task
         Running moves and renewals.
     mover : moves.Mover
         Executes moves.
     renewer : renewals.Renewer
         Renews grants.
+    has_begun : bool
+        Whether the assignments were read.
+    hand_over_at : float or None
+        When the coordinator was requested to hand over, seconds; None before.
     initial_checkpoint : coordinator_store.Checkpoint or None
         Assignments of this instance's last term, which ended with the store's
         era.
@@ -80,6 +87,7 @@
         state: state_module.State,
         lease_expires_at: float,
         checkpoint: coordinator_store.Checkpoint | None = None,
+        links: instance_links.InstanceLinks | None = None,
     ) -> None:
         self.initial_checkpoint = checkpoint
         self.store = coordinator_store.CoordinatorStore(client, state.settings)
@@ -91,9 +99,20 @@
         self.services: dict[str, service_state.ServiceState] = {}
         self.service_times = rates.ServiceTimes()
         self.pauses: dict[str, float] = {}
-        self.links = instance_links.InstanceLinks(
-            self.initial_messages, self.record_report, self.make_heartbeat
-        )
+        self.keeps_links = False
+        self.has_begun = False
+        self.hand_over_at: float | None = None
+        if links is None:
+            links = instance_links.InstanceLinks(
+                self.initial_messages, self.record_report, self.make_heartbeat
+            )
+        else:
+            links.initial_messages = self.initial_messages
+            links.on_report = self.record_report
+            links.make_heartbeat = self.make_heartbeat
+            # Nobody reads again what is not relayed over these connections.
+            state.feed.relay = self.relay_records
+        self.links = links
         self.tasks: set[asyncio.Task[None]] = set()
         self.mover = moves.Mover(
             self.store, self.sender, self.state, self.lease
@@ -146,11 +165,17 @@
                 group.create_task(self._renew())
                 group.create_task(self._plan())
         finally:
-            self.state.feed.relay = None
+            if not self.keeps_links:
+                self.close_links()
             for task in list(self.tasks):
                 task.cancel()
             logs.info('tenure_ended', epoch=self.store.epoch)
 
+    def close_links(self) -> None:
+        """Stop relaying records and close the connections."""
+        self.state.feed.relay = None
+        self.links.close()
+
     async def _begin_term(self) -> None:
         assignments = await self.store.begin(self.initial_checkpoint)
         self.sender.fences = holdings.FencingTokens(self.store.epoch)
@@ -168,6 +193,7 @@
         # Instances may have connected while the records were read.
         for table in self.tables():
             self.links.send(table)
+        self.has_begun = True
         logs.info('tenure_begun', epoch=self.store.epoch)
 
     def _known_services(self) -> set[str]:
@@ -311,6 +337,33 @@
                     )
             await asyncio.sleep(RENEWAL_CHECK_PERIOD_S)
 
+    def request_hand_over(self) -> None:
+        """Begin no more moves, and renew each grant once more."""
+        now = self.hand_over_at = clock.now()
+        for service in self.services.values():
+            for holding in service.holdings.items:
+                holding.renew_at = min(holding.renew_at, now)
+
+    def is_handed_over(self) -> bool:
+        """Return whether the next term finds grants that were just renewed.
+
+        An upstream that did not answer its last grant is not waited for.
+        """
+        if not self.has_begun or self.hand_over_at is None:
+            return False
+        now = clock.now()
+        return not any(
+            holding.moving
+            or holding.in_flight
+            or (
+                holding.sent_at < self.hand_over_at
+                and holding.upstream not in self.sender.backoffs
+                and self.renewer.is_renewable(holding, now)
+            )
+            for service in self.services.values()
+            for holding in service.holdings.items
+        )
+
     def _start_task(
         self, coroutine: typing.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
@@ -336,6 +389,8 @@
     async def _plan(self) -> None:
         while True:
             await asyncio.sleep(PLAN_PERIOD_S)
+            if self.hand_over_at is not None:
+                continue
             if self.lease.is_expired() or self.lease.is_store_unresponsive():
                 continue
             if not self.state.upstreams_listed:
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -17,6 +17,7 @@
 from knapweedhall_router import coordinator as coordinator_module
 from knapweedhall_router import coordinator_link
 from knapweedhall_router import coordinator_store
+from knapweedhall_router import instance_links
 from knapweedhall_router import logs
 from knapweedhall_router import state as state_module
 from knapweedhall_router import tasks
@@ -47,6 +48,8 @@
 # become the next coordinator.
 DISCONNECTED_JOIN_PERIOD_S = 0.25
 CALL_TIMEOUT_S = 0.6
+# Period of the check whether the grants are renewed before a planned stop.
+HAND_OVER_CHECK_PERIOD_S = 0.05
 # Subtracted from a lease for the delay until an order arrives.
 LEASE_MARGIN_S = 0.1
 
@@ -100,6 +103,7 @@
             or settings.link_mbps < MIN_LINK_MBPS
         )
         self.last_connected_at = clock.now()
+        client.on_restored = self._join_after_restore
         self.coordinator_timeout_s = max(COORDINATOR_TIMEOUT_S, min_timeout_s)
         self.candidate_timeout_s = max(CANDIDATE_TIMEOUT_S, min_timeout_s)
 
@@ -159,6 +163,16 @@
         if not isinstance(outcome, outcomes.Unavailable):
             self.state.store_answered_at = sent_at
 
+    def _join_after_restore(self) -> None:
+        """Let a coordinator begin its next term without delay.
+
+        The store may have lost the group and name the first member that joins,
+        and only the coordinator knows its assignments. The others are not
+        woken.
+        """
+        if self.coordinator is not None:
+            self.link.status_changed.notify()
+
     async def _join(self, sent_at: float) -> None:
         outcome = await self._call_join()
         if outcome == store.RESTORED:
@@ -181,12 +195,22 @@
         lease_expires_at = (
             sent_at + self.coordinator_timeout_s - LEASE_MARGIN_S
         )
-        if self._is_interrupted():
-            await self._stop()
-        if self.coordinator is None:
+        current = self.coordinator
+        if current is None:
             self._start(lease_expires_at)
+        elif not self._is_interrupted():
+            current.lease.expires_at = lease_expires_at
         else:
-            self.coordinator.lease.expires_at = lease_expires_at
+            # Otherwise the keys that wait for a new owner would also wait
+            # until the instances have found this coordinator again.
+            current.keeps_links = self._is_restored()
+            try:
+                await self._stop()
+            except asyncio.CancelledError:
+                current.close_links()
+                raise
+            links = current.links if current.keeps_links else None
+            self._start(lease_expires_at, links)
 
     async def _call_join(self) -> outcomes.JoinOutcome:
         if self.generation_era != self.client.era:
@@ -233,7 +257,11 @@
             if self.checkpoint is None:
                 self.checkpoint = self.coordinator.checkpoint()
 
-    def _start(self, lease_expires_at: float) -> None:
+    def _start(
+        self,
+        lease_expires_at: float,
+        links: instance_links.InstanceLinks | None = None,
+    ) -> None:
         checkpoint, self.checkpoint = self.checkpoint, None
         self.coordinator = coordinator_module.Coordinator(
             self.client,
@@ -241,6 +269,7 @@
             self.state,
             lease_expires_at,
             checkpoint,
+            links,
         )
         self.task = asyncio.create_task(self.coordinator.run())
 
@@ -266,6 +295,32 @@
             logs.info('tenure_yielded', epoch=current.store.epoch, to=epoch)
             await self._stop()
 
+    async def hand_over(self, until: float) -> None:
+        """Prepare the end of the current term, while the membership goes on.
+
+        Terms may follow one another faster than each of them can renew all
+        grants. Each one that ends in order therefore renews them at its end.
+
+        Parameters
+        ----------
+        until : float
+            When to give up, seconds.
+        """
+        current, task = self.coordinator, self.task
+        if current is None or task is None:
+            return
+        current.request_hand_over()
+        while self.coordinator is current and not task.done():
+            is_complete = current.is_handed_over()
+            if is_complete or clock.now() >= until:
+                logs.info(
+                    'tenure_handed_over',
+                    epoch=current.store.epoch,
+                    complete=is_complete,
+                )
+                return
+            await asyncio.sleep(HAND_OVER_CHECK_PERIOD_S)
+
     async def leave(self) -> bool:
         """Leave the group and end the term, so that another member takes over.
 
