Let stand-ins limit a link, answer early and cut responses

The soak had no link that is full, no upstream that answers before a body is in, forgets idle connections or resets a connection in the middle of a response, and no request that takes longer than 20 ms.

A link limits the rate of all its connections together, and delivers what it has buffered when its target closes. Upstreams take the time of the work and the length of the response from a request's query.

--- a/packages/knapweedhall-standins/src/knapweedhall_standins/proxy.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import math
 import socket
 import struct
 
@@ -12,6 +13,14 @@
 _LINGER_RESET = struct.pack('ii', 1, 0)
 
 
+def reset_connection(transport: asyncio.WriteTransport) -> None:
+    """Abort a connection so that its peer receives a reset."""
+    sock = transport.get_extra_info('socket')
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+    transport.abort()
+
+
 class Mode(enum.Enum):
     """How a link treats data and new connections."""
 
@@ -36,12 +45,20 @@
         How data and new connections are treated at present.
     delay_s : float
         Delay of each chunk of data, seconds.
+    bytes_per_s : float
+        Rate of all connections together in one direction; inf if the link has
+        no limit.
+    busy_until : dict of bool to float
+        When the data that was read so far has passed, by whether it goes to
+        the target; seconds of the loop's clock.
     """
 
     def __init__(self, target: tuple[str, int]) -> None:
         self.target = target
         self.mode = Mode.PASS
         self.delay_s = 0.0
+        self.bytes_per_s = math.inf
+        self.busy_until = {True: 0.0, False: 0.0}
         self.mode_changed = asyncio.Event()
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -62,12 +79,7 @@
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in list(self.writers):
-            sock = writer.get_extra_info('socket')
-            if sock is not None and sock.fileno() >= 0:
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
-                )
-            writer.transport.abort()
+            reset_connection(writer.transport)
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
@@ -93,6 +105,9 @@
                 self.reset()
                 return
             await self._forward(reader, writer)
+            # Sends what is still buffered; an abort discards it.
+            writer.close()
+            await writer.wait_closed()
         except (OSError, EOFError):
             # One side is gone; the connection to the other is aborted below.
             return
@@ -129,6 +144,7 @@
         while data := await reader.read(CHUNK_BYTES):
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
+            await self._wait_for_capacity(len(data), to_target)
             while self._is_blocked(to_target):
                 await self.mode_changed.wait()
             error = reader.exception()
@@ -139,6 +155,15 @@
             writer.write(data)
             await writer.drain()
 
+    async def _wait_for_capacity(self, size: int, to_target: bool) -> None:
+        """Wait until the link has passed the data before and this data."""
+        if math.isinf(self.bytes_per_s):
+            return
+        now = asyncio.get_running_loop().time()
+        begin = max(now, self.busy_until[to_target])
+        self.busy_until[to_target] = begin + size / self.bytes_per_s
+        await asyncio.sleep(self.busy_until[to_target] - now)
+
     def _is_blocked(self, to_target: bool) -> bool:
         if self.mode is Mode.SILENT:
             return True
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/upstream.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/upstream.py
@@ -10,16 +10,20 @@
 import struct
 import time
 import typing
+import urllib.parse
 
 from aiohttp import web
 from aiohttp import web_protocol
 
 from knapweedhall_standins import endless
+from knapweedhall_standins import proxy
 
 _name_numbers = itertools.count(1)
 # Start of struct tcp_info (linux/tcp.h): 8 bytes and 12 numbers. The last one
 # is the time since data was last received, in ms.
 _TCP_INFO = struct.Struct('8x11I I')
+# Time after which a response that is cut has reached its receiver in part.
+CUT_DELAY_S = 0.02
 REASON_PHRASES = {200: 'OK', 500: 'Failed', 504: 'Timeout'}
 # Where tests and the soak set what is wrong with the responses.
 TROUBLE_PATH = '/standin/trouble'
@@ -60,8 +64,18 @@
 
 
 def expected_body(method: str, target: str, body_bytes: int) -> bytes:
-    """Return the body of the response to a request."""
-    return f'{method} {target} {body_bytes}'.encode()
+    """Return the body of the response to a request.
+
+    The parameter `bytes` of the query is the number of bytes that follow.
+    """
+    body = f'{method} {target} {body_bytes}'.encode()
+    return body + b'.' * int(_query(target).get('bytes', 0))
+
+
+def _query(target: str) -> dict[str, str]:
+    """Return the parameters of a request's query."""
+    _, _, query = target.partition('?')
+    return dict(urllib.parse.parse_qsl(query))
 
 
 class _Connection(web_protocol.RequestHandler):
@@ -138,6 +152,13 @@
         If above 0, it refuses requests and asks for a pause of this length.
     second_copy_s : float
         If above 0, it sends each response again after this time.
+    early_status : int
+        If above 0, the status with which it answers requests before it has
+        read their bodies; 503 refuses them.
+    busy : set of web_protocol.RequestHandler
+        Connections with a request in progress.
+    cuts : bool
+        Whether it resets connections in the middle of a response.
     response_hook : callable or None
         Replaces responses: takes the request and the bytes of the regular
         response, returns the bytes to send, or None to abort the connection.
@@ -179,6 +200,9 @@
         self.leaving = False
         self.pause_s = 0.0
         self.second_copy_s = 0.0
+        self.early_status = 0
+        self.cuts = False
+        self.busy: set[web_protocol.RequestHandler] = set()
         self.response_hook: (
             typing.Callable[[web.BaseRequest, bytes], bytes | None] | None
         ) = None
@@ -242,7 +266,11 @@
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        response = await self._dispatch(request)
+        self.busy.add(request.protocol)
+        try:
+            response = await self._dispatch(request)
+        finally:
+            self.busy.discard(request.protocol)
         request_id = request.headers.get('X-Attempt-Id')
         if request_id is not None:
             response.headers['X-Attempt-Id'] = request_id
@@ -270,6 +298,12 @@
         self.leaving = trouble.get('leaving', False)
         self.pause_s = trouble.get('pause_s', 0.0)
         self.second_copy_s = trouble.get('second_copy_s', 0.0)
+        self.early_status = trouble.get('early_status', 0)
+        self.cuts = trouble.get('cuts', False)
+        if trouble.get('forgets_idle'):
+            for connection in self.http.connections:
+                if connection not in self.busy and connection.transport:
+                    connection.transport.close()
         kind = trouble.get('endless')
         self.endless = endless.Kind(kind) if kind else None
         self.on_event('trouble', trouble)
@@ -350,8 +384,10 @@
         return f'{self.running},{self.waiting},{self.slot_count},100'
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        body = await request.read()
         request_id = request.headers.get('X-Attempt-Id', '')
+        if self.early_status and request_id:
+            return self._answer_early(request_id)
+        body = await request.read()
         if not request_id:
             return self._not_executed(400)
         time_left_s = float(request.headers.get('X-Deadline-Ms', 60000)) / 1000
@@ -385,13 +421,27 @@
                 return self._not_executed(421)
             if time.monotonic() >= deadline:
                 return self._not_executed(503)
-            status = await self._run(request_id, key, deadline)
+            work_s = float(_query(request.raw_path).get('work_s', self.work_s))
+            status = await self._run(request_id, key, work_s, deadline)
         finally:
             self.free_slots.release()
         return await self._respond(request, request_id, body, status)
 
+    def _answer_early(self, request_id: str) -> web.Response:
+        """Answer before the body is read; the server reads it afterwards."""
+        if self.early_status == 503:
+            return self._not_executed(503)
+        self.on_event('run', {'request': request_id, 'key': None})
+        return web.Response(
+            status=self.early_status,
+            headers={
+                'X-Response-Signature': f'{self.name}.0',
+                'X-Backend-Load': self._load_report(),
+            },
+        )
+
     async def _run(
-        self, request_id: str, key: int | None, deadline: float
+        self, request_id: str, key: int | None, work_s: float, deadline: float
     ) -> int:
         """Execute a request; return the status of its response."""
         self.running += 1
@@ -401,13 +451,13 @@
         self.runs.append(Run(request_id, key, started_at))
         self.on_event('run', {'request': request_id, 'key': key})
         try:
-            await asyncio.sleep(min(self.work_s, deadline - started_at))
+            await asyncio.sleep(min(work_s, deadline - started_at))
         finally:
             self.running -= 1
             if key is not None:
                 self.running_keys.remove(key)
                 self.run_ended.set()
-        if started_at + self.work_s > deadline:
+        if started_at + work_s > deadline:
             return 504
         if self.divided and key is not None and not self.holds(key):
             # A request fails if the grant of its key ends first.
@@ -442,6 +492,11 @@
             await endless.send(transport, self.endless, request_id, raw)
         elif raw is None:
             transport.abort()
+        elif self.cuts:
+            self.on_event('cut', {'request': request_id})
+            transport.write(raw[: -len(response_body) // 2])
+            await asyncio.sleep(CUT_DELAY_S)
+            proxy.reset_connection(transport)
         else:
             transport.write(raw)
             if self.second_copy_s > 0:
--- a/packages/knapweedhall-standins/tests/test_proxy.py
+++ b/packages/knapweedhall-standins/tests/test_proxy.py
@@ -68,3 +68,43 @@
         self.link.set_mode(proxy.Mode.PASS)
         await asyncio.sleep(SETTLE_S)
         self.assertEqual(b'a', self.received)
+
+
+class FullLinkTest(unittest.IsolatedAsyncioTestCase):
+    """A link that passes a limited number of bytes in a second."""
+
+    async def test_rate_of_all_connections(self) -> None:
+        """Guards against data that is lost, or passes faster than the rate.
+
+        The target closes its connections right after the data, which the link
+        still has to deliver.
+        """
+        size, count, rate = 200000, 2, 1e6
+
+        async def send(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(b'x' * size)
+            writer.close()
+
+        target = await asyncio.start_server(send, HOST, 0)
+        self.addCleanup(target.close)
+        link = proxy.Link((HOST, target.sockets[0].getsockname()[1]))
+        await link.listen(HOST, 0)
+        self.addCleanup(link.close)
+        link.bytes_per_s = rate
+        assert link.server is not None
+        port = link.server.sockets[0].getsockname()[1]
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        connections = [
+            await asyncio.open_connection(HOST, port) for _ in range(count)
+        ]
+        async with asyncio.timeout(5.0):
+            received = await asyncio.gather(
+                *(reader.read(-1) for reader, _ in connections)
+            )
+        for _, writer in connections:
+            writer.close()
+        self.assertEqual([size] * count, [len(data) for data in received])
+        self.assertGreaterEqual(loop.time() - began_at, size * count / rate)
--- a/packages/knapweedhall-standins/tests/test_upstream.py
+++ b/packages/knapweedhall-standins/tests/test_upstream.py
@@ -99,3 +99,77 @@
         await self.grant(1)
         self.assertEqual(504, await self.send_request(7, 20))
         self.assertEqual(200, await self.send_request(7))
+
+
+class ResponseTest(unittest.IsolatedAsyncioTestCase):
+    """Responses that tests ask for, and those that something is wrong with."""
+
+    async def asyncSetUp(self) -> None:
+        """Start an upstream without keys."""
+        self.upstream = upstream.FakeUpstream(store.Store(), 's', False)
+        await self.upstream.start()
+        self.addAsyncCleanup(self.upstream.crash)
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+
+    async def request(self, path: str, body: bytes = b'') -> tuple[int, bytes]:
+        """Send a request; return the status and the body of the response."""
+        url = f'http://{self.upstream.address}{path}'
+        headers = {'X-Attempt-Id': 'r'}
+        async with self.session.post(
+            url, headers=headers, data=body
+        ) as response:
+            return response.status, await response.read()
+
+    async def trouble(self, **trouble: object) -> None:
+        """Set what is wrong with the responses."""
+        url = f'http://{self.upstream.address}{upstream.TROUBLE_PATH}'
+        async with self.session.put(url, json=trouble) as response:
+            self.assertEqual(200, response.status)
+
+    async def test_work_and_length_of_the_query(self) -> None:
+        """Guards against a soak without long requests or long responses."""
+        began_at = time.monotonic()
+        path = '/x?work_s=0.2&bytes=1000'
+        status, body = await self.request(path, b'12')
+        self.assertEqual(200, status)
+        self.assertEqual(upstream.expected_body('POST', path, 2), body)
+        self.assertGreater(len(body), 1000)
+        self.assertGreaterEqual(time.monotonic() - began_at, 0.2)
+
+    async def test_answer_before_the_body(self) -> None:
+        """Guards against a fake that reads a body before its early answer."""
+        await self.trouble(early_status=500)
+        host, _, port = self.upstream.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(
+            b'POST /x HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: r\r\n'
+            b'Content-Length: 3\r\n\r\na'
+        )
+        async with asyncio.timeout(1.0):
+            self.assertIn(b' 500 ', await reader.readline())
+        # The connection is kept, and the rest of the body is read.
+        await self.trouble()
+        writer.write(
+            b'bcGET /x HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: s\r\n\r\n'
+        )
+        async with asyncio.timeout(1.0):
+            await reader.readuntil(b'GET /x 0')
+
+    async def test_cut_response(self) -> None:
+        """Guards against a cut response that looks whole."""
+        await self.trouble(cuts=True)
+        with self.assertRaises(aiohttp.ClientError):
+            await self.request('/x')
+
+    async def test_forgotten_connection(self) -> None:
+        """Guards against a fake that keeps idle connections."""
+        host, _, port = self.upstream.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(b'GET /x HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: s\r\n\r\n')
+        await reader.readuntil(b'GET /x 0')
+        await self.trouble(forgets_idle=True)
+        async with asyncio.timeout(1.0):
+            self.assertEqual(b'', await reader.read())
