Inject faults in series beside faults of the store

The soak drew each fault on its own, so that the store was seldom slow or away exactly while a router or the coordinator stopped. Its requests took 20 ms, so that none was running in the last part of a stop.

Series of three to six faults follow each other by 0.2 to 2 s: stops of routers and of the coordinator, pauses of the coordinator, reloads of all routers, configurations, kills of one upstream, short notices, early answers and refusals, forgotten connections, cut responses and a full link in front of a router. A fault of the store surrounds half of them.

A new check finds answers of the router's own in place of a request that was running in a stop. A response that had begun is not counted as cut if its upstream was disturbed or the time limit was over, which the platform's rules allow; small responses arrived whole before, so that it did not matter.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/checker.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/checker.py
@@ -21,6 +21,15 @@
 # which they count (platform rules, BUDGET).
 MAX_ARRIVALS_IN_PAUSE = 2
 PAUSE_SLACK_S = 0.5
+# Time from SIGTERM to the end of a process, `grace_s` of the routers'
+# settings. In its last sixth, requests of the first EXCUSED_S may be given up
+# (platform rules, LOST).
+GRACE_S = 6.0
+EXCUSED_FROM_S = GRACE_S * 5 / 6
+EXCUSED_S = 3.0
+STOP_END_SLACK_S = 1.0
+# An instance may answer this long before a deadline that it received late.
+DEADLINE_SLACK_S = 0.1
 # Distance between the keys at which grants are compared. All moved ranges are
 # wider, except for single hot keys.
 KEY_STEP = 256
@@ -108,12 +117,15 @@
     leaving : dict of str to list of tuple of float and float
         Times in which their responses said that they leave; each ends when
         another process starts under the name.
+    cut : frozenset of str
+        IDs of the requests whose responses they cut.
     """
 
     runs: list[Run]
     grants: list[GrantPeriod]
     refusals: list[Refusal] = []
     leaving: dict[str, list[tuple[float, float]]] = {}
+    cut: frozenset[str] = frozenset()
 
 
 class _GrantHistory:
@@ -160,6 +172,7 @@
     grants: list[GrantPeriod] = []
     refusals: list[Refusal] = []
     leaving: dict[str, list[tuple[float, float]]] = {}
+    cut: set[str] = set()
     for name in upstreams:
         history = _GrantHistory(name)
         for line in (folder / f'{name}.log').read_text().splitlines():
@@ -173,6 +186,8 @@
                         event['at'], name, event['request'], event['pause_s']
                     )
                 )
+            elif event['event'] == 'cut':
+                cut.add(event['request'])
             elif event['event'] == 'trouble' and event.get('leaving'):
                 leaving.setdefault(name, []).append((event['at'], math.inf))
             elif event['event'] == 'started':
@@ -182,7 +197,9 @@
                     for begin, end in leaving.get(name, ())
                 ]
         grants += history.closed + history.open
-    return UpstreamActivity(sorted(runs), grants, sorted(refusals), leaving)
+    return UpstreamActivity(
+        sorted(runs), grants, sorted(refusals), leaving, frozenset(cut)
+    )
 
 
 def _apply_event(
@@ -311,6 +328,54 @@
                 highest[key] = grant
 
 
+def check_stops(
+    results: typing.Sequence[callers.Result],
+    activity: UpstreamActivity,
+    signalled_at: typing.Mapping[str, typing.Sequence[float]],
+    is_undisturbed: typing.Callable[[str, float, float], bool],
+) -> list[Violation]:
+    """Return requests that a stopping router gave up while they ran.
+
+    Their answer is the router's own, though their upstream was sound and their
+    time limit was not over. Those with keys are left out, as a key may move.
+
+    Parameters
+    ----------
+    results : sequence of callers.Result
+        Results of all requests.
+    activity : UpstreamActivity
+        What the upstreams did.
+    signalled_at : mapping of str to sequence of float
+        When each router got SIGTERM, seconds of the monotonic clock.
+    is_undisturbed : callable
+        Returns whether a router or an upstream, given by its name, ran without
+        a disruption between two times.
+    """
+    upstreams: dict[str, set[str]] = collections.defaultdict(set)
+    for run in activity.runs:
+        upstreams[run.request].add(run.upstream)
+    return [
+        Violation('no request is given up in a stop', f'{result} {at}')
+        for result in results
+        if result.status in (502, 504)
+        and not result.signed
+        and result.key is None
+        and result.request in upstreams
+        and result.request not in activity.cut
+        and result.ended_at < result.deadline - DEADLINE_SLACK_S
+        for at in signalled_at.get(result.router, ())
+        if at <= result.ended_at <= at + GRACE_S + STOP_END_SLACK_S
+        and not (
+            result.sent_at <= at + EXCUSED_S
+            and result.ended_at >= at + EXCUSED_FROM_S
+        )
+        and all(
+            is_undisturbed(name, result.sent_at, result.ended_at)
+            for name in (result.router, *upstreams[result.request])
+        )
+    ]
+
+
 def check_notices(
     results: typing.Sequence[callers.Result],
     activity: UpstreamActivity,
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
@@ -84,11 +84,17 @@
     link : proxy.Link
         Of a router, its connections to the store; of an upstream, the
         connections from all routers. The store's is not used.
+    front : proxy.Link
+        Of a router, another way for callers to it; not used otherwise.
+    front_port : int
+        Port of that link.
     """
 
     def __init__(
         self, child: children.Child, ip: str, port: int, link: proxy.Link
     ) -> None:
+        self.front = proxy.Link((ip, port))
+        self.front_port = 0
         self.child = child
         self.ip = ip
         self.port = port
@@ -152,6 +158,7 @@
         for node in nodes:
             node.child.kill()
             node.link.close()
+            node.front.close()
         await self.exit_stack.aclose()
 
     def _start_child(self, name: str, arguments: list[str]) -> children.Child:
@@ -229,7 +236,10 @@
             name,
             [*self.spec.router_module.split(), '--settings', str(path)],
         )
-        self.routers[name] = Node(child, ip, front, link)
+        node = Node(child, ip, front, link)
+        node.front_port = self.ports.take(ip)
+        await node.front.listen(ip, node.front_port)
+        self.routers[name] = node
 
     async def set_store_faults(self, store_faults: faults.StoreFaults) -> None:
         """Replace the faults of the store."""
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import pathlib
 import random
 import time
@@ -53,9 +54,20 @@
         self.publish_lock = asyncio.Lock()
 
     def targets(self) -> list[callers.Target]:
-        """Return each router with each host."""
+        """Return each router with each host.
+
+        A router is reached by the link in front of it while that is limited.
+        """
         return [
-            callers.Target(name, node.address, host)
+            callers.Target(
+                name,
+                (
+                    node.address
+                    if math.isinf(node.front.bytes_per_s)
+                    else f'{node.ip}:{node.front_port}'
+                ),
+                host,
+            )
             for name, node in self.deployment.routers.items()
             for host in self.hosts
         ]
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
@@ -28,6 +28,32 @@
 # Share of the series in which the store is restored.
 RESTORE_SHARE = 0.5
 MIN_DURATION_S, MAX_DURATION_S = 0.2, 6.0
+# Series of faults of one kind, by the target and the kind of their parts. They
+# follow each other faster than the deployment is ready again.
+SERIES_KINDS = (
+    ('coordinator', 'stop'),
+    ('coordinator', 'pause'),
+    ('router', 'stop'),
+    ('reloads', 'reload'),
+    ('operator', 'publish'),
+    ('upstream', 'kill'),
+    ('response', 'short-notice'),
+    ('response', 'early-refusal'),
+    ('response', 'early-answer'),
+    ('response', 'forget-idle'),
+    ('response', 'cut'),
+    ('front', 'full-link'),
+)
+# Faults of the store that surround a part of a series.
+BESIDE_KINDS = ('down', 'slow', 'refuse', 'deaf', 'lose-answers')
+SERIES_COUNT = 3
+MIN_SERIES_LENGTH, MAX_SERIES_LENGTH = 3, 6
+MIN_GAP_S, MAX_GAP_S = 0.2, 2.0
+MIN_PART_S, MAX_PART_S = 0.3, 3.0
+# Share of the parts that a fault of the store surrounds, and the time by which
+# it begins earlier and ends later at most.
+BESIDE_SHARE = 0.5
+MAX_MARGIN_S = 1.0
 
 
 class Fault(typing.NamedTuple):
@@ -37,8 +63,10 @@
     ----------
     at, until : float
         Start and end, seconds since the start of the series.
-    target : {'router', 'upstream', 'store', 'operator', 'response'}
-        Type of component that it acts on.
+    target : str
+        Type of component that it acts on: 'router', 'coordinator', 'reloads'
+        (all routers), 'front' (the link between callers and a router),
+        'upstream', 'response', 'store' or 'operator'.
     kind : str
         Kind of the fault.
     pick : float
@@ -122,3 +150,35 @@
         return []
     at = rng.uniform(0.0, duration_s)
     return [Fault(at, at, 'store', 'restore', rng.random(), proxy.Mode.PASS)]
+
+
+def generate_series(rng: random.Random, duration_s: float) -> list[Fault]:
+    """Return series of faults, which overlap each other and faults beside.
+
+    A series of upstreams' faults acts on the same one each time; stops and
+    notices act on another one each time.
+    """
+    faults = []
+    for _ in range(SERIES_COUNT):
+        target, kind = rng.choice(SERIES_KINDS)
+        at, pick = rng.uniform(0.0, duration_s), rng.random()
+        for _ in range(rng.randint(MIN_SERIES_LENGTH, MAX_SERIES_LENGTH)):
+            until = at + rng.uniform(MIN_PART_S, MAX_PART_S)
+            if kind in ('stop', 'short-notice'):
+                pick = rng.random()
+            faults.append(
+                Fault(at, until, target, kind, pick, proxy.Mode.PASS)
+            )
+            if rng.random() < BESIDE_SHARE:
+                faults.append(
+                    Fault(
+                        max(0.0, at - rng.uniform(0.0, MAX_MARGIN_S)),
+                        until + rng.uniform(0.0, MAX_MARGIN_S),
+                        'store',
+                        rng.choice(BESIDE_KINDS),
+                        rng.random(),
+                        rng.choice(LINK_MODES),
+                    )
+                )
+            at += rng.uniform(MIN_GAP_S, MAX_GAP_S)
+    return sorted(fault for fault in faults if fault.at < duration_s)
--- a/packages/knapweedhall-bench/tests/test_checker.py
+++ b/packages/knapweedhall-bench/tests/test_checker.py
@@ -10,6 +10,7 @@
 
 from knapweedhall_bench import callers
 from knapweedhall_bench import checker
+from knapweedhall_bench import soak
 
 ORDER = callers.Result('o1', 'r', 'orders', False, None, 1.0, 1.1, 200, True)
 
@@ -134,3 +135,63 @@
         self.assertEqual(
             [], checker.check_notices(results, fewer, lambda *_: True)
         )
+
+    def test_requests_that_a_stop_gives_up(self) -> None:
+        """Guards against a missed 504 in a stop, and false ones."""
+        given_up = ORDER._replace(
+            host='x', sent_at=1.0, ended_at=4.0, status=504, deadline=7.0
+        )
+        activity = checker.UpstreamActivity(
+            [checker.Run(1.05, 'a', 'o1', None)], []
+        )
+        for expected, result, signal_at in (
+            (1, given_up, 0.5),
+            # Without a signal, after the time limit, from the upstream, or
+            # not run.
+            (0, given_up, 5.0),
+            (0, given_up._replace(deadline=4.0), 0.5),
+            (0, given_up._replace(signed=True), 0.5),
+            (0, given_up._replace(request='o2'), 0.5),
+            # The last sixth of the grace time excuses requests of the first
+            # 3 s only.
+            (0, given_up._replace(ended_at=5.6), 0.5),
+            (1, given_up._replace(sent_at=3.6, ended_at=5.6), 0.5),
+        ):
+            with self.subTest(result=result):
+                for broken, names in (
+                    (expected, ()),
+                    (0, ('a',)),
+                    (0, ('r',)),
+                ):
+                    found = checker.check_stops(
+                        [result],
+                        activity,
+                        {'r': [signal_at]},
+                        lambda name, *_: name not in names,
+                    )
+                    self.assertEqual(broken, len(found))
+
+    def test_responses_that_end_early(self) -> None:
+        """Guards against a missed cut response, and false ones."""
+        run = soak.Soak(soak.SMALL, 1, pathlib.Path())
+        cut = ORDER._replace(status=0, deadline=2.5)
+        activity = checker.UpstreamActivity(
+            [checker.Run(1.05, 'a', 'o1', None)], []
+        )
+        began = cut._replace(began=True)
+        late = began._replace(ended_at=2.6)
+        by_upstream = activity._replace(cut=frozenset(('o1',)))
+        for expected, result, seen in (
+            (1, cut, activity),
+            (1, began, activity),
+            (0, late, activity),
+            (0, cut, by_upstream),
+        ):
+            with self.subTest(result=result):
+                self.assertEqual(
+                    expected, len(run._check_cut_requests([result], seen))
+                )
+        # Without the begin of a response, the router can answer itself.
+        run.disruptions['a'].append((1.0, 2.0))
+        self.assertEqual(1, len(run._check_cut_requests([cut], activity)))
+        self.assertEqual([], run._check_cut_requests([began], activity))
--- a/packages/knapweedhall-bench/tests/test_soak.py
+++ b/packages/knapweedhall-bench/tests/test_soak.py
@@ -84,3 +84,18 @@
         first = faults.generate(random.Random(5), 20, 10.0)
         self.assertEqual(first, faults.generate(random.Random(5), 20, 10.0))
         self.assertNotEqual(first, faults.generate(random.Random(6), 20, 10.0))
+
+    def test_series_are_drawn_apart(self) -> None:
+        """Guards against old seeds that no longer give their faults."""
+        first = faults.generate_series(random.Random('series 5'), 20.0)
+        self.assertEqual(
+            first, faults.generate_series(random.Random('series 5'), 20.0)
+        )
+        drawn = [
+            fault
+            for seed in range(50)
+            for fault in faults.generate_series(random.Random(seed), 20.0)
+        ]
+        kinds = {(fault.target, fault.kind) for fault in drawn}
+        self.assertLessEqual(set(faults.SERIES_KINDS), kinds)
+        self.assertTrue(all(0.0 <= fault.at < 20.0 for fault in drawn))
