Reload changed settings and cut responses without a length in the soak

Reloads found an unchanged file, so that none of them applied anything, and all cut responses had a length. Tests: test_soak.ReloadTest, test_upstream.ResponseTest.test_cut_response pass.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import pathlib
+import re
 import tempfile
 import typing
 
@@ -241,6 +242,20 @@
         await node.front.listen(ip, node.front_port)
         self.routers[name] = node
 
+    def write_retry_extra(self, name: str, retry_extra: int) -> None:
+        """Change a setting of a router, which it reads at a reload."""
+        assert self.folder is not None
+        path = self.folder / f'{name}.ini'
+        text = re.sub(
+            '(?m)^retry_extra = .*',
+            f'retry_extra = {retry_extra}',
+            path.read_text(),
+        )
+        # Renamed, so that a router that starts meanwhile reads a whole file.
+        changed = path.with_suffix('.new')
+        changed.write_text(text)
+        changed.replace(path)
+
     async def set_store_faults(self, store_faults: faults.StoreFaults) -> None:
         """Replace the faults of the store."""
         await self._put('faults', msgspec.json.encode(store_faults))
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections
 import contextlib
+import itertools
 import math
 import pathlib
 import random
@@ -68,6 +69,8 @@
 # the platform's rules excuse an end within this time of a start.
 MIN_SIGNAL_AGE_S = 1.0
 RELOAD_PERIOD_S = 0.05
+# Values of a setting that reloads change; they have no effect on the checks.
+RETRY_EXTRAS = (62, 61)
 # Rate of a full link, 10 Mbit/s as on the grown sites, and the large requests
 # that fill it for 2 s or more.
 FULL_LINK_BYTES_PER_S = 1.25e6
@@ -240,8 +243,8 @@
         elif fault.target == 'reloads':
             await asyncio.gather(
                 *(
-                    _send_reloads(node, duration_s)
-                    for node in self.deployment.routers.values()
+                    self._send_reloads(name, duration_s)
+                    for name in self.deployment.routers
                 )
             )
         elif fault.target == 'front':
@@ -271,7 +274,7 @@
         elif fault.kind == 'stop':
             await self._stop_router(name, node)
         elif fault.kind == 'reload':
-            await _send_reloads(node, duration_s)
+            await self._send_reloads(name, duration_s)
         else:
             await _inject_link_fault(node.link, fault, duration_s)
 
@@ -286,6 +289,21 @@
                 self.coordinator, fault, duration_s
             )
 
+    async def _send_reloads(self, name: str, duration_s: float) -> None:
+        """Send reload signals in series, also while the process is stopping.
+
+        The settings differ each time.
+        """
+        child = self.deployment.routers[name].child
+        until = time.monotonic() + duration_s
+        for retry_extra in itertools.cycle(RETRY_EXTRAS):
+            if time.monotonic() >= until:
+                return
+            self.deployment.write_retry_extra(name, retry_extra)
+            if time.monotonic() - child.started_at > MIN_SIGNAL_AGE_S:
+                child.send_signal(signal.SIGHUP)
+            await asyncio.sleep(RELOAD_PERIOD_S)
+
     async def _fill_link(self, name: str, duration_s: float) -> None:
         """Let callers reach a router by a link that large requests fill."""
         node = self.deployment.routers[name]
@@ -391,6 +409,7 @@
             trouble['early_status'] = 503 if refuses else 500
         elif fault.kind == 'cut':
             trouble['cuts'] = True
+            trouble['unframed'] = share < 0.5
         elif fault.kind == 'pause-asked':
             trouble['pause_s'] = MIN_PAUSE_S + share * (
                 MAX_PAUSE_S - MIN_PAUSE_S
@@ -587,15 +606,6 @@
     return ordered[int(pick * len(ordered))]
 
 
-async def _send_reloads(node: deployment.Node, duration_s: float) -> None:
-    """Send reload signals in series, also while the process is stopping."""
-    until = time.monotonic() + duration_s
-    while time.monotonic() < until:
-        if time.monotonic() - node.child.started_at > MIN_SIGNAL_AGE_S:
-            node.child.send_signal(signal.SIGHUP)
-        await asyncio.sleep(RELOAD_PERIOD_S)
-
-
 async def _inject_link_fault(
     link: proxy.Link, fault: faults.Fault, duration_s: float
 ) -> None:
--- a/packages/knapweedhall-bench/tests/test_soak.py
+++ b/packages/knapweedhall-bench/tests/test_soak.py
@@ -14,6 +14,7 @@
 
 from knapweedhall_bench import children
 from knapweedhall_bench import demo
+from knapweedhall_bench import deployment
 from knapweedhall_bench import faults
 from knapweedhall_bench import soak
 
@@ -99,3 +100,24 @@
         kinds = {(fault.target, fault.kind) for fault in drawn}
         self.assertLessEqual(set(faults.SERIES_KINDS), kinds)
         self.assertTrue(all(0.0 <= fault.at < 20.0 for fault in drawn))
+
+
+class ReloadTest(unittest.TestCase):
+    """Settings that change at reloads."""
+
+    def test_changed_setting(self) -> None:
+        """Guards against reloads that change no setting."""
+        with tempfile.TemporaryDirectory() as folder:
+            running = deployment.Deployment(
+                soak.SMALL.spec, pathlib.Path(folder)
+            )
+            path = pathlib.Path(folder) / 'r.ini'
+            path.write_text(deployment.SETTINGS)
+            running.write_retry_extra('r', 61)
+            self.assertEqual(
+                deployment.SETTINGS.replace(
+                    'retry_extra = 62', 'retry_extra = 61'
+                ),
+                path.read_text(),
+            )
+            self.assertNotEqual(deployment.SETTINGS, path.read_text())
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/upstream.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/upstream.py
@@ -157,8 +157,9 @@
         read their bodies; 503 refuses them.
     busy : set of web_protocol.RequestHandler
         Connections with a request in progress.
-    cuts : bool
-        Whether it resets connections in the middle of a response.
+    cuts, unframed : bool
+        Whether it resets connections in the middle of a response, and whether
+        responses have no length and end with their connection.
     response_hook : callable or None
         Replaces responses: takes the request and the bytes of the regular
         response, returns the bytes to send, or None to abort the connection.
@@ -201,7 +202,7 @@
         self.pause_s = 0.0
         self.second_copy_s = 0.0
         self.early_status = 0
-        self.cuts = False
+        self.cuts = self.unframed = False
         self.busy: set[web_protocol.RequestHandler] = set()
         self.response_hook: (
             typing.Callable[[web.BaseRequest, bytes], bytes | None] | None
@@ -300,6 +301,7 @@
         self.second_copy_s = trouble.get('second_copy_s', 0.0)
         self.early_status = trouble.get('early_status', 0)
         self.cuts = trouble.get('cuts', False)
+        self.unframed = trouble.get('unframed', False)
         if trouble.get('forgets_idle'):
             for connection in self.http.connections:
                 if connection not in self.busy and connection.transport:
@@ -380,6 +382,11 @@
     def _leaving_line(self) -> str:
         return 'Server-Leaving: 1\r\n' if self.leaving else ''
 
+    def _framing(self, size: int) -> str:
+        if self.unframed:
+            return 'Connection: close'
+        return f'Content-Length: {size}'
+
     def _load_report(self) -> str:
         return f'{self.running},{self.waiting},{self.slot_count},100'
 
@@ -480,7 +487,7 @@
             f'X-Response-Signature: {self.name}.{len(body)}\r\n'
             f'X-Backend-Load: {self._load_report()}\r\n'
             f'{self._leaving_line()}'
-            f'Content-Length: {len(response_body)}\r\n\r\n'
+            f'{self._framing(len(response_body))}\r\n\r\n'
         )
         raw: bytes | None = head.encode() + response_body
         if self.response_hook is not None and raw is not None:
@@ -497,6 +504,9 @@
             transport.write(raw[: -len(response_body) // 2])
             await asyncio.sleep(CUT_DELAY_S)
             proxy.reset_connection(transport)
+        elif self.unframed:
+            transport.write(raw)
+            transport.close()
         else:
             transport.write(raw)
             if self.second_copy_s > 0:
--- a/packages/knapweedhall-standins/tests/test_upstream.py
+++ b/packages/knapweedhall-standins/tests/test_upstream.py
@@ -159,9 +159,20 @@
 
     async def test_cut_response(self) -> None:
         """Guards against a cut response that looks whole."""
-        await self.trouble(cuts=True)
-        with self.assertRaises(aiohttp.ClientError):
-            await self.request('/x')
+        for unframed in (False, True):
+            with self.subTest(unframed=unframed):
+                await self.trouble(cuts=True, unframed=unframed)
+                host, _, port = self.upstream.address.rpartition(':')
+                reader, writer = await asyncio.open_connection(host, int(port))
+                self.addCleanup(writer.close)
+                writer.write(
+                    b'GET /x HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: s\r\n\r\n'
+                )
+                # An end without a reset would be that of a whole response.
+                with self.assertRaises(ConnectionResetError):
+                    await reader.read()
+        await self.trouble(unframed=True)
+        self.assertEqual((200, b'POST /x 0'), await self.request('/x'))
 
     async def test_forgotten_connection(self) -> None:
         """Guards against a fake that keeps idle connections."""
