Check that a confirmed configuration is in force in the soak

A configuration that the store has confirmed is an acceptance. The soak checked it only at processes that had served a host before, and at the end.

Instances that are in touch may not answer 404 for a host 2 s after the confirmation, and no instance may for a host of the first configuration. Hosts whose record a restore of the store may have lost are left out until another record has them.

test_checker passes; no soak has been run with it yet.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/checker.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/checker.py
@@ -30,6 +30,9 @@
 STOP_END_SLACK_S = 1.0
 # An instance may answer this long before a deadline that it received late.
 DEADLINE_SLACK_S = 0.1
+# Time after the confirmation of a configuration from which it is in force at
+# all instances that are in touch (platform's pages, `configS`).
+IN_FORCE_S = 2.0
 # Distance between the keys at which grants are compared. All moved ranges are
 # wider, except for single hot keys.
 KEY_STEP = 256
@@ -376,6 +379,39 @@
     ]
 
 
+def check_configurations(
+    results: typing.Sequence[callers.Result],
+    confirmed: typing.Mapping[str, tuple[float, float]],
+    is_in_touch: typing.Callable[[str, float, float], bool],
+) -> list[Violation]:
+    """Return 404 responses for hosts that the configuration has.
+
+    Parameters
+    ----------
+    results : sequence of callers.Result
+        Results of all requests.
+    confirmed : mapping of str to (float, float)
+        Time in which the store has each added host, seconds of the monotonic
+        clock. The others were configured before the first request, so that
+        not even an instance that has just started may answer 404 for them.
+    is_in_touch : callable
+        Returns whether a router, given by its name, was in touch with the
+        store between two times.
+    """
+    return [
+        Violation('configuration in force', f'{result}')
+        for result in results
+        if result.status == 404
+        and not result.signed
+        and (
+            result.host not in confirmed
+            or confirmed[result.host][0] + IN_FORCE_S < result.sent_at
+            and result.ended_at < confirmed[result.host][1]
+            and is_in_touch(result.router, result.sent_at, result.ended_at)
+        )
+    ]
+
+
 def check_notices(
     results: typing.Sequence[callers.Result],
     activity: UpstreamActivity,
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
@@ -40,6 +40,9 @@
     ----------
     hosts : list of str
         Hosts that callers use; `add_host` extends it.
+    confirmed : dict of str to (float, float)
+        Begin and end of the time in which the store has the record of each
+        added host, seconds of the monotonic clock.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         self.deployment = running
         self.rng = rng
         self.hosts = [DIVIDED_SERVICE, CHOICE_SERVICE]
+        self.confirmed: dict[str, tuple[float, float]] = {}
         self.callers = callers.Callers(self.targets, rng, (DIVIDED_SERVICE,))
         self.author = draft.Author('operator', time.time_ns() // 1000)
         self.published_count = 0
@@ -123,6 +127,16 @@
                 CHOICE_SERVICE, 'choice', [*hosts, host]
             ):
                 self.hosts.append(host)
+                # The record has the hosts of records that a restore lost.
+                for name in self.hosts[2:]:
+                    if self.confirmed.get(name, (0.0, 0.0))[1] < math.inf:
+                        self.confirmed[name] = (time.monotonic(), math.inf)
+
+    def end_confirmations(self) -> None:
+        """Note that the store may lose the records of the added hosts."""
+        now = time.monotonic()
+        for host, (begin, end) in self.confirmed.items():
+            self.confirmed[host] = (begin, min(end, now))
 
     async def find_coordinator(self) -> str:
         """Return the name of the coordinator; '' if it is unknown."""
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -69,6 +69,9 @@
 # the platform's rules excuse an end within this time of a start.
 MIN_SIGNAL_AGE_S = 1.0
 RELOAD_PERIOD_S = 0.05
+# Time without a disruption after which an instance is in touch (platform's
+# pages, `stableWindowS`).
+STABLE_WINDOW_S = 3.0
 # Values of a setting that reloads change; they have no effect on the checks.
 RETRY_EXTRAS = (62, 61)
 # Rate of a full link, 10 Mbit/s as on the grown sites, and the large requests
@@ -209,6 +212,9 @@
         violations = self.ends + checker.check(results, activity)
         violations += self._check_cut_requests(results, activity)
         violations += self._check_reverts(results)
+        violations += checker.check_configurations(
+            results, self.environment.confirmed, self._is_in_touch
+        )
         violations += checker.check_stops(
             results, activity, self.signalled_at, self._is_undisturbed
         )
@@ -277,6 +283,7 @@
             await self._send_reloads(name, duration_s)
         else:
             await _inject_link_fault(node.link, fault, duration_s)
+            self.disruptions[_store_link(name)].append((now, time.monotonic()))
 
     async def _inject_coordinator_fault(
         self, fault: faults.Fault, duration_s: float
@@ -432,6 +439,15 @@
 
     async def _inject_store_fault(
         self, fault: faults.Fault, duration_s: float
+    ) -> None:
+        began_at = time.monotonic()
+        try:
+            await self._disturb_store(fault, duration_s)
+        finally:
+            self.disruptions['store'].append((began_at, time.monotonic()))
+
+    async def _disturb_store(
+        self, fault: faults.Fault, duration_s: float
     ) -> None:
         count = 1 + int(fault.pick * 3)
         if fault.kind == 'forget':
@@ -440,11 +456,14 @@
                 await self.deployment.delete_store_history()
             return
         if fault.kind == 'restore':
+            self.environment.end_confirmations()
             with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                 # It has no effect if the store is down.
                 await self.deployment.restore_store(
                     fault.pick * MAX_COPY_AGE_S
                 )
+            # Also of those that were confirmed meanwhile.
+            self.environment.end_confirmations()
             return
         if fault.kind == 'down':
             self.store_faults.down = True
@@ -576,6 +595,16 @@
             for disrupted_from, disrupted_until in self.disruptions[router]
         ) and not any(begin <= at <= end for at in self.restarts[router])
 
+    def _is_in_touch(self, router: str, begin: float, end: float) -> bool:
+        """Return whether a router could reach the store in a calm time."""
+        calm_from = begin - STABLE_WINDOW_S
+        return all(
+            self._is_undisturbed(name, calm_from, end)
+            for name in (router, 'store', _store_link(router))
+        ) and not any(
+            calm_from <= at <= end for at in self.signalled_at[router]
+        )
+
     def _check_reverts(
         self, results: typing.Sequence[callers.Result]
     ) -> list[checker.Violation]:
@@ -606,6 +635,11 @@
     return ordered[int(pick * len(ordered))]
 
 
+def _store_link(router: str) -> str:
+    """Return the name of a router's link to the store."""
+    return f'store link of {router}'
+
+
 async def _inject_link_fault(
     link: proxy.Link, fault: faults.Fault, duration_s: float
 ) -> None:
--- a/packages/knapweedhall-bench/tests/test_checker.py
+++ b/packages/knapweedhall-bench/tests/test_checker.py
@@ -195,3 +195,31 @@
         run.disruptions['a'].append((1.0, 2.0))
         self.assertEqual(1, len(run._check_cut_requests([cut], activity)))
         self.assertEqual([], run._check_cut_requests([began], activity))
+
+    def test_hosts_that_the_configuration_has(self) -> None:
+        """Guards against a missed 404 for a confirmed host, and false ones."""
+        missing = ORDER._replace(
+            host='h', sent_at=5.0, ended_at=5.1, status=404
+        )
+        for expected, host, confirmed, in_touch in (
+            (1, 'h', (2.0, math.inf), True),
+            (0, 'h', (2.0, math.inf), False),
+            # Confirmed less than 2 s before, or lost by the store since.
+            (0, 'h', (3.5, math.inf), True),
+            (0, 'h', (2.0, 4.0), True),
+            # A host of the first configuration.
+            (1, 'orders', (2.0, math.inf), False),
+        ):
+            with self.subTest(host=host, confirmed=confirmed):
+                result = missing._replace(host=host)
+                found = checker.check_configurations(
+                    [result], {'h': confirmed}, lambda *_: in_touch
+                )
+                self.assertEqual(expected, len(found))
+        # An upstream's own response.
+        found = checker.check_configurations(
+            [missing._replace(signed=True)],
+            {'h': (2.0, math.inf)},
+            lambda *_: True,
+        )
+        self.assertEqual([], found)
