Pass a reset on as a reset in the proxy of the stand-ins

The proxy closed the other side of a connection in order when one side reset it. A router that receives the reset itself answers 502.

The proxy resets the other side, too. test_reset_reaches_the_other_side failed before and passes.

--- a/packages/knapweedhall-standins/src/knapweedhall_standins/proxy.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/proxy.py
@@ -108,6 +108,8 @@
             # Sends what is still buffered; an abort discards it.
             writer.close()
             await writer.wait_closed()
+        except ConnectionResetError:
+            reset_connection(writer.transport)
         except (OSError, EOFError):
             # One side is gone; the connection to the other is aborted below.
             return
@@ -127,7 +129,16 @@
             asyncio.create_task(self._pump(target_reader, writer, False)),
         ]
         try:
-            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+            done, _ = await asyncio.wait(
+                pumps, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                # Raises the error that ended the connection.
+                task.result()
+        except ConnectionResetError:
+            # The other side must not take it for an orderly end.
+            reset_connection(target_writer.transport)
+            raise
         finally:
             for task in pumps:
                 task.cancel()
--- a/packages/knapweedhall-standins/tests/test_proxy.py
+++ b/packages/knapweedhall-standins/tests/test_proxy.py
@@ -108,3 +108,50 @@
             writer.close()
         self.assertEqual([size] * count, [len(data) for data in received])
         self.assertGreaterEqual(loop.time() - began_at, size * count / rate)
+
+
+class PassedResetTest(unittest.IsolatedAsyncioTestCase):
+    """Resets by one side of a connection."""
+
+    async def test_reset_reaches_the_other_side(self) -> None:
+        """Guards against a reset that the other side sees as an orderly end.
+
+        In seed 970005, responses without a length that an upstream had cut by
+        a reset looked whole to the routers.
+        """
+        ends: asyncio.Queue[str] = asyncio.Queue()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            command = await reader.readline()
+            if command == b'reset\n':
+                writer.write(b'part')
+                await asyncio.sleep(SETTLE_S)
+                proxy.reset_connection(writer.transport)
+                return
+            try:
+                ends.put_nowait(repr(await reader.read()))
+            except ConnectionResetError:
+                ends.put_nowait('reset')
+            writer.close()
+
+        target = await asyncio.start_server(serve, HOST, 0)
+        self.addCleanup(target.close)
+        link = proxy.Link((HOST, target.sockets[0].getsockname()[1]))
+        await link.listen(HOST, 0)
+        self.addCleanup(link.close)
+        assert link.server is not None
+        port = link.server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b'reset\n')
+        self.assertEqual(b'part', await reader.read(4))
+        with self.assertRaises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+        _, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b'wait\n')
+        await asyncio.sleep(SETTLE_S)
+        proxy.reset_connection(writer.transport)
+        async with asyncio.timeout(1.0):
+            self.assertEqual('reset', await ends.get())
