End a pause in the soak's checker with the process that asked for it

Each start of an upstream is a new incarnation, and this one had asked for nothing; for notices of leaving, the checker knew that already.

The pause ends at the next start under the name. test_pause_of_an_earlier_process failed before and passes.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/checker.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/checker.py
@@ -97,7 +97,8 @@
     upstream, request : str
         Name of the upstream, and request ID.
     pause_s : float
-        Length of the pause, seconds.
+        Length of the pause, seconds; it ends when another process starts
+        under the name.
     """
 
     at: float
@@ -194,7 +195,19 @@
             elif event['event'] == 'trouble' and event.get('leaving'):
                 leaving.setdefault(name, []).append((event['at'], math.inf))
             elif event['event'] == 'started':
-                # The notice was that of the process before.
+                # The notices were those of the process before.
+                refusals = [
+                    (
+                        refusal._replace(
+                            pause_s=min(
+                                refusal.pause_s, event['at'] - refusal.at
+                            )
+                        )
+                        if refusal.upstream == name
+                        else refusal
+                    )
+                    for refusal in refusals
+                ]
                 leaving[name] = [
                     (begin, min(end, event['at']))
                     for begin, end in leaving.get(name, ())
--- a/packages/knapweedhall-bench/tests/test_checker.py
+++ b/packages/knapweedhall-bench/tests/test_checker.py
@@ -223,3 +223,37 @@
             lambda *_: True,
         )
         self.assertEqual([], found)
+
+    def test_pause_of_an_earlier_process(self) -> None:
+        """Guards against a report of requests to the next process of a name.
+
+        In seed 970006 an upstream that had asked for a pause was killed and
+        started again under its name. The new process had asked for none.
+        """
+        events: list[dict[str, object]] = [
+            {'at': 0.1, 'event': 'started'},
+            {
+                'at': 1.0,
+                'event': 'turned_away',
+                'request': 'o0',
+                'pause_s': 2.0,
+            },
+            {'at': 1.6, 'event': 'started'},
+        ]
+        events += [
+            {'at': at, 'event': 'run', 'request': f'o{at}', 'key': None}
+            for at in (1.7, 1.8, 1.9)
+        ]
+        results = [
+            ORDER._replace(request=request)
+            for request in ('o0', 'o1.7', 'o1.8', 'o1.9')
+        ]
+        for expected in (0, 1):
+            with tempfile.TemporaryDirectory() as folder:
+                log = pathlib.Path(folder) / 'a.log'
+                log.write_text('\n'.join(map(json.dumps, events)))
+                activity = checker.read_logs(log.parent, ['a'])
+            found = checker.check_notices(results, activity, lambda *_: True)
+            self.assertEqual(expected, len(found))
+            # Without the start, the process that asked is still running.
+            del events[2]
