Start an upstream once after overlapping kills in the soak

Two kills of one upstream that overlapped started it twice, as the second one looked at the process that it had found at its begin. The process that started second ended, as its address was in use, and replaced the running one in the books: later faults did not reach the upstream.

test_overlapping_kills failed before and passes.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -357,7 +357,7 @@
         if fault.kind == 'kill':
             node.child.kill()
             await asyncio.sleep(duration_s)
-            await self._restart_upstream(name, node)
+            await self._restart_upstream(name)
         elif fault.kind == 'pause':
             node.child.pause()
             await asyncio.sleep(duration_s)
@@ -430,10 +430,9 @@
         await asyncio.sleep(duration_s)
         await self.deployment.set_trouble(name, {})
 
-    async def _restart_upstream(
-        self, name: str, node: deployment.Node
-    ) -> None:
-        if not node.child.is_running():
+    async def _restart_upstream(self, name: str) -> None:
+        # An overlapping fault may have started another process by now.
+        if not self.deployment.upstreams[name].child.is_running():
             service = self.deployment.upstream_services[name]
             await self.deployment.add_upstream(service, name)
 
--- a/packages/knapweedhall-bench/tests/test_soak.py
+++ b/packages/knapweedhall-bench/tests/test_soak.py
@@ -17,6 +17,7 @@
 from knapweedhall_bench import deployment
 from knapweedhall_bench import faults
 from knapweedhall_bench import soak
+from knapweedhall_standins import proxy
 
 SEED = 1
 STOPPABLE = """
@@ -25,6 +26,7 @@
 time.sleep(60)
 """
 DEMO_S = 8.0
+LINK_MODE = proxy.Mode.PASS
 
 
 class EndTest(unittest.TestCase):
@@ -121,3 +123,36 @@
                 path.read_text(),
             )
             self.assertNotEqual(deployment.SETTINGS, path.read_text())
+
+
+class RestartTest(unittest.IsolatedAsyncioTestCase):
+    """Upstreams that faults kill and start again."""
+
+    async def test_overlapping_kills(self) -> None:
+        """Guards against two processes of one upstream.
+
+        In seed 970006 the second one ended, as its address was in use, and
+        took the place of the first one.
+        """
+        run = soak.Soak(soak.SMALL, 1, pathlib.Path())
+        run.deployment = mock.Mock()
+        nodes = run.deployment.upstreams = {'a': mock.Mock()}
+        run.deployment.upstream_services = {'a': 's'}
+        nodes['a'].child.is_running.return_value = False
+
+        async def add_upstream(service: str, name: str) -> None:
+            nodes[name] = mock.Mock()
+            nodes[name].child.is_running.return_value = True
+
+        run.deployment.add_upstream = mock.AsyncMock(side_effect=add_upstream)
+        kills = [
+            faults.Fault(0.0, until, 'upstream', 'kill', 0.0, LINK_MODE)
+            for until in (0.05, 0.1)
+        ]
+        await asyncio.gather(
+            *(
+                run._inject_upstream_fault('a', kill, kill.until)
+                for kill in kills
+            )
+        )
+        run.deployment.add_upstream.assert_awaited_once()
