End the series of faults with the others in the soak

Parts of a series, and faults of the store beside them, ended up to 4 s after the time of the faults, and prolonged the run by as much.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
@@ -166,6 +166,7 @@
             until = at + rng.uniform(MIN_PART_S, MAX_PART_S)
             if kind in ('stop', 'short-notice'):
                 pick = rng.random()
+            until = min(duration_s, until)
             faults.append(
                 Fault(at, until, target, kind, pick, proxy.Mode.PASS)
             )
@@ -173,7 +174,9 @@
                 faults.append(
                     Fault(
                         max(0.0, at - rng.uniform(0.0, MAX_MARGIN_S)),
-                        until + rng.uniform(0.0, MAX_MARGIN_S),
+                        min(
+                            duration_s, until + rng.uniform(0.0, MAX_MARGIN_S)
+                        ),
                         'store',
                         rng.choice(BESIDE_KINDS),
                         rng.random(),
--- a/packages/knapweedhall-bench/tests/test_soak.py
+++ b/packages/knapweedhall-bench/tests/test_soak.py
@@ -101,7 +101,8 @@
         ]
         kinds = {(fault.target, fault.kind) for fault in drawn}
         self.assertLessEqual(set(faults.SERIES_KINDS), kinds)
-        self.assertTrue(all(0.0 <= fault.at < 20.0 for fault in drawn))
+        for fault in drawn:
+            self.assertTrue(0.0 <= fault.at < 20.0 >= fault.until, fault)
 
 
 class ReloadTest(unittest.TestCase):
