--- a/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import pathlib
 import random
 import time
@@ -39,6 +40,9 @@
     ----------
     hosts : list of str
         Hosts that callers use; `add_host` extends it.
+    confirmed : dict of str to (float, float)
+        Begin and end of the time in which the store has the record of each
+        added host, seconds of the monotonic clock.
     """
 
     def __init__(
@@ -47,15 +51,27 @@
         self.deployment = running
         self.rng = rng
         self.hosts = [DIVIDED_SERVICE, CHOICE_SERVICE]
+        self.confirmed: dict[str, tuple[float, float]] = {}
         self.callers = callers.Callers(self.targets, rng, (DIVIDED_SERVICE,))
         self.author = draft.Author('operator', time.time_ns() // 1000)
         self.published_count = 0
         self.publish_lock = asyncio.Lock()
 
     def targets(self) -> list[callers.Target]:
-        """Return each router with each host."""
+        """Return each router with each host.
+
+        A router is reached by the link in front of it while that is limited.
+        """
         return [
-            callers.Target(name, node.address, host)
+            callers.Target(
+                name,
+                (
+                    node.address
+                    if math.isinf(node.front.bytes_per_s)
+                    else f'{node.ip}:{node.front_port}'
+                ),
+                host,
+            )
             for name, node in self.deployment.routers.items()
             for host in self.hosts
         ]
@@ -111,6 +127,16 @@
                 CHOICE_SERVICE, 'choice', [*hosts, host]
             ):
                 self.hosts.append(host)
+                # The record has the hosts of records that a restore lost.
+                for name in self.hosts[2:]:
+                    if self.confirmed.get(name, (0.0, 0.0))[1] < math.inf:
+                        self.confirmed[name] = (time.monotonic(), math.inf)
+
+    def end_confirmations(self) -> None:
+        """Note that the store may lose the records of the added hosts."""
+        now = time.monotonic()
+        for host, (begin, end) in self.confirmed.items():
+            self.confirmed[host] = (begin, min(end, now))
 
     async def find_coordinator(self) -> str:
         """Return the name of the coordinator; '' if it is unknown."""
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -6,6 +6,8 @@
 import asyncio
 import collections
 import contextlib
+import itertools
+import math
 import pathlib
 import random
 import shutil
@@ -67,6 +69,18 @@
 # the platform's rules excuse an end within this time of a start.
 MIN_SIGNAL_AGE_S = 1.0
 RELOAD_PERIOD_S = 0.05
+# Time without a disruption after which an instance is in touch (platform's
+# pages, `stableWindowS`).
+STABLE_WINDOW_S = 3.0
+# Values of a setting that reloads change; they have no effect on the checks.
+RETRY_EXTRAS = (62, 61)
+# Rate of a full link, 10 Mbit/s as on the grown sites, and the large requests
+# that fill it for 2 s or more.
+FULL_LINK_BYTES_PER_S = 1.25e6
+FULL_LINK_BURST = 8
+# Time from an upstream's notice to its end on the platform.
+SHORT_NOTICE_S = 2.0
+FORGET_PERIOD_S = 0.1
 
 
 class Plan(typing.NamedTuple):
@@ -113,8 +127,12 @@
     Attributes
     ----------
     disruptions : dict of str to list of (float, float)
-        Begin and end of the times in which a router could not answer, by
-        name, seconds of the monotonic clock.
+        Begin and end of the times in which a router or an upstream could not
+        answer, by name, seconds of the monotonic clock.
+    signalled_at : dict of str to list of float
+        When routers got SIGTERM, by name, seconds of the monotonic clock.
+    coordinator : str
+        Router that was last known as the coordinator.
     restarts : dict of str to list of float
         When each ended process of a router was noticed, before its restart;
         by name, seconds of the monotonic clock.
@@ -135,6 +153,10 @@
             collections.defaultdict(list)
         )
         self.restarts: dict[str, list[float]] = collections.defaultdict(list)
+        self.signalled_at: dict[str, list[float]] = collections.defaultdict(
+            list
+        )
+        self.coordinator = ''
         self.stopping: set[str] = set()
         self.ends: list[checker.Violation] = []
         self.store_faults = store_faults.StoreFaults()
@@ -175,6 +197,9 @@
         series += faults.generate_restores(
             random.Random(f'restores {self.seed}'), self.plan.duration_s
         )
+        series += faults.generate_series(
+            random.Random(f'series {self.seed}'), self.plan.duration_s
+        )
         await self._inject_all(sorted(series))
         missing = await self.environment.wait_until_served(RECOVERY_TIMEOUT_S)
         stop.set()
@@ -187,6 +212,12 @@
         violations = self.ends + checker.check(results, activity)
         violations += self._check_cut_requests(results, activity)
         violations += self._check_reverts(results)
+        violations += checker.check_configurations(
+            results, self.environment.confirmed, self._is_in_touch
+        )
+        violations += checker.check_stops(
+            results, activity, self.signalled_at, self._is_undisturbed
+        )
         violations += checker.check_notices(
             results, activity, self._is_undisturbed
         )
@@ -213,6 +244,19 @@
         elif fault.target == 'router':
             name = _pick(self.deployment.routers, fault.pick)
             await self._inject_router_fault(name, fault, duration_s)
+        elif fault.target == 'coordinator':
+            await self._inject_coordinator_fault(fault, duration_s)
+        elif fault.target == 'reloads':
+            await asyncio.gather(
+                *(
+                    self._send_reloads(name, duration_s)
+                    for name in self.deployment.routers
+                )
+            )
+        elif fault.target == 'front':
+            await self._fill_link(
+                _pick(self.deployment.routers, fault.pick), duration_s
+            )
         elif fault.target == 'response':
             name = _pick(self.deployment.upstreams, fault.pick)
             await self._inject_response_fault(name, fault, duration_s)
@@ -236,9 +280,52 @@
         elif fault.kind == 'stop':
             await self._stop_router(name, node)
         elif fault.kind == 'reload':
-            await _send_reloads(node, duration_s)
+            await self._send_reloads(name, duration_s)
         else:
             await _inject_link_fault(node.link, fault, duration_s)
+            self.disruptions[_store_link(name)].append((now, time.monotonic()))
+
+    async def _inject_coordinator_fault(
+        self, fault: faults.Fault, duration_s: float
+    ) -> None:
+        found = await self.environment.find_coordinator()
+        # While the store is away, it is most likely the one before.
+        self.coordinator = found or self.coordinator
+        if self.coordinator in self.deployment.routers:
+            await self._inject_router_fault(
+                self.coordinator, fault, duration_s
+            )
+
+    async def _send_reloads(self, name: str, duration_s: float) -> None:
+        """Send reload signals in series, also while the process is stopping.
+
+        The settings differ each time.
+        """
+        child = self.deployment.routers[name].child
+        until = time.monotonic() + duration_s
+        for retry_extra in itertools.cycle(RETRY_EXTRAS):
+            if time.monotonic() >= until:
+                return
+            self.deployment.write_retry_extra(name, retry_extra)
+            if time.monotonic() - child.started_at > MIN_SIGNAL_AGE_S:
+                child.send_signal(signal.SIGHUP)
+            await asyncio.sleep(RELOAD_PERIOD_S)
+
+    async def _fill_link(self, name: str, duration_s: float) -> None:
+        """Let callers reach a router by a link that large requests fill."""
+        node = self.deployment.routers[name]
+        node.front.bytes_per_s = FULL_LINK_BYTES_PER_S
+        sender = self.environment.callers
+        address = f'{node.ip}:{node.front_port}'
+        target = callers.Target(name, address, environment.CHOICE_SERVICE)
+        async with sender.open_session() as session:
+            burst = [
+                asyncio.create_task(sender.send(session, target, large=True))
+                for _ in range(FULL_LINK_BURST)
+            ]
+            await asyncio.sleep(duration_s)
+            await asyncio.gather(*burst)
+        node.front.bytes_per_s = math.inf
 
     async def _stop_router(self, name: str, node: deployment.Node) -> None:
         if name in self.stopping or node.child.paused:
@@ -246,6 +333,7 @@
         if time.monotonic() - node.child.started_at < MIN_SIGNAL_AGE_S:
             return
         self.stopping.add(name)
+        self.signalled_at[name].append(time.monotonic())
         await node.child.terminate()
         self.stopping.discard(name)
 
@@ -253,10 +341,23 @@
         self, name: str, fault: faults.Fault, duration_s: float
     ) -> None:
         node = self.deployment.upstreams[name]
+        began_at = time.monotonic()
+        try:
+            await self._disturb_upstream(name, node, fault, duration_s)
+        finally:
+            self.disruptions[name].append((began_at, time.monotonic()))
+
+    async def _disturb_upstream(
+        self,
+        name: str,
+        node: deployment.Node,
+        fault: faults.Fault,
+        duration_s: float,
+    ) -> None:
         if fault.kind == 'kill':
             node.child.kill()
             await asyncio.sleep(duration_s)
-            await self._restart_upstream(name, node)
+            await self._restart_upstream(name)
         elif fault.kind == 'pause':
             node.child.pause()
             await asyncio.sleep(duration_s)
@@ -271,6 +372,18 @@
 
     async def _inject_response_fault(
         self, name: str, fault: faults.Fault, duration_s: float
+    ) -> None:
+        began_at = time.monotonic()
+        try:
+            await self._disturb_responses(name, fault, duration_s)
+        finally:
+            # Early refusals are no disruption: a request that one upstream
+            # refuses may run at another.
+            if fault.kind not in ('early-refusal', 'pause-asked'):
+                self.disruptions[name].append((began_at, time.monotonic()))
+
+    async def _disturb_responses(
+        self, name: str, fault: faults.Fault, duration_s: float
     ) -> None:
         # Another digit of the number that selects the upstream.
         share = fault.pick * 1000 % 1
@@ -283,8 +396,28 @@
             await asyncio.sleep(duration_s)
             await self.deployment.upstreams[name].child.terminate()
             return
+        if fault.kind == 'short-notice':
+            await self.deployment.add_upstream(
+                self.deployment.upstream_services[name]
+            )
+            await self.deployment.set_trouble(name, {'leaving': True})
+            await asyncio.sleep(SHORT_NOTICE_S)
+            self.deployment.upstreams[name].child.kill()
+            return
+        if fault.kind == 'forget-idle':
+            until = time.monotonic() + duration_s
+            while time.monotonic() < until:
+                await self.deployment.set_trouble(name, {'forgets_idle': True})
+                await asyncio.sleep(FORGET_PERIOD_S)
+            return
         trouble: dict[str, object] = {}
-        if fault.kind == 'pause-asked':
+        if fault.kind in ('early-refusal', 'early-answer'):
+            refuses = fault.kind == 'early-refusal'
+            trouble['early_status'] = 503 if refuses else 500
+        elif fault.kind == 'cut':
+            trouble['cuts'] = True
+            trouble['unframed'] = share < 0.5
+        elif fault.kind == 'pause-asked':
             trouble['pause_s'] = MIN_PAUSE_S + share * (
                 MAX_PAUSE_S - MIN_PAUSE_S
             )
@@ -297,15 +430,23 @@
         await asyncio.sleep(duration_s)
         await self.deployment.set_trouble(name, {})
 
-    async def _restart_upstream(
-        self, name: str, node: deployment.Node
-    ) -> None:
-        if not node.child.is_running():
+    async def _restart_upstream(self, name: str) -> None:
+        # An overlapping fault may have started another process by now.
+        if not self.deployment.upstreams[name].child.is_running():
             service = self.deployment.upstream_services[name]
             await self.deployment.add_upstream(service, name)
 
     async def _inject_store_fault(
         self, fault: faults.Fault, duration_s: float
+    ) -> None:
+        began_at = time.monotonic()
+        try:
+            await self._disturb_store(fault, duration_s)
+        finally:
+            self.disruptions['store'].append((began_at, time.monotonic()))
+
+    async def _disturb_store(
+        self, fault: faults.Fault, duration_s: float
     ) -> None:
         count = 1 + int(fault.pick * 3)
         if fault.kind == 'forget':
@@ -314,11 +455,14 @@
                 await self.deployment.delete_store_history()
             return
         if fault.kind == 'restore':
+            self.environment.end_confirmations()
             with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                 # It has no effect if the store is down.
                 await self.deployment.restore_store(
                     fault.pick * MAX_COPY_AGE_S
                 )
+            # Also of those that were confirmed meanwhile.
+            self.environment.end_confirmations()
             return
         if fault.kind == 'down':
             self.store_faults.down = True
@@ -406,11 +550,12 @@
         They ran, or were sent whole a while before their connection ended.
         Requests to an instance that was disrupted meanwhile are left out.
         """
-        ran = {run.request for run in activity.runs}
+        ran = {run.request: run.upstream for run in activity.runs}
         return [
             checker.Violation('no request is cut', f'{result}')
             for result in results
             if result.status == 0
+            and not self._is_excused_cut(result, activity, ran)
             and (
                 result.request in ran
                 or result.ended_at - result.sent_whole_at > LOSS_SLACK_S
@@ -422,6 +567,25 @@
             )
         ]
 
+    def _is_excused_cut(
+        self,
+        result: callers.Result,
+        activity: checker.UpstreamActivity,
+        ran: typing.Mapping[str, str],
+    ) -> bool:
+        """Return whether a response may end early, by the platform's rules.
+
+        Its upstream broke off, or its time limit was over.
+        """
+        if result.request in activity.cut:
+            return True
+        return result.began and (
+            result.ended_at >= result.deadline
+            or not self._is_undisturbed(
+                ran.get(result.request, ''), result.sent_at, result.ended_at
+            )
+        )
+
     def _is_undisturbed(self, router: str, begin: float, end: float) -> bool:
         """Return whether a router ran without a disruption in a time."""
         return not any(
@@ -430,6 +594,16 @@
             for disrupted_from, disrupted_until in self.disruptions[router]
         ) and not any(begin <= at <= end for at in self.restarts[router])
 
+    def _is_in_touch(self, router: str, begin: float, end: float) -> bool:
+        """Return whether a router could reach the store in a calm time."""
+        calm_from = begin - STABLE_WINDOW_S
+        return all(
+            self._is_undisturbed(name, calm_from, end)
+            for name in (router, 'store', _store_link(router))
+        ) and not any(
+            calm_from <= at <= end for at in self.signalled_at[router]
+        )
+
     def _check_reverts(
         self, results: typing.Sequence[callers.Result]
     ) -> list[checker.Violation]:
@@ -460,13 +634,9 @@
     return ordered[int(pick * len(ordered))]
 
 
-async def _send_reloads(node: deployment.Node, duration_s: float) -> None:
-    """Send reload signals in series, also while the process is stopping."""
-    until = time.monotonic() + duration_s
-    while time.monotonic() < until:
-        if time.monotonic() - node.child.started_at > MIN_SIGNAL_AGE_S:
-            node.child.send_signal(signal.SIGHUP)
-        await asyncio.sleep(RELOAD_PERIOD_S)
+def _store_link(router: str) -> str:
+    """Return the name of a router's link to the store."""
+    return f'store link of {router}'
 
 
 async def _inject_link_fault(
--- a/packages/knapweedhall-bench/tests/test_checker.py
+++ b/packages/knapweedhall-bench/tests/test_checker.py
@@ -10,6 +10,7 @@
 
 from knapweedhall_bench import callers
 from knapweedhall_bench import checker
+from knapweedhall_bench import soak
 
 ORDER = callers.Result('o1', 'r', 'orders', False, None, 1.0, 1.1, 200, True)
 
@@ -134,3 +135,125 @@
         self.assertEqual(
             [], checker.check_notices(results, fewer, lambda *_: True)
         )
+
+    def test_requests_that_a_stop_gives_up(self) -> None:
+        """Guards against a missed 504 in a stop, and false ones."""
+        given_up = ORDER._replace(
+            host='x', sent_at=1.0, ended_at=4.0, status=504, deadline=7.0
+        )
+        activity = checker.UpstreamActivity(
+            [checker.Run(1.05, 'a', 'o1', None)], []
+        )
+        for expected, result, signal_at in (
+            (1, given_up, 0.5),
+            # Without a signal, after the time limit, from the upstream, or
+            # not run.
+            (0, given_up, 5.0),
+            (0, given_up._replace(deadline=4.0), 0.5),
+            (0, given_up._replace(signed=True), 0.5),
+            (0, given_up._replace(request='o2'), 0.5),
+            # The last sixth of the grace time excuses requests of the first
+            # 3 s only.
+            (0, given_up._replace(ended_at=5.6), 0.5),
+            (1, given_up._replace(sent_at=3.6, ended_at=5.6), 0.5),
+        ):
+            with self.subTest(result=result):
+                for broken, names in (
+                    (expected, ()),
+                    (0, ('a',)),
+                    (0, ('r',)),
+                ):
+                    found = checker.check_stops(
+                        [result],
+                        activity,
+                        {'r': [signal_at]},
+                        lambda name, *_: name not in names,
+                    )
+                    self.assertEqual(broken, len(found))
+
+    def test_responses_that_end_early(self) -> None:
+        """Guards against a missed cut response, and false ones."""
+        run = soak.Soak(soak.SMALL, 1, pathlib.Path())
+        cut = ORDER._replace(status=0, deadline=2.5)
+        activity = checker.UpstreamActivity(
+            [checker.Run(1.05, 'a', 'o1', None)], []
+        )
+        began = cut._replace(began=True)
+        late = began._replace(ended_at=2.6)
+        by_upstream = activity._replace(cut=frozenset(('o1',)))
+        for expected, result, seen in (
+            (1, cut, activity),
+            (1, began, activity),
+            (0, late, activity),
+            (0, cut, by_upstream),
+        ):
+            with self.subTest(result=result):
+                self.assertEqual(
+                    expected, len(run._check_cut_requests([result], seen))
+                )
+        # Without the begin of a response, the router can answer itself.
+        run.disruptions['a'].append((1.0, 2.0))
+        self.assertEqual(1, len(run._check_cut_requests([cut], activity)))
+        self.assertEqual([], run._check_cut_requests([began], activity))
+
+    def test_hosts_that_the_configuration_has(self) -> None:
+        """Guards against a missed 404 for a confirmed host, and false ones."""
+        missing = ORDER._replace(
+            host='h', sent_at=5.0, ended_at=5.1, status=404
+        )
+        for expected, host, confirmed, in_touch in (
+            (1, 'h', (2.0, math.inf), True),
+            (0, 'h', (2.0, math.inf), False),
+            # Confirmed less than 2 s before, or lost by the store since.
+            (0, 'h', (3.5, math.inf), True),
+            (0, 'h', (2.0, 4.0), True),
+            # A host of the first configuration.
+            (1, 'orders', (2.0, math.inf), False),
+        ):
+            with self.subTest(host=host, confirmed=confirmed):
+                result = missing._replace(host=host)
+                found = checker.check_configurations(
+                    [result], {'h': confirmed}, lambda *_: in_touch
+                )
+                self.assertEqual(expected, len(found))
+        # An upstream's own response.
+        found = checker.check_configurations(
+            [missing._replace(signed=True)],
+            {'h': (2.0, math.inf)},
+            lambda *_: True,
+        )
+        self.assertEqual([], found)
+
+    def test_pause_of_an_earlier_process(self) -> None:
+        """Guards against a report of requests to the next process of a name.
+
+        In seed 970006 an upstream that had asked for a pause was killed and
+        started again under its name. The new process had asked for none.
+        """
+        events: list[dict[str, object]] = [
+            {'at': 0.1, 'event': 'started'},
+            {
+                'at': 1.0,
+                'event': 'turned_away',
+                'request': 'o0',
+                'pause_s': 2.0,
+            },
+            {'at': 1.6, 'event': 'started'},
+        ]
+        events += [
+            {'at': at, 'event': 'run', 'request': f'o{at}', 'key': None}
+            for at in (1.7, 1.8, 1.9)
+        ]
+        results = [
+            ORDER._replace(request=request)
+            for request in ('o0', 'o1.7', 'o1.8', 'o1.9')
+        ]
+        for expected in (0, 1):
+            with tempfile.TemporaryDirectory() as folder:
+                log = pathlib.Path(folder) / 'a.log'
+                log.write_text('\n'.join(map(json.dumps, events)))
+                activity = checker.read_logs(log.parent, ['a'])
+            found = checker.check_notices(results, activity, lambda *_: True)
+            self.assertEqual(expected, len(found))
+            # Without the start, the process that asked is still running.
+            del events[2]
--- a/packages/knapweedhall-bench/tests/test_soak.py
+++ b/packages/knapweedhall-bench/tests/test_soak.py
@@ -14,8 +14,10 @@
 
 from knapweedhall_bench import children
 from knapweedhall_bench import demo
+from knapweedhall_bench import deployment
 from knapweedhall_bench import faults
 from knapweedhall_bench import soak
+from knapweedhall_standins import proxy
 
 SEED = 1
 STOPPABLE = """
@@ -24,6 +26,7 @@
 time.sleep(60)
 """
 DEMO_S = 8.0
+LINK_MODE = proxy.Mode.PASS
 
 
 class EndTest(unittest.TestCase):
@@ -84,3 +87,73 @@
         first = faults.generate(random.Random(5), 20, 10.0)
         self.assertEqual(first, faults.generate(random.Random(5), 20, 10.0))
         self.assertNotEqual(first, faults.generate(random.Random(6), 20, 10.0))
+
+    def test_series_are_drawn_apart(self) -> None:
+        """Guards against old seeds that no longer give their faults."""
+        first = faults.generate_series(random.Random('series 5'), 20.0)
+        self.assertEqual(
+            first, faults.generate_series(random.Random('series 5'), 20.0)
+        )
+        drawn = [
+            fault
+            for seed in range(50)
+            for fault in faults.generate_series(random.Random(seed), 20.0)
+        ]
+        kinds = {(fault.target, fault.kind) for fault in drawn}
+        self.assertLessEqual(set(faults.SERIES_KINDS), kinds)
+        for fault in drawn:
+            self.assertTrue(0.0 <= fault.at < 20.0 >= fault.until, fault)
+
+
+class ReloadTest(unittest.TestCase):
+    """Settings that change at reloads."""
+
+    def test_changed_setting(self) -> None:
+        """Guards against reloads that change no setting."""
+        with tempfile.TemporaryDirectory() as folder:
+            running = deployment.Deployment(
+                soak.SMALL.spec, pathlib.Path(folder)
+            )
+            path = pathlib.Path(folder) / 'r.ini'
+            path.write_text(deployment.SETTINGS)
+            running.write_retry_extra('r', 61)
+            self.assertEqual(
+                deployment.SETTINGS.replace(
+                    'retry_extra = 62', 'retry_extra = 61'
+                ),
+                path.read_text(),
+            )
+            self.assertNotEqual(deployment.SETTINGS, path.read_text())
+
+
+class RestartTest(unittest.IsolatedAsyncioTestCase):
+    """Upstreams that faults kill and start again."""
+
+    async def test_overlapping_kills(self) -> None:
+        """Guards against two processes of one upstream.
+
+        In seed 970006 the second one ended, as its address was in use, and
+        took the place of the first one.
+        """
+        run = soak.Soak(soak.SMALL, 1, pathlib.Path())
+        run.deployment = mock.Mock()
+        nodes = run.deployment.upstreams = {'a': mock.Mock()}
+        run.deployment.upstream_services = {'a': 's'}
+        nodes['a'].child.is_running.return_value = False
+
+        async def add_upstream(service: str, name: str) -> None:
+            nodes[name] = mock.Mock()
+            nodes[name].child.is_running.return_value = True
+
+        run.deployment.add_upstream = mock.AsyncMock(side_effect=add_upstream)
+        kills = [
+            faults.Fault(0.0, until, 'upstream', 'kill', 0.0, LINK_MODE)
+            for until in (0.05, 0.1)
+        ]
+        await asyncio.gather(
+            *(
+                run._inject_upstream_fault('a', kill, kill.until)
+                for kill in kills
+            )
+        )
+        run.deployment.add_upstream.assert_awaited_once()
