Take an unframed body as whole only after the whole request arrived

An upstream responded at once to a long upload with a 200 without a length, sent a part of the body, read some of the upload and closed. The caller got the part as the complete answer. Where the upstream ended its stream, but neither closed nor read on, the caller waited until the time limit and got 504, whatever the framing.

Cause: at the end of the upstream's stream asyncio closes the transport but first sends what is buffered. As that drained, resume_writing handed over more of the body; the write failed with the upstream's reset, and the transport, closing and with an empty buffer, reported the end of the connection without an error before it reported the error. So was_reset was False. Traced: end of stream with 20 MB not yet sent, then connection_lost(None).

Now the end of the stream counts as the end of such a body only if the upstream's host had acknowledged the whole request by then and no error was pending; otherwise the transport is aborted at once, so that no part of the body is sent to a connection that can't bring a response any more. A response to HEAD has no body in any framing and does not depend on it.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -10,10 +10,12 @@
 
 import asyncio
 import collections
+import fcntl
 import math
 import select
 import socket
 import struct
+import termios
 import typing
 
 import aiohttp
@@ -93,8 +95,10 @@
         Maximum idle time before it is used again, seconds.
     unsent : memoryview
         Part of a request's body that is not yet handed to the transport.
-    was_reset : bool
-        Whether it ended with an error instead of an end of stream.
+    ended_cleanly : bool
+        Whether the upstream ended its stream after it had received the whole
+        request, and no error followed. Otherwise a body that ends with the
+        connection may be truncated.
     on_lost : callable or None
         Called with the connection once it is closed.
     """
@@ -108,7 +112,7 @@
         self.idle_since = math.inf
         self.usable_until = 0.0
         self.keep_alive_s = MAX_IDLE_S
-        self.was_reset = False
+        self.ended_cleanly = False
         self.unsent = memoryview(b'')
         self.on_lost: typing.Callable[[Connection], None] | None = None
 
@@ -152,6 +156,9 @@
 
     def _send_more(self) -> None:
         while self.unsent and self.transport and not self.writing_paused:
+            if self.transport.is_closing():
+                # It drops what it is given.
+                return
             part = self.unsent[: body_budget.WRITE_BYTES]
             self.unsent = self.unsent[body_budget.WRITE_BYTES :]
             self.transport.write(part)
@@ -236,9 +243,41 @@
             stream.set_exception(error)
         self.set_exception(error)
 
+    def eof_received(self) -> None:
+        """Handle the end of the upstream's stream.
+
+        An upstream that has not received the whole request by then may have
+        failed; a reset may follow, which asyncio does not always report: a
+        write that fails while a closing transport sends its last bytes ends
+        the connection without an error. No other response can follow, so the
+        rest is not sent; an upstream that does not read would delay the end.
+        """
+        super().eof_received()
+        self.ended_cleanly = self._is_request_received()
+        if not self.ended_cleanly and self.transport is not None:
+            self._discard_unsent()
+            self.transport.abort()
+
+    def _is_request_received(self) -> bool:
+        """Return whether the upstream's host acknowledged all that was sent.
+
+        What the transport has handed to the kernel may not have arrived.
+        """
+        if self.unsent or self.transport is None:
+            return False
+        if self.transport.get_write_buffer_size():
+            return False
+        sock = self.transport.get_extra_info('socket')
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            return False
+        # Size of the kernel's send queue (tcp(7), SIOCOUTQ).
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return not any(queued)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handle the end of the connection and notify `on_lost`."""
-        self.was_reset = exc is not None
+        if exc is not None:
+            self.ended_cleanly = False
         super().connection_lost(exc)
         if self.on_lost is not None:
             self.on_lost(self)
@@ -248,15 +287,17 @@
 
         The upstream notices at once and stops its work on the request.
         """
-        transport = self.transport
-        if transport is not None:
-            sock = transport.get_extra_info('socket')
-            if sock is not None and sock.fileno() >= 0:
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _ZERO_LINGER
-                )
+        self._discard_unsent()
         self.abort()
 
+    def _discard_unsent(self) -> None:
+        """Let the end of the connection be a TCP reset."""
+        if self.transport is None:
+            return
+        sock = self.transport.get_extra_info('socket')
+        if sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ZERO_LINGER)
+
     def is_new(self) -> bool:
         """Return whether the connection had no exchange yet."""
         return self.idle_since == math.inf
--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -267,7 +267,7 @@
         if invalid:
             return Broken(invalid, True)
         body = await _read_body(stream, request, observer)
-        return _classify(connection, message, headers, body)
+        return _classify(connection, request, message, body)
     return Broken('foreign-answers', True)
 
 
@@ -335,19 +335,21 @@
 
 def _classify(
     connection: connections.Connection,
+    request: Request,
     message: http.RawResponseMessage,
-    headers: multidict.CIMultiDictProxy[str],
     body: bytes,
 ) -> Outcome:
+    headers = message.headers
     _update_keep_alive(connection, headers)
     if _is_not_executed(message.code, headers):
         return NotExecuted(message.code, headers)
     is_delimited = 'Content-Length' in headers or message.chunked
-    is_delimited = is_delimited or message.code in BODILESS_STATUSES
-    if not is_delimited:
-        # The body ends with the connection, so a reset may have truncated it.
-        if connection.was_reset:
-            return Broken('reset-in-body', True)
+    has_body = request.method != 'HEAD'
+    has_body = has_body and message.code not in BODILESS_STATUSES
+    if has_body and not is_delimited:
+        # The body ends with the connection, whose end may have truncated it.
+        if not connection.ended_cleanly:
+            return Broken('truncated-body', True)
         connection.force_close()
     return Response(message.code, headers, body)
 
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -26,6 +26,8 @@
 # More than a window, but the sender's kernel takes all of it.
 MEDIUM_BODY_BYTES = 400_000
 PART = b'part of the body'
+# Reads before a connection is closed; together less than a long body.
+MAX_READS = 100
 
 
 class End(enum.Enum):
@@ -201,8 +203,8 @@
             await asyncio.sleep(TIME_LIMIT_MS / 1000 + 1)
         if script.end is End.CLOSE:
             with contextlib.suppress(BlockingIOError):
-                while connection.recv(65536):
-                    pass
+                for _ in range(MAX_READS):
+                    connection.recv(65536)
         if script.end is End.RST:
             connection.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, ZERO_LINGER
@@ -382,3 +384,95 @@
                     await self.assert_unusable(
                         Script(raw, end, True), 'POST', LONG_BODY_BYTES, True
                     )
+
+
+LENGTH_CUT = response('Content-Length: 99', body=PART)
+CHUNK_CUT = response('Transfer-Encoding: chunked', body=b'20\r\n' + PART)
+NO_LAST_CHUNK = response(
+    'Transfer-Encoding: chunked', body=b'10\r\n' + PART + b'\r\n'
+)
+UNFRAMED = response(body=PART)
+HEAD_CUT = response('Content-Length: 16')[:-2]
+CUT_RESPONSES = (LENGTH_CUT, CHUNK_CUT, NO_LAST_CHUNK, HEAD_CUT, b'')
+
+
+class CutTest(InvalidResponseTest):
+    """Responses that end before they are complete."""
+
+    async def test_cut_after_the_request(self) -> None:
+        """Guards against a part of a response that counts as the whole."""
+        cases = itertools.product(CUT_RESPONSES, (End.FIN, End.RST))
+        for raw, end in (*cases, (UNFRAMED, End.RST), (response(), End.RST)):
+            for method, kept in itertools.product(
+                ('GET', 'POST'), (False, True)
+            ):
+                with self.subTest(raw=raw, end=end, method=method, kept=kept):
+                    await self.assert_unusable(
+                        Script(raw, end), method, 4, kept
+                    )
+
+    async def test_cut_head(self) -> None:
+        """Guards against a part of a head that answers HEAD."""
+        for raw, end, kept in itertools.product(
+            (HEAD_CUT, response()[:-2], b''), (End.FIN, End.RST), (False, True)
+        ):
+            with self.subTest(raw=raw, end=end, kept=kept):
+                await self.assert_unusable(Script(raw, end), 'HEAD', 0, kept)
+
+    async def test_cut_during_the_upload(self) -> None:
+        """Guards against a part that counts as the whole after an early end.
+
+        An upstream responded at once without a length, sent a part of the
+        body and closed while the upload was still being sent; the caller got
+        the part as the whole answer. Where the upstream neither closed nor
+        read on, the caller waited until its time limit.
+        """
+        endings = (
+            (End.FIN, 0.02, MEDIUM_BODY_BYTES),
+            (End.FIN, 0.02, LONG_BODY_BYTES),
+            (End.RST, 0.02, MEDIUM_BODY_BYTES),
+            (End.RST, 0.0, LONG_BODY_BYTES),
+            (End.RST, 0.02, LONG_BODY_BYTES),
+            (End.CLOSE, 0.0, LONG_BODY_BYTES),
+            (End.CLOSE, 0.02, LONG_BODY_BYTES),
+            (End.HALF_CLOSE, 0.02, MEDIUM_BODY_BYTES),
+            (End.HALF_CLOSE, 0.02, LONG_BODY_BYTES),
+        )
+        for raw, (end, pause_s, size), kept in itertools.product(
+            (*CUT_RESPONSES, UNFRAMED, response()), endings, (False, True)
+        ):
+            with self.subTest(
+                raw=raw, end=end, pause=pause_s, size=size, kept=kept
+            ):
+                await self.assert_unusable(
+                    Script(raw, end, True, pause_s), 'POST', size, kept
+                )
+
+    async def test_whole_responses(self) -> None:
+        """Guards against a whole response that counts as cut."""
+        chunked = b'10\r\n' + PART + b'\r\n0\r\n\r\n'
+        length = response('Content-Length: 16', body=PART)
+        chunks = response('Transfer-Encoding: chunked', body=chunked)
+        cases = itertools.product(
+            (length, chunks), (End.KEEP, End.FIN, End.RST), (False, True)
+        )
+        unframed = itertools.product(
+            (UNFRAMED,), (End.FIN, End.HALF_CLOSE), (False,)
+        )
+        for (raw, end, is_early), kept in itertools.product(
+            (*cases, *unframed), (False, True)
+        ):
+            methods = ('POST',) if is_early else ('GET', 'HEAD', 'POST')
+            for method in methods:
+                head, separator, _ = raw.partition(b'\r\n\r\n')
+                sent = head + separator if method == 'HEAD' else raw
+                size = LONG_BODY_BYTES if is_early else MEDIUM_BODY_BYTES
+                with self.subTest(
+                    raw=raw, end=end, method=method, early=is_early, kept=kept
+                ):
+                    answer = await self.play(
+                        Script(sent, end, is_early), method, size, kept
+                    )
+                    body = b'' if method == 'HEAD' else PART
+                    self.assertEqual((200, body), answer[:2])
+                    self.assertLess(answer.waited_s, MAX_WAIT_S)
