Reject responses with a transfer coding that was not offered

Callers got the bytes of a response with Transfer-Encoding gzip, an unknown coding or chunked twice as its body, with status 200: the header applies to one connection only and is not forwarded, so nothing said that the body was still encoded.

Cause: only chunked is decoded, and the codings were not checked. A response with any other one now breaks the exchange (RFC 9112, 7.4: a sender uses a coding besides chunked only where TE offered it).

--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -312,6 +312,11 @@
     if message.code < 300 and not signed:
         if not _is_not_executed(message.code, headers):
             return 'unsigned-answer'
+    # No other coding was offered to the upstream (RFC 9112, 7.4). The body
+    # would be forwarded encoded, without the header that says so.
+    for coding in headers.getall('Transfer-Encoding', ()):
+        if coding.strip().lower() != 'chunked':
+            return 'transfer-coding'
     length = headers.get('Content-Length', '')
     # A response to HEAD states the length of a body that it does not have.
     if request.method != 'HEAD' and length.isdigit():
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -476,3 +476,59 @@
                     body = b'' if method == 'HEAD' else PART
                     self.assertEqual((200, body), answer[:2])
                     self.assertLess(answer.waited_s, MAX_WAIT_S)
+
+
+class FramingTest(InvalidResponseTest):
+    """Responses whose framing is not valid, or not offered."""
+
+    async def test_other_transfer_codings(self) -> None:
+        """Guards against encoded bytes that are forwarded as the body.
+
+        The header that names the coding applies to one connection only.
+        """
+        chunked = b'10\r\n' + PART + b'\r\n0\r\n\r\n'
+        for value, body in (
+            ('gzip', PART),
+            ('gzip, chunked', chunked),
+            ('chunked, gzip', chunked),
+            ('xchunked', chunked),
+            ('chunked, chunked', chunked),
+        ):
+            raw = response(f'Transfer-Encoding: {value}', body=body)
+            for method, end in (
+                ('GET', End.FIN),
+                ('POST', End.FIN),
+                ('POST', End.RST),
+            ):
+                with self.subTest(value=value, method=method, end=end):
+                    await self.assert_unusable(
+                        Script(raw, end), method, 4, True
+                    )
+
+    async def test_invalid_lengths(self) -> None:
+        """Guards against a body whose length is a guess."""
+        for value in (
+            '',
+            '-16',
+            '+16',
+            '16, 16',
+            '0x10',
+            '16\r\nX: y',
+            '9' * 30,
+        ):
+            fields = (
+                f'Content-Length: {value}',
+                'Content-Length: 15' if 'X' in value else 'X-Other: 1',
+            )
+            raw = response(*fields, body=PART)
+            for method, end in itertools.product(
+                ('GET', 'POST'), (End.KEEP, End.FIN)
+            ):
+                with self.subTest(value=value, method=method, end=end):
+                    await self.assert_unusable(
+                        Script(raw, end), method, 4, True
+                    )
+        both = response(
+            'Content-Length: 16', 'Transfer-Encoding: chunked', body=PART
+        )
+        await self.assert_unusable(Script(both), 'POST', 4, True)
