Test interim responses and upgrades with odd ends

Holds already: interim responses followed by a final one, by the end of the stream or by a reset, over new and kept connections, with small and long uploads; 101 ends as 502.

--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -532,3 +532,44 @@
             'Content-Length: 16', 'Transfer-Encoding: chunked', body=PART
         )
         await self.assert_unusable(Script(both), 'POST', 4, True)
+
+
+class InterimTest(InvalidResponseTest):
+    """Interim responses, with and without a final one."""
+
+    async def test_interim_responses(self) -> None:
+        """Guards against an interim response that counts as the answer."""
+        final = response('Content-Length: 5', body=b'final')
+        for status in ('100 Continue', '102 Processing', '103 Early Hints'):
+            interim = response('Link: x', status=status, signed=False)
+            for kept in (False, True):
+                with self.subTest(status=status, kept=kept):
+                    answer = await self.play(
+                        Script(interim * 2 + final), 'POST', 4, kept
+                    )
+                    self.assertEqual((200, b'final'), answer[:2])
+                    for end, is_early in itertools.product(
+                        (End.FIN, End.RST), (False, True)
+                    ):
+                        size = LONG_BODY_BYTES if is_early else 4
+                        await self.assert_unusable(
+                            Script(interim, end, is_early), 'POST', size, kept
+                        )
+
+    async def test_upgrade(self) -> None:
+        """Guards against a caller that waits for an upgraded connection."""
+        for fields in ((), ('Connection: Upgrade', 'Upgrade: websocket')):
+            raw = response(*fields, status='101 Switching Protocols')
+            for method, is_early in (
+                ('GET', False),
+                ('POST', False),
+                ('POST', True),
+            ):
+                size = LONG_BODY_BYTES if is_early else 4
+                with self.subTest(fields=fields, method=method):
+                    await self.assert_unusable(
+                        Script(raw + SOUND, End.KEEP, is_early),
+                        method,
+                        size,
+                        True,
+                    )
