Repeat the call that leaves the group while a stop goes on

A stopped instance that did not coordinate stayed in the store's group for up to 2 s if the store refused the one call that leaves it.

Cause: the call was repeated by a coordinator only, and by that one only when its connections had ended, 2.6 s after the signal or later. Until a membership expires, the store may name the stopped instance as the next coordinator. In a series of stops, with many calls of the store at a time, the keys then have no coordinator for 2 s of the 2.5 s for which grants last.

Change: the call is repeated every 0.3 s beside the rest of the stop until the store answers.

Result: test_leaves_the_group_when_the_store_answers_again failed before (still a member after 1 s) and passes, three runs and one in the series of the module; test_planned_stop and test_fleet_keys pass.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -43,7 +43,7 @@
 # grants. As long as a release may take; the listener is open for longer.
 HAND_OVER_S = 1.5
 # Pause between attempts to leave the store's group, which ends the term of a
-# coordinator, while the store is down.
+# coordinator, while the store does not answer.
 LEAVE_RETRY_S = 0.3
 # Time for the event loop to pass a request that was read to its handler.
 HANDLER_START_S = 0.03
@@ -194,18 +194,34 @@
         await member.hand_over(stopped_at + HAND_OVER_S)
         membership_task.cancel()
         await asyncio.gather(membership_task, return_exceptions=True)
+        leaving = asyncio.create_task(self._leave_group(member, work_until))
+        try:
+            await self._drain(
+                open_listeners,
+                caller_server,
+                stopped_at + ACCEPT_AFTER_STOP_S,
+                stopped_at + self.settings.grace_s * SEND_GRACE_SHARE,
+            )
+            if member.coordinator is not None:
+                # No other instance can take over yet, so this one continues
+                # to renew the grants.
+                await leaving
+        finally:
+            leaving.cancel()
+            await asyncio.gather(leaving, return_exceptions=True)
+
+    async def _leave_group(
+        self, member: membership.Membership, until: float
+    ) -> None:
+        """Leave the group as soon as the store answers.
+
+        While it is in the group, the store may name this instance as the next
+        coordinator.
+        """
         has_left = await member.leave()
         if not has_left:
             logs.warning('tenure_kept', reason='the store does not answer')
-        await self._drain(
-            open_listeners,
-            caller_server,
-            stopped_at + ACCEPT_AFTER_STOP_S,
-            stopped_at + self.settings.grace_s * SEND_GRACE_SHARE,
-        )
-        while member.coordinator and not has_left and clock.now() < work_until:
-            # No other instance can take over yet, so this one continues to
-            # renew the grants.
+        while not has_left and clock.now() < until:
             await asyncio.sleep(LEAVE_RETRY_S)
             has_left = await member.leave()
 
--- a/packages/knapweedhall-router/tests/test_coordinator_stops.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_stops.py
@@ -6,12 +6,17 @@
 import time
 
 from knapweedhall_router import application
+from knapweedhall_router import coordinator_link
+from knapweedhall_router import membership
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
+from tests import fleet
 from tests import fleet_case
 
 # A slow answer of the store, as the platform states it.
 SLOW_STORE_S = 0.3
+# Time for one retry of the call, less than a membership lasts after its join.
+SECOND_LEAVE_S = 1.0
 STOPS = 6
 KEYS = range(0, model.KEY_COUNT, 1024)
 CHECK_PERIOD_S = 0.02
@@ -120,3 +125,40 @@
         self.assertGreaterEqual(
             min(expiries), stopped_at + holdings.GRANT_DURATION_S
         )
+
+
+class CandidateTest(fleet_case.FleetTest):
+    """An instance that is stopped and does not coordinate."""
+
+    routers = 3
+
+    async def test_leaves_the_group_when_the_store_answers_again(self) -> None:
+        """Guards against a coordinator that has left already.
+
+        The store refuses one call that leaves the group. Until the membership
+        expires, up to 2 s later, it may name the stopped instance as the
+        coordinator, and grants expire 2.5 s after their renewal.
+        """
+        store = self.fleet.store
+        stopped = next(
+            router
+            for router in self.fleet.routers
+            if router is not self.coordinator()
+        )
+        member = coordinator_link.member_id(stopped.settings)
+        members = store.groups[coordinator_link.COORDINATOR_GROUP].members
+        await self.fleet.wait_until(
+            lambda: member in members
+            and members[member].expires_at
+            > time.monotonic() + membership.CANDIDATE_TIMEOUT_S - 0.1
+        )
+        store.faults.refused = [fleet.source_address(stopped.settings)]
+        refused_from = store.calls['/log-leave']
+        stopped.stop.set()
+        await self.fleet.wait_until(
+            lambda: store.calls['/log-leave'] > refused_from
+        )
+        store.faults.refused = []
+        await self.fleet.wait_until(
+            lambda: member not in members, SECOND_LEAVE_S
+        )
