Reset a connection whose upstream responded before the upload's end

An upstream that responded to a long upload at once, and then neither read on nor closed, kept the connection open for good: it counts towards the upstream's connection limit and holds what the kernel could not send (3.7 MB each, 6 of 6 still established 3 s after their responses).

Cause: the connection was closed, and a close waits until the buffered rest of the body is sent. The response is complete by then, so nothing of the rest is needed; the connection is now reset, as after a broken exchange.

test_early_response_ends_the_connection timed out in 4 of 4 forms before and passes now. tests.test_invalid_responses, test_connections, test_endless and test_notices: 38 passed in one run.

--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -229,12 +229,10 @@
         raise
     finally:
         has_sent_all = connection.end_sending()
-    if isinstance(outcome, Broken):
+    if isinstance(outcome, Broken) or not has_sent_all:
+        # If the upstream responded before it read the whole body, the rest
+        # would precede the next request. Closing would wait until it is read.
         connection.reset()
-    elif not has_sent_all:
-        # The upstream responded before it read the whole body. The rest of
-        # the body is still to be sent and would precede the next request.
-        connection.force_close()
     return outcome
 
 
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -6,6 +6,7 @@
 import contextlib
 import enum
 import itertools
+import select
 import socket
 import struct
 import time
@@ -40,6 +41,8 @@
     HALF_CLOSE = 'half-close'
     # Closes after it has read what has arrived, while more is sent.
     CLOSE = 'close'
+    # Neither reads nor closes until the connection is reset.
+    HOLD = 'hold'
 
 
 class Script(typing.NamedTuple):
@@ -89,6 +92,8 @@
         How it responds to the next request; None for sound responses.
     kept : bool
         Whether the last request came over a connection that was used before.
+    open : int
+        Number of open connections.
     """
 
     def __init__(self, registry: upstream.Registry) -> None:
@@ -201,6 +206,11 @@
         if script.end is End.HALF_CLOSE:
             connection.shutdown(socket.SHUT_WR)
             await asyncio.sleep(TIME_LIMIT_MS / 1000 + 1)
+        if script.end is End.HOLD:
+            poll = select.poll()
+            poll.register(connection, select.POLLHUP)
+            while not poll.poll(0):
+                await asyncio.sleep(0.01)
         if script.end is End.CLOSE:
             with contextlib.suppress(BlockingIOError):
                 for _ in range(MAX_READS):
@@ -477,6 +487,24 @@
                     self.assertEqual((200, body), answer[:2])
                     self.assertLess(answer.waited_s, MAX_WAIT_S)
 
+    async def test_early_response_ends_the_connection(self) -> None:
+        """Guards against connections that stay open for an unread upload.
+
+        They count towards the upstream's connection limit, and each held
+        about 4 MB of unsent data.
+        """
+        whole = response('Content-Length: 16', body=PART)
+        refusal = response('Content-Length: 0', status='400 No')
+        for raw, kept in itertools.product((whole, refusal), (False, True)):
+            with self.subTest(raw=raw, kept=kept):
+                answer = await self.play(
+                    Script(raw, End.HOLD, True), 'POST', LONG_BODY_BYTES, kept
+                )
+                self.assertIn(answer.status, (200, 400))
+                async with asyncio.timeout(MAX_WAIT_S):
+                    while self.upstream.open:
+                        await asyncio.sleep(0.02)
+
 
 class FramingTest(InvalidResponseTest):
     """Responses whose framing is not valid, or not offered."""
