--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -11,7 +11,11 @@
 import struct
 import time
 import typing
+import unittest
 
+from knapweedhall_adapter import orders
+from knapweedhall_adapter import outcomes
+from knapweedhall_routing import model
 from knapweedhall_standins import upstream
 from tests import fleet
 from tests import test_process
@@ -601,3 +605,88 @@
                         size,
                         True,
                     )
+
+
+class OrderTest(unittest.IsolatedAsyncioTestCase):
+    """Responses to orders that are none, or cut."""
+
+    async def order(self, raw: bytes, reset: bool) -> list[object]:
+        """Return the outcomes of a grant and a release.
+
+        Parameters
+        ----------
+        raw : bytes
+            What the upstream sends.
+        reset : bool
+            Whether it then resets the connection instead of closing it.
+        """
+
+        async def respond(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'}')
+            writer.write(raw)
+            await asyncio.sleep(0.02)
+            if reset:
+                writer.get_extra_info('socket').setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, ZERO_LINGER
+                )
+            writer.close()
+
+        server = await asyncio.start_server(respond, '127.0.0.1', 0)
+        keys = model.KeyRange(0, 9)
+        deadline = asyncio.get_running_loop().time() + MAX_WAIT_S
+        async with server:
+            address = model.Address(*server.sockets[0].getsockname())
+            async with orders.open_session() as session:
+                granted = await orders.OrderClient(session).grant(
+                    address, 'u', keys, 7, 3.0, '', deadline
+                )
+            async with orders.open_session() as session:
+                released = await orders.OrderClient(session).release(
+                    address, 'u', keys, 8, deadline
+                )
+        return [granted, released]
+
+    async def test_responses_that_confirm_nothing(self) -> None:
+        """Guards against keys with two owners after an invalid response."""
+        statuses = ('000 None', '099 Low', '600 High', '999 High', '2xx No')
+        cases = [
+            (response('Content-Length: 0', status=status), False)
+            for status in (*statuses, '20 Short', '1000 Long', '', '101 Up')
+        ]
+        cases += [
+            (response('Content-Length: 9', body=b'part'), False),
+            (response('Content-Length: 9', body=b'part'), True),
+            (
+                response('Transfer-Encoding: chunked', body=b'4\r\npart\r\n'),
+                False,
+            ),
+            (response(body=b'part'), True),
+            (response(), True),
+            (response('Content-Length: 0')[:-2], False),
+            (response(status='100 Continue'), False),
+            (b'', False),
+            (b'', True),
+        ]
+        for raw, reset in cases:
+            with self.subTest(raw=raw, reset=reset):
+                started_at = time.monotonic()
+                for outcome in await self.order(raw, reset):
+                    assert isinstance(outcome, outcomes.Unconfirmed), outcome
+                    self.assertTrue(outcome.in_doubt)
+                self.assertLess(time.monotonic() - started_at, MAX_WAIT_S)
+
+    async def test_whole_responses(self) -> None:
+        """Guards against an accepted order that counts as unanswered."""
+        for raw in (
+            response('Content-Length: 0', 'X-Handover: h'),
+            response('Transfer-Encoding: chunked', 'X-Handover: h')
+            + b'0\r\n\r\n',
+            response('X-Handover: h'),
+        ):
+            with self.subTest(raw=raw):
+                self.assertEqual(
+                    [outcomes.Granted(), outcomes.Released('h')],
+                    await self.order(raw, False),
+                )
