Test answers that end early on the way to the caller

Holds already: each answer states its length, for callers of HTTP/1.0 and 1.1 and for all framings of the upstream, so that a part left by a killed router does not look complete.

--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -690,3 +690,60 @@
                     [outcomes.Granted(), outcomes.Released('h')],
                     await self.order(raw, False),
                 )
+
+
+class CallerTest(InvalidResponseTest):
+    """Answers that end early on the way to the caller."""
+
+    async def start_answer(
+        self, version: str, raw: bytes, end: End
+    ) -> tuple[bytes, asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send a request; return the head of its answer.
+
+        Parameters
+        ----------
+        version : str
+            HTTP version of the caller.
+        raw, end : bytes, End
+            What the upstream sends and does.
+        """
+        self.upstream.script = Script(raw, end)
+        reader, writer = await asyncio.open_connection(
+            self.host, self.ports[0], limit=WINDOW_BYTES
+        )
+        self.addCleanup(writer.transport.abort)
+        lines = (
+            f'GET /read/x HTTP/{version}',
+            f'Host: {fleet.HOST}',
+            f'X-Attempt-Id: c{next(self.numbers)}',
+            f'X-Deadline-Ms: {TIME_LIMIT_MS}',
+        )
+        writer.write(('\r\n'.join(lines) + '\r\n\r\n').encode())
+        return await reader.readuntil(b'\r\n\r\n'), reader, writer
+
+    async def test_answer_states_its_length(self) -> None:
+        """Guards against an answer whose early end looks like its end."""
+        chunked = response(
+            'Transfer-Encoding: chunked',
+            body=b'10\r\n' + PART + b'\r\n0\r\n\r\n',
+        )
+        length = response('Content-Length: 16', body=PART)
+        for version, (raw, end) in itertools.product(
+            ('1.0', '1.1'),
+            ((length, End.KEEP), (chunked, End.KEEP), (UNFRAMED, End.FIN)),
+        ):
+            with self.subTest(version=version, raw=raw):
+                head, reader, _ = await self.start_answer(version, raw, end)
+                self.assertIn(b'\r\nContent-Length: 16\r\n', head)
+                self.assertNotIn(b'Transfer-Encoding', head)
+                self.assertEqual(PART, await reader.readexactly(16))
+
+    async def test_router_that_is_killed(self) -> None:
+        """Guards against a part that a killed router leaves as the whole."""
+        size = 8_000_000
+        raw = response(f'Content-Length: {size}', body=bytes(size))
+        head, reader, _ = await self.start_answer('1.1', raw, End.KEEP)
+        self.assertIn(b'\r\nContent-Length: %d\r\n' % size, head)
+        self.router.kill()
+        with self.assertRaises((asyncio.IncompleteReadError, OSError)):
+            await reader.readexactly(size)
