Keep a whole response when invalid bytes arrive with it

A response that was whole and valid ended as 502 if bytes that are no response arrived in the same read, so that a request that may run once was lost though it had run. Arriving a moment later, they did no harm.

Cause: the parser drops the responses that it has found in a part if it fails later in the same part. Now a head is parsed on its own while no body is being received; the response is queued by then, and an error after its body ends only the connection.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -64,6 +64,7 @@
 PARSE_BYTES = 16384
 # Limit of responses that are parsed and not yet read.
 MAX_UNREAD_RESPONSES = 8
+HEAD_END = b'\r\n\r\n'
 # Makes `close` send a reset and discard the data that is not yet sent.
 _ZERO_LINGER = struct.pack('ii', 1, 0)
 
@@ -86,6 +87,8 @@
         Bytes received in the current exchange.
     stream : aiohttp.StreamReader or None
         Body that is being read.
+    last_stream : aiohttp.StreamReader or None
+        Body of the last response that was parsed.
     idle_since : float
         When its last exchange ended, on `clock.now`; inf before the first
         exchange.
@@ -109,6 +112,7 @@
         self.request_id = ''
         self.received_bytes = 0
         self.stream: streams.StreamReader | None = None
+        self.last_stream: streams.StreamReader | None = None
         self.idle_since = math.inf
         self.usable_until = 0.0
         self.keep_alive_s = MAX_IDLE_S
@@ -131,6 +135,7 @@
         self.request_id = request_id
         self.received_bytes = 0
         self.stream = None
+        self.last_stream = None
         self.set_response_params(
             skip_payload=not with_body,
             read_until_eof=True,
@@ -193,15 +198,31 @@
             self.reset()
             return
         self.received_bytes += len(data)
-        for begin in range(0, len(data), PARSE_BYTES):
-            super().data_received(data[begin : begin + PARSE_BYTES])
+        begin = 0
+        while begin < len(data):
+            end = self._end_of_part(data, begin)
+            super().data_received(data[begin:end])
             if self.transport is None:
                 return
+            begin = end
         body_bytes = 0 if self.stream is None else self.stream.total_bytes
         max_bytes = MAX_OVERHEAD_BYTES + body_bytes * MAX_FRAMING_SHARE
         if self.received_bytes - body_bytes > max_bytes:
             self.fail('too-many-bytes')
 
+    def _end_of_part(self, data: bytes, begin: int) -> int:
+        """Return up to where to parse at once.
+
+        A head is parsed on its own: the parser drops the responses that it
+        found in a part if bytes after them are not valid.
+        """
+        end = begin + PARSE_BYTES
+        if self.last_stream is None or self.last_stream.is_eof():
+            head_end = data.find(HEAD_END, begin, end)
+            if head_end >= 0:
+                return head_end + len(HEAD_END)
+        return end
+
     def feed_data(
         self,
         data: tuple[http.RawResponseMessage, streams.StreamReader],
@@ -213,6 +234,7 @@
             return
         if not len(self):
             self.stream = data[1]
+        self.last_stream = data[1]
         super().feed_data(data, size)
 
     async def read_response(
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -565,6 +565,30 @@
         )
         await self.assert_unusable(Script(both), 'POST', 4, True)
 
+    async def test_bytes_after_a_response(self) -> None:
+        """Guards against a whole response that is dropped for what follows.
+
+        Callers got 502 if bytes that are no response arrived with it.
+        """
+        whole = response('Content-Length: 16', body=PART)
+        chunked = response(
+            'Transfer-Encoding: chunked',
+            body=b'10\r\n' + PART + b'\r\n0\r\n\r\n',
+        )
+        for raw, surplus, kept in itertools.product(
+            (whole, chunked),
+            (b'x', b'no response\r\n\r\n', bytes(100), b'y' * 200_000, whole),
+            (False, True),
+        ):
+            with self.subTest(raw=raw, surplus=surplus[:20], kept=kept):
+                answer = await self.play(
+                    Script(raw + surplus), 'POST', 4, kept
+                )
+                self.assertEqual((200, PART), answer[:2])
+                # None of the bytes is taken for the next response.
+                sound = await self.ask('POST', 4)
+                self.assertEqual((200, b'sound'), sound[:2])
+
 
 class InterimTest(InvalidResponseTest):
     """Interim responses, with and without a final one."""
