--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -6,11 +6,16 @@
 import contextlib
 import enum
 import itertools
+import select
 import socket
 import struct
 import time
 import typing
+import unittest
 
+from knapweedhall_adapter import orders
+from knapweedhall_adapter import outcomes
+from knapweedhall_routing import model
 from knapweedhall_standins import upstream
 from tests import fleet
 from tests import test_process
@@ -40,6 +45,8 @@
     HALF_CLOSE = 'half-close'
     # Closes after it has read what has arrived, while more is sent.
     CLOSE = 'close'
+    # Neither reads nor closes until the connection is reset.
+    HOLD = 'hold'
 
 
 class Script(typing.NamedTuple):
@@ -89,6 +96,8 @@
         How it responds to the next request; None for sound responses.
     kept : bool
         Whether the last request came over a connection that was used before.
+    open : int
+        Number of open connections.
     """
 
     def __init__(self, registry: upstream.Registry) -> None:
@@ -201,6 +210,11 @@
         if script.end is End.HALF_CLOSE:
             connection.shutdown(socket.SHUT_WR)
             await asyncio.sleep(TIME_LIMIT_MS / 1000 + 1)
+        if script.end is End.HOLD:
+            poll = select.poll()
+            poll.register(connection, select.POLLHUP)
+            while not poll.poll(0):
+                await asyncio.sleep(0.01)
         if script.end is End.CLOSE:
             with contextlib.suppress(BlockingIOError):
                 for _ in range(MAX_READS):
@@ -477,6 +491,24 @@
                     self.assertEqual((200, body), answer[:2])
                     self.assertLess(answer.waited_s, MAX_WAIT_S)
 
+    async def test_early_response_ends_the_connection(self) -> None:
+        """Guards against connections that stay open for an unread upload.
+
+        They count towards the upstream's connection limit, and each held
+        about 4 MB of unsent data.
+        """
+        whole = response('Content-Length: 16', body=PART)
+        refusal = response('Content-Length: 0', status='400 No')
+        for raw, kept in itertools.product((whole, refusal), (False, True)):
+            with self.subTest(raw=raw, kept=kept):
+                answer = await self.play(
+                    Script(raw, End.HOLD, True), 'POST', LONG_BODY_BYTES, kept
+                )
+                self.assertIn(answer.status, (200, 400))
+                async with asyncio.timeout(MAX_WAIT_S):
+                    while self.upstream.open:
+                        await asyncio.sleep(0.02)
+
 
 class FramingTest(InvalidResponseTest):
     """Responses whose framing is not valid, or not offered."""
@@ -533,6 +565,30 @@
         )
         await self.assert_unusable(Script(both), 'POST', 4, True)
 
+    async def test_bytes_after_a_response(self) -> None:
+        """Guards against a whole response that is dropped for what follows.
+
+        Callers got 502 if bytes that are no response arrived with it.
+        """
+        whole = response('Content-Length: 16', body=PART)
+        chunked = response(
+            'Transfer-Encoding: chunked',
+            body=b'10\r\n' + PART + b'\r\n0\r\n\r\n',
+        )
+        for raw, surplus, kept in itertools.product(
+            (whole, chunked),
+            (b'x', b'no response\r\n\r\n', bytes(100), b'y' * 200_000, whole),
+            (False, True),
+        ):
+            with self.subTest(raw=raw, surplus=surplus[:20], kept=kept):
+                answer = await self.play(
+                    Script(raw + surplus), 'POST', 4, kept
+                )
+                self.assertEqual((200, PART), answer[:2])
+                # None of the bytes is taken for the next response.
+                sound = await self.ask('POST', 4)
+                self.assertEqual((200, b'sound'), sound[:2])
+
 
 class InterimTest(InvalidResponseTest):
     """Interim responses, with and without a final one."""
@@ -573,3 +629,145 @@
                         size,
                         True,
                     )
+
+
+class OrderTest(unittest.IsolatedAsyncioTestCase):
+    """Responses to orders that are none, or cut."""
+
+    async def order(self, raw: bytes, reset: bool) -> list[object]:
+        """Return the outcomes of a grant and a release.
+
+        Parameters
+        ----------
+        raw : bytes
+            What the upstream sends.
+        reset : bool
+            Whether it then resets the connection instead of closing it.
+        """
+
+        async def respond(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'}')
+            writer.write(raw)
+            await asyncio.sleep(0.02)
+            if reset:
+                writer.get_extra_info('socket').setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, ZERO_LINGER
+                )
+            writer.close()
+
+        server = await asyncio.start_server(respond, '127.0.0.1', 0)
+        keys = model.KeyRange(0, 9)
+        deadline = asyncio.get_running_loop().time() + MAX_WAIT_S
+        async with server:
+            address = model.Address(*server.sockets[0].getsockname())
+            async with orders.open_session() as session:
+                granted = await orders.OrderClient(session).grant(
+                    address, 'u', keys, 7, 3.0, '', deadline
+                )
+            async with orders.open_session() as session:
+                released = await orders.OrderClient(session).release(
+                    address, 'u', keys, 8, deadline
+                )
+        return [granted, released]
+
+    async def test_responses_that_confirm_nothing(self) -> None:
+        """Guards against keys with two owners after an invalid response."""
+        statuses = ('000 None', '099 Low', '600 High', '999 High', '2xx No')
+        cases = [
+            (response('Content-Length: 0', status=status), False)
+            for status in (*statuses, '20 Short', '1000 Long', '', '101 Up')
+        ]
+        cases += [
+            (response('Content-Length: 9', body=b'part'), False),
+            (response('Content-Length: 9', body=b'part'), True),
+            (
+                response('Transfer-Encoding: chunked', body=b'4\r\npart\r\n'),
+                False,
+            ),
+            (response(body=b'part'), True),
+            (response(), True),
+            (response('Content-Length: 0')[:-2], False),
+            (response(status='100 Continue'), False),
+            (b'', False),
+            (b'', True),
+        ]
+        for raw, reset in cases:
+            with self.subTest(raw=raw, reset=reset):
+                started_at = time.monotonic()
+                for outcome in await self.order(raw, reset):
+                    assert isinstance(outcome, outcomes.Unconfirmed), outcome
+                    self.assertTrue(outcome.in_doubt)
+                self.assertLess(time.monotonic() - started_at, MAX_WAIT_S)
+
+    async def test_whole_responses(self) -> None:
+        """Guards against an accepted order that counts as unanswered."""
+        for raw in (
+            response('Content-Length: 0', 'X-Handover: h'),
+            response('Transfer-Encoding: chunked', 'X-Handover: h')
+            + b'0\r\n\r\n',
+            response('X-Handover: h'),
+        ):
+            with self.subTest(raw=raw):
+                self.assertEqual(
+                    [outcomes.Granted(), outcomes.Released('h')],
+                    await self.order(raw, False),
+                )
+
+
+class CallerTest(InvalidResponseTest):
+    """Answers that end early on the way to the caller."""
+
+    async def start_answer(
+        self, version: str, raw: bytes, end: End
+    ) -> tuple[bytes, asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send a request; return the head of its answer.
+
+        Parameters
+        ----------
+        version : str
+            HTTP version of the caller.
+        raw, end : bytes, End
+            What the upstream sends and does.
+        """
+        self.upstream.script = Script(raw, end)
+        reader, writer = await asyncio.open_connection(
+            self.host, self.ports[0], limit=WINDOW_BYTES
+        )
+        self.addCleanup(writer.transport.abort)
+        lines = (
+            f'GET /read/x HTTP/{version}',
+            f'Host: {fleet.HOST}',
+            f'X-Attempt-Id: c{next(self.numbers)}',
+            f'X-Deadline-Ms: {TIME_LIMIT_MS}',
+        )
+        writer.write(('\r\n'.join(lines) + '\r\n\r\n').encode())
+        return await reader.readuntil(b'\r\n\r\n'), reader, writer
+
+    async def test_answer_states_its_length(self) -> None:
+        """Guards against an answer whose early end looks like its end."""
+        chunked = response(
+            'Transfer-Encoding: chunked',
+            body=b'10\r\n' + PART + b'\r\n0\r\n\r\n',
+        )
+        length = response('Content-Length: 16', body=PART)
+        for version, (raw, end) in itertools.product(
+            ('1.0', '1.1'),
+            ((length, End.KEEP), (chunked, End.KEEP), (UNFRAMED, End.FIN)),
+        ):
+            with self.subTest(version=version, raw=raw):
+                head, reader, _ = await self.start_answer(version, raw, end)
+                self.assertIn(b'\r\nContent-Length: 16\r\n', head)
+                self.assertNotIn(b'Transfer-Encoding', head)
+                self.assertEqual(PART, await reader.readexactly(16))
+
+    async def test_router_that_is_killed(self) -> None:
+        """Guards against a part that a killed router leaves as the whole."""
+        size = 8_000_000
+        raw = response(f'Content-Length: {size}', body=bytes(size))
+        head, reader, _ = await self.start_answer('1.1', raw, End.KEEP)
+        self.assertIn(b'\r\nContent-Length: %d\r\n' % size, head)
+        self.router.kill()
+        with self.assertRaises((asyncio.IncompleteReadError, OSError)):
+            await reader.readexactly(size)
