--- a/packages/knapweedhall-router/tests/test_coordinator.py
+++ b/packages/knapweedhall-router/tests/test_coordinator.py
@@ -12,11 +12,13 @@
 from knapweedhall_router import clock
 from knapweedhall_router import coordinator
 from knapweedhall_router import coordinator_store
+from knapweedhall_router import messages
 from knapweedhall_router import service_state
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
 from knapweedhall_routing import planning
+from knapweedhall_routing import rates
 from tests import fleet
 
 ADDRESS = model.Address('127.0.0.1', 9)
@@ -171,3 +173,61 @@
     def test_held_keys_wait_for_the_pause(self) -> None:
         """Guards against a release in each plan to a silent upstream."""
         self.assertEqual([], self.plan(self.now + 2.0))
+
+
+class NewTermTest(unittest.TestCase):
+    """Plans before the load was measured in the current term."""
+
+    def setUp(self) -> None:
+        """Let an upstream hold nearly all keys, as the others are hot."""
+        self.state = state_module.State(fleet.Fleet().new_settings())
+        self.coordinator = coordinator.Coordinator(
+            typing.cast(typing.Any, None),
+            typing.cast(typing.Any, None),
+            self.state,
+            clock.now() + 1.0,
+        )
+        self.now = clock.now()
+        self.service = service_state.ServiceState('s')
+        self.coordinator.services['s'] = self.service
+        for name in ('u', 'v'):
+            self.state.directory.put(
+                model.Upstream(name, ADDRESS, 's', 'a', 4, False, 0.0, 1),
+                self.now,
+            )
+        hot = self.service.holdings.split(0, 3)
+        for holding in self.service.holdings.items:
+            holding.upstream = 'v' if holding is hot else 'u'
+            holding.born_ms, holding.confirmed = 1, True
+            holding.held_until = self.now + 60.0
+        self.started_moves: list[planning.Move] = []
+        self.coordinator._start_move = (  # type: ignore[method-assign]
+            lambda service, move, now: self.started_moves.append(move)
+        )
+
+    def report(self, bucket: int, count: int) -> None:
+        """Record an instance's report of requests for keys."""
+        self.coordinator.record_report(
+            messages.Report({'s': {bucket: count}}, {}, 0, 0.0, 1, [], {})
+        )
+
+    def test_moves_nothing_before_the_load_is_known(self) -> None:
+        """Guards against moves that each change of the coordinator causes.
+
+        Without reports a service counts as idle, and the keys of an idle one
+        are distributed evenly. The instances are not yet connected, so they
+        go on sending requests to the former owners.
+        """
+        self.coordinator._plan_service(self.service, self.now)
+        self.assertEqual([], self.started_moves)
+        self.report(0, 40)
+        self.coordinator._plan_service(self.service, clock.now())
+        self.assertEqual([], self.started_moves)
+
+    def test_moves_by_the_load_once_it_is_known(self) -> None:
+        """Guards against keys that are never rebalanced."""
+        for bucket in (1000, 2000, 3000):
+            self.report(bucket, 90)
+        measured_at = clock.now() + rates.SLOW_TIME_CONSTANT_S
+        self.coordinator._plan_service(self.service, measured_at)
+        self.assertNotEqual([], self.started_moves)
