--- a/packages/knapweedhall-router/tests/test_coordinator_stops.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_stops.py
@@ -17,6 +17,8 @@
 SLOW_STORE_S = 0.3
 # Time for one retry of the call, less than a membership lasts after its join.
 SECOND_LEAVE_S = 1.0
+# Ample time for the plan that begins a move.
+PLAN_TIMEOUT_S = 3.0
 STOPS = 6
 KEYS = range(0, model.KEY_COUNT, 1024)
 CHECK_PERIOD_S = 0.02
@@ -126,6 +128,37 @@
             min(expiries), stopped_at + holdings.GRANT_DURATION_S
         )
 
+    async def test_running_move_ends_before_it_leaves(self) -> None:
+        """Guards against keys without an owner until the next term.
+
+        The former holder has released them, and the coordinator is stopped
+        while it records the new one.
+        """
+        store = self.fleet.store
+        store.faults.delays['/log-append'] = SLOW_STORE_S
+        released = asyncio.Event()
+        draining = self.fleet.upstreams[0]
+
+        def on_event(name: str, fields: object) -> None:
+            if name == 'released':
+                released.set()
+
+        draining.on_event = on_event
+        draining.drain()
+        async with asyncio.timeout(PLAN_TIMEOUT_S):
+            await released.wait()
+        stopped = self.coordinator()
+        self.fleet.routers.remove(stopped)
+        stopped.stop.set()
+        await self.fleet.wait_until(lambda: store.calls['/log-leave'] > 0)
+        without_owner = [
+            key
+            for key in KEYS
+            if not any(each.holds(key) for each in self.fleet.upstreams)
+        ]
+        self.assertEqual([], without_owner)
+        self.assert_one_owner()
+
 
 class CandidateTest(fleet_case.FleetTest):
     """An instance that is stopped and does not coordinate."""
