Keep a whole response that follows a late one when invalid bytes arrive

Callers got 502 for a request that had run when a late second response to an earlier request, the whole response and bytes that are no response arrived in the same read.

Cause: parses each head on its own, but a body up to the end of what was read, so that the next head was parsed together with what followed it, and the parser drops all of a part that has an error.

Change: a body whose length is stated is parsed on its own, too. A late response in chunks still has this effect.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -89,6 +89,8 @@
         Body that is being read.
     last_stream : aiohttp.StreamReader or None
         Body of the last response that was parsed.
+    last_length : int or None
+        Its length in bytes; None if its head does not state it.
     idle_since : float
         When its last exchange ended, on `clock.now`; inf before the first
         exchange.
@@ -113,6 +115,7 @@
         self.received_bytes = 0
         self.stream: streams.StreamReader | None = None
         self.last_stream: streams.StreamReader | None = None
+        self.last_length: int | None = None
         self.idle_since = math.inf
         self.usable_until = 0.0
         self.keep_alive_s = MAX_IDLE_S
@@ -213,14 +216,18 @@
     def _end_of_part(self, data: bytes, begin: int) -> int:
         """Return up to where to parse at once.
 
-        A head is parsed on its own: the parser drops the responses that it
-        found in a part if bytes after them are not valid.
+        A head is parsed on its own, and so is a body of known length: the
+        parser drops the responses that it found in a part if bytes after them
+        are not valid.
         """
         end = begin + PARSE_BYTES
         if self.last_stream is None or self.last_stream.is_eof():
             head_end = data.find(HEAD_END, begin, end)
             if head_end >= 0:
                 return head_end + len(HEAD_END)
+        elif self.last_length is not None:
+            missing = self.last_length - self.last_stream.total_bytes
+            return min(end, begin + max(1, missing))
         return end
 
     def feed_data(
@@ -235,6 +242,9 @@
         if not len(self):
             self.stream = data[1]
         self.last_stream = data[1]
+        length = data[0].headers.get('Content-Length', '')
+        is_stated = length.isascii() and length.isdigit()
+        self.last_length = int(length[:18]) if is_stated else None
         super().feed_data(data, size)
 
     async def read_response(
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -589,6 +589,27 @@
                 sound = await self.ask('POST', 4)
                 self.assertEqual((200, b'sound'), sound[:2])
 
+    async def test_bytes_after_a_response_that_follows_a_late_one(
+        self,
+    ) -> None:
+        """Guards against a whole response that is dropped for what follows.
+
+        A late second response to an earlier request precedes it.
+        """
+        late = response('Content-Length: 16', body=PART).replace(
+            b'@ID', b'earlier'
+        )
+        whole = response('Content-Length: 16', body=PART)
+        for surplus, kept in itertools.product(
+            (b'x', b'no response\r\n\r\n', bytes(100), b'y' * 200_000),
+            (False, True),
+        ):
+            with self.subTest(surplus=surplus[:20], kept=kept):
+                answer = await self.play(
+                    Script(late + whole + surplus), 'POST', 4, kept
+                )
+                self.assertEqual((200, PART), answer[:2])
+
 
 class InterimTest(InvalidResponseTest):
     """Interim responses, with and without a final one."""
