Keep a whole response whose Keep-Alive is not a number

Cause: numbers in headers of upstreams were checked by str.isdigit and then passed to int, which rejects some of these digits, and more than 4300 of them. The error was raised after the request had run: the caller got 502 in place of the upstream's whole response. The connection was neither reset nor put back, so it stayed open and counted towards the upstream's limit.

Change: only ASCII digits count as a number, cut to 18 digits. An error of any kind during an exchange resets its connection.

--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections.abc
 import dataclasses
 import re
@@ -42,6 +41,9 @@
 # Characters that a field value must not contain (RFC 9110, 5.5). The parser of
 # responses lets them pass; the server writes no head with them.
 CONTROL_CHARACTER = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
+# Digits of a number in a header that are converted: more than any sensible
+# value has, and fewer than the 4300 above which Python refuses to.
+MAX_DIGITS = 18
 # Limit of responses read for one request, with the interim ones and the late
 # ones to earlier requests, which are skipped.
 MAX_RESPONSES_READ = 4
@@ -224,7 +226,9 @@
     except streams.EofStream:
         connection.reset()
         return Broken('connection-closed', True)
-    except asyncio.CancelledError:
+    except BaseException:
+        # Neither a cancellation nor a fault may leave the upstream at work or
+        # the connection open.
         connection.reset()
         raise
     finally:
@@ -315,10 +319,10 @@
     for coding in headers.getall('Transfer-Encoding', ()):
         if coding.strip().lower() != 'chunked':
             return 'transfer-coding'
-    length = headers.get('Content-Length', '')
+    length = _parse_number(headers.get('Content-Length', ''))
     # A response to HEAD states the length of a body that it does not have.
-    if request.method != 'HEAD' and length.isdigit():
-        if int(length[:18]) > buffers.budget.max_response_bytes:
+    if request.method != 'HEAD' and length is not None:
+        if length > buffers.budget.max_response_bytes:
             return 'response-too-large'
     return ''
 
@@ -363,8 +367,19 @@
 ) -> None:
     for parameter in headers.get('Keep-Alive', '').split(','):
         name, _, value = parameter.strip().partition('=')
-        if name.lower() == 'timeout' and value.isdigit():
+        timeout_s = _parse_number(value)
+        if name.lower() == 'timeout' and timeout_s is not None:
             connection.keep_alive_s = min(
                 connections.MAX_IDLE_S,
-                int(value) * connections.KEEP_ALIVE_SHARE,
+                timeout_s * connections.KEEP_ALIVE_SHARE,
             )
+
+
+def _parse_number(value: str) -> int | None:
+    """Return a number in a header, cut to `MAX_DIGITS`; None if invalid.
+
+    `str.isdigit` alone also accepts digits that `int` rejects.
+    """
+    if not value.isascii() or not value.isdigit():
+        return None
+    return int(value.lstrip('0')[:MAX_DIGITS] or '0')
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -565,6 +565,39 @@
         )
         await self.assert_unusable(Script(both), 'POST', 4, True)
 
+    async def test_invalid_keep_alive(self) -> None:
+        """Guards against a whole response that is dropped for its hints.
+
+        Callers got 502 after a number that Python does not convert, and the
+        connection stayed open outside the pool.
+        """
+        for value in (
+            'timeout=\u00b2',
+            'timeout=\u0663',
+            'timeout=' + '5' * 5000,
+            'timeout=' + '0' * 5000,
+            'timeout=-5',
+            'timeout=',
+            'timeout',
+            'timeout=5, timeout=\u2460, max=1',
+        ):
+            raw = response(
+                'Content-Length: 16', f'Keep-Alive: {value}', body=PART
+            )
+            for method, kept in itertools.product(
+                ('GET', 'POST'), (False, True)
+            ):
+                with self.subTest(value=value[:20], method=method, kept=kept):
+                    answer = await self.play(Script(raw), method, 4, kept)
+                    self.assertEqual((200, PART), answer[:2])
+                    sound = await self.ask('POST', 4)
+                    self.assertEqual((200, b'sound'), sound[:2])
+                    # The connections are in the pool, or closed.
+                    await self.drop_connections()
+                    async with asyncio.timeout(MAX_WAIT_S):
+                        while self.upstream.open:
+                            await asyncio.sleep(0.02)
+
     async def test_bytes_after_a_response(self) -> None:
         """Guards against a whole response that is dropped for what follows.
 
