Refuse a malformed body that ends before its handler runs

Cause: a body whose framing is not valid is ended as soon as the parser reports it. If that was before the request reached its handler, as behind another request on the connection, and no byte of the body had arrived, the request counted as one without a body: it was sent to an upstream, which ran it with an empty body.

Change: a malformed body is refused with 400 also if it is empty.

--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -275,7 +275,10 @@
     async def _read_body(
         self, request: web.BaseRequest, memory: body_budget.Reservation
     ) -> bytes | bytearray | web.Response:
-        if not request.can_read_body:
+        connection = request.protocol
+        assert isinstance(connection, caller_connections.CallerConnection)
+        # A malformed body may be empty up to where it is not valid.
+        if not request.can_read_body and not connection.malformed:
             return b''
         assert self.state.configuration is not None
         max_bytes = self.state.configuration.limits.body_bytes
@@ -297,8 +300,6 @@
                 )
             if not memory.cover(len(body), memory_bytes):
                 return self._refuse_unread(request, 503, 'memory', 0.2)
-        connection = request.protocol
-        assert isinstance(connection, caller_connections.CallerConnection)
         if connection.malformed:
             response = self._refuse_unread(
                 request, 400, 'body-malformed', None
--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections.abc
 import random
+import re
 import signal
 import typing
 
@@ -389,6 +390,27 @@
                 self.assertEqual(b'', await caller.reader.read())
                 self.assertEqual(0, self.run_count(name))
 
+    async def test_body_that_begins_after_another_request(self) -> None:
+        """Guards against a malformed body that is sent on as an empty one.
+
+        It had ended before its request reached the handler.
+        """
+        self.upstream.work_s = WORK_S
+        caller = await self.connect()
+        caller.send_head('first', 4)
+        caller.writer.write(b'work')
+        await asyncio.sleep(WORK_S / 4)
+        caller.writer.write(
+            encode_head('malformed', 'Transfer-Encoding: chunked')
+        )
+        await asyncio.sleep(WORK_S / 4)
+        caller.writer.write(b'zz\r\n')
+        async with asyncio.timeout(WORK_S + MARGIN_S):
+            received = await caller.reader.read()
+        statuses = re.findall(rb'HTTP/1.1 (\d+) ', received)
+        self.assertEqual([b'200', b'400'], statuses)
+        self.assertEqual(0, self.run_count('malformed'))
+
 
 class StopPhasesTest(test_planned_stop.StopCase):
     """Requests that end in each phase of a stop."""
