Test pipelined requests whose bodies arrive in random parts

The check for bodies whose framing is not valid relies on the parser: no further request begins before the end of a body. Nothing showed that sound requests are left alone however their bytes arrive.

--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -31,6 +31,8 @@
 LAST_BYTE_S = 4.0
 # Longer than a head may take (3 s) and the period in which this is checked.
 SLOW_RESPONSE_S = 5.0
+# Connections on which requests are sent in random parts.
+PIPELINES = 60
 # Time that an upstream works while something else happens.
 WORK_S = 0.6
 # Pace of reading a response.
@@ -244,6 +246,34 @@
             if received < large:
                 await asyncio.sleep(len(chunk) * SLOW_RESPONSE_S / large)
 
+    async def test_bodies_in_random_parts(self) -> None:
+        """Guards against sound requests that count as a malformed body."""
+        rng = random.Random(5)
+        for number in range(PIPELINES):
+            raw = b''
+            names = [f'parts-{number}-{each}' for each in range(4)]
+            for name in names:
+                if rng.random() < 0.5:
+                    raw += encode_head(name, 'Content-Length: 4') + b'work'
+                else:
+                    field = 'Transfer-Encoding: chunked'
+                    raw += encode_head(name, field)
+                    raw += b'4;x=y\r\nwork\r\n0\r\nX-Trailer: 1\r\n\r\n'
+            cuts = sorted(rng.sample(range(1, len(raw)), rng.randrange(8)))
+            caller = await self.connect()
+            for begin, end in zip([0, *cuts], [*cuts, len(raw)]):
+                caller.writer.write(raw[begin:end])
+                await asyncio.sleep(rng.choice((0.0, 0.0, 0.002, 0.02)))
+            received = b''
+            async with asyncio.timeout(SHORT_LIMIT_S):
+                while received.count(b'HTTP/1.1 ') < len(names):
+                    chunk = await caller.reader.read(1000)
+                    self.assertTrue(chunk, received)
+                    received += chunk
+            self.assertEqual(len(names), received.count(b'HTTP/1.1 200'))
+            for name in names:
+                self.assertEqual(1, self.run_count(name), name)
+
 
 class DisturbanceTest(test_planned_stop.StopCase):
     """Requests in each state while something else happens to the router."""
