Do not count the body of a waiting request as a head

Cause: bytes of a connection whose handler has ended were counted as a head until the next handler begins, which is while the response is being sent. If the head of a further request had arrived before, while the first one ran, its end was not among the counted bytes: a body of more than 64 KiB closed the connection as a head that is too large. The caller lost the rest of a response that its upstream had made.

Change: bytes that arrive behind a waiting request are not counted. The parser limits them, as it does while a handler runs.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -207,8 +207,13 @@
         return bool(poll.poll(0))
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes, unless they are too many for a head."""
-        if data and not self.is_handling():
+        """Parse received bytes, unless they are too many for a head.
+
+        Those that follow a waiting request may be its body. They are limited
+        like the others of a handled connection, by the parser.
+        """
+        is_head = not self.is_handling() and not self.has_waiting_request()
+        if data and is_head:
             if self.head_since == math.inf:
                 self.head_since = clock.now()
             self.head_bytes += len(data)
--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -31,6 +31,8 @@
 LAST_BYTE_S = 4.0
 # Longer than a head may take (3 s) and the period in which this is checked.
 SLOW_RESPONSE_S = 5.0
+# More than a head may have (64 KiB).
+UPLOAD_BYTES = 360_000
 # Connections on which requests are sent in random parts.
 PIPELINES = 60
 # Time that an upstream works while something else happens.
@@ -246,6 +248,29 @@
             if received < large:
                 await asyncio.sleep(len(chunk) * SLOW_RESPONSE_S / large)
 
+    async def test_upload_while_a_response_is_sent(self) -> None:
+        """Guards against a waiting body that counts as a head too large.
+
+        Its head had arrived before, while the first request was running. The
+        connection was closed, with a response that its upstream had made.
+        """
+        self.upstream.response_hook = test_planned_stop.enlarge
+        self.upstream.work_s = WORK_S
+        caller = await self.connect()
+        self.send(caller, 'large')
+        await asyncio.sleep(WORK_S / 2)
+        caller.send_head('upload', UPLOAD_BYTES)
+        # The first response is being sent by then.
+        await asyncio.sleep(2 * WORK_S)
+        caller.writer.write(bytes(UPLOAD_BYTES))
+        await asyncio.sleep(WORK_S)
+        received = 0
+        while received < 2 * test_planned_stop.LARGE_BODY_BYTES:
+            chunk = await caller.reader.read(test_planned_stop.WINDOW_BYTES)
+            self.assertTrue(chunk, f'closed after {received} bytes')
+            received += len(chunk)
+        self.assertEqual(1, self.run_count('upload'))
+
     async def test_bodies_in_random_parts(self) -> None:
         """Guards against sound requests that count as a malformed body."""
         rng = random.Random(5)
