Keep the own assignments when the answer to a term's record is lost

A coordinator whose term ends with a restore of the store begins the next one with its own assignments, unless another coordinator has written since. If the answer to the first record of the new term is lost, the next attempt reads that record. It was taken for another coordinator's, and the own assignments were dropped: all keys of divided services had no owner until the last possible grant had expired.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_store.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_store.py
@@ -167,14 +167,20 @@
             Assignments of the last term, which ended with the store's era, if
             nobody else can have changed them.
         """
+        before: takeover.TermRecord | None = None
+        sent: takeover.TermRecord | None = None
         while True:
             page = await self.client.read_newest(TOPIC, self._deadline())
             if isinstance(page, outcomes.Page):
                 last = self._read_term(page)
+                # If the answer to an append is lost, the next attempt reads
+                # the appended record as that of a predecessor. It does not
+                # show that another coordinator has changed assignments.
+                if sent is None or last != sent:
+                    before = last
                 self._adopt_term(last, page.next_offset)
                 self.appender.next_offset = page.next_offset
-                # If the answer to an append is lost, the next attempt reads
-                # the appended record as that of a predecessor.
+                sent = self._term()
                 outcome = await self.client.append(
                     TOPIC,
                     self._encode_term(),
@@ -186,7 +192,7 @@
             await asyncio.sleep(STORE_RETRY_S)
         self.epoch = positions.rank(outcome.offset)
         self.appender.next_offset = outcome.offset + 1
-        if checkpoint is not None and self._is_newer(checkpoint, last):
+        if checkpoint is not None and self._is_newer(checkpoint, before):
             await self._write_checkpoint(checkpoint)
             return dict(self.stored)
         assignments = self._decode_assignments(page)
@@ -297,8 +303,8 @@
             self.written[name] = latest
             self.stored[name] = stored
 
-    def _encode_term(self) -> bytes:
-        term = takeover.TermRecord(
+    def _term(self) -> takeover.TermRecord:
+        return takeover.TermRecord(
             self.name,
             self.address,
             self.next_fleet,
@@ -307,7 +313,9 @@
             self.era,
             self.tables_from,
         )
-        return store.encode_record(TERM_KEY, msgspec.json.encode(term))
+
+    def _encode_term(self) -> bytes:
+        return store.encode_record(TERM_KEY, msgspec.json.encode(self._term()))
 
     def _read_term(self, page: outcomes.Page) -> takeover.TermRecord | None:
         """Return the record of the last term in a listing."""
--- a/packages/knapweedhall-router/tests/test_checkpoints.py
+++ b/packages/knapweedhall-router/tests/test_checkpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 import aiohttp
@@ -108,3 +109,26 @@
         self.restore()
         await self.begin(self.checkpoint)
         self.assertEqual('', self.owner())
+
+    async def test_lost_answer_to_the_first_record(self) -> None:
+        """Guards against keys without an owner for 9 s.
+
+        The record whose answer was lost was taken for that of another
+        coordinator, and the own assignments were dropped.
+        """
+        self.restore()
+        self.store.faults.lose_answers = 1
+        await self.begin(self.checkpoint)
+        self.assertEqual(0, self.store.faults.lose_answers)
+        self.assertEqual('up-2', self.owner())
+
+    async def test_another_term_after_a_lost_answer(self) -> None:
+        """Guards against owners that another coordinator may have changed."""
+        self.restore()
+        self.store.faults.lose_answers = 1
+        lost = asyncio.create_task(self.begin(self.checkpoint))
+        while self.store.faults.lose_answers:
+            await asyncio.sleep(0.001)
+        await self.begin(None)
+        await lost
+        self.assertEqual('', self.owner())
