Test stops in series after a restore of the store

Red: if the coordinator is lost at a restore, each further coordinator waits 9 s from the begin of its own term for the last possible grant, as nothing says how much of the wait is over. Stops of coordinators that follow each other faster keep all keys of divided services without an owner.

--- a/packages/knapweedhall-router/tests/fleet.py
+++ b/packages/knapweedhall-router/tests/fleet.py
@@ -219,6 +219,14 @@
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
 
+    async def stop_router(self, router: application.Application) -> None:
+        """Stop a router in order, and wait until it has left the group."""
+        self.routers.remove(router)
+        router.stop.set()
+        assert router.member is not None
+        while router.member.coordinator is not None:
+            await asyncio.sleep(0.01)
+
     def is_serving(self) -> bool:
         """Return whether all routers know an owner of each key."""
         return all(
--- a/packages/knapweedhall-router/tests/test_restored_store.py
+++ b/packages/knapweedhall-router/tests/test_restored_store.py
@@ -17,6 +17,10 @@
 SERVED_AGAIN_S = 2.0
 # Time after which an upstream has written its entry again.
 REWRITTEN_S = 0.9
+# Time after which keys have owners again if nobody knows those before: the
+# last possible grant, 9 s, and a takeover.
+KEYS_REASSIGNED_S = 11.0
+STOP_COUNT, STOP_PERIOD_S = 2, 3.0
 KEYS = range(0, model.KEY_COUNT, 8000)
 
 
@@ -186,6 +190,27 @@
         served = await self.ask_for_keys()
         self.assertEqual(dict.fromkeys(KEYS, {200}), served)
 
+    async def test_stops_in_series_after_a_restore(self) -> None:
+        """Guards against keys that nobody owns while coordinators stop.
+
+        In soak seeds 960009, 960016 and 960019 each coordinator after a
+        restore began the wait for the last possible grant anew.
+        """
+        await asyncio.sleep(0.5)
+        loop = asyncio.get_running_loop()
+        self.restore(0.4)
+        await self.fleet.kill(self.coordinator())
+        served_by = loop.time() + KEYS_REASSIGNED_S
+        for _ in range(STOP_COUNT):
+            self.fleet.add_router()
+            await asyncio.sleep(STOP_PERIOD_S)
+            await self.fleet.stop_router(self.coordinator())
+        while loop.time() < served_by:
+            self.assert_one_owner()
+            await asyncio.sleep(0.05)
+        served = await self.ask_for_keys()
+        self.assertEqual(dict.fromkeys(KEYS, {200}), served)
+
     async def check_keys(self) -> None:
         """Check that all keys have one owner, and are served in time."""
         loop = asyncio.get_running_loop()
