Let the wait after a restore go on over the terms that follow

Cause: a coordinator that finds only assignments of an earlier era waits until the last grant of that era has expired, 9 s counted from the begin of its own term. Each further term began the wait anew, without a limit.

Change: the wait is counted from when the instance first saw the store in its present era, plus the longest lease, as coordinators of earlier eras extended theirs before that for the last time. Nobody is granted keys in an era before the assignment is recorded in it. Assignments that can't be read or are not there still count from the begin of the term.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -190,7 +190,14 @@
         for name, stored in assignments.items():
             self.services[name] = service_state.ServiceState(name)
             restored = self.services[name].holdings
-            if stored is None:
+            if name in self.store.outdated:
+                # Nobody was granted its keys in this era, as assignments are
+                # recorded before. Terms may end before this wait does, so it
+                # does not begin with the term.
+                restored.restore_unreadable(
+                    min(now, self.state.former_leases_until)
+                )
+            elif stored is None:
                 restored.restore_unreadable(now)
             else:
                 restored.restore(stored, now)
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_store.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_store.py
@@ -120,6 +120,8 @@
         Instances in the record that is being written, else `fleet`.
     predecessors : list of takeover.Predecessor
         Earlier coordinators that may still renew grants.
+    outdated : set of str
+        Services whose assignment the store has from an earlier era only.
     lock : asyncio.Lock
         Held while a record is written.
     requested, written : dict of str to int
@@ -145,6 +147,7 @@
         self.fleet: list[str] = []
         self.next_fleet: list[str] = []
         self.predecessors: list[takeover.Predecessor] = []
+        self.outdated: set[str] = set()
         self.lock = asyncio.Lock()
         self.requested: dict[str, int] = {}
         self.written: dict[str, int] = {}
@@ -339,6 +342,7 @@
             assignments[service] = None
             if record.offset < self.tables_from:
                 self.knows_predecessors = False
+                self.outdated.add(service)
                 logs.warning('table_outdated', key=record.key)
                 continue
             try:
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+import math
 
 import aiohttp
 
@@ -170,9 +171,20 @@
         and only the coordinator knows its assignments. The others are not
         woken.
         """
+        self._record_era()
         if self.coordinator is not None:
             self.link.status_changed.notify()
 
+    def _record_era(self) -> None:
+        """Record that the store is in a new era.
+
+        A coordinator of an earlier one extended its lease before that for the
+        last time.
+        """
+        self.state.former_leases_until = (
+            clock.now() + self.coordinator_timeout_s
+        )
+
     async def _join(self, sent_at: float) -> None:
         outcome = await self._call_join()
         if outcome == store.RESTORED:
@@ -187,6 +199,8 @@
                 await self._stop()
             return
         self.state.store_answered_at = sent_at
+        if self.state.former_leases_until == math.inf:
+            self._record_era()
         self.generation = outcome.generation
         if not outcome.holds_partition:
             self.checkpoint = None
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -67,6 +67,9 @@
         Whether the upstreams were listed at least once.
     store_answered_at : float
         When the last call that the store answered was sent, seconds.
+    former_leases_until : float
+        When the lease of a coordinator of an earlier era of the store has
+        ended at the latest, on `clock.now`; inf before the first join.
     feed : feed.Feed
         Cached records of the store, and who read them when.
     owner_tables : dict of str to ranges.OwnerTable
@@ -115,6 +118,7 @@
         self.directory = directory.Directory()
         self.upstreams_listed = False
         self.store_answered_at = float('-inf')
+        self.former_leases_until = math.inf
         self.feed = feed.Feed()
         self.owner_tables: dict[str, ranges.OwnerTable] = {}
         self.healths: dict[str, health.Health] = {}
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
@@ -200,13 +200,18 @@
             items.append(Holding(next_key, model.KEY_COUNT - 1))
         self.items = items
 
-    def restore_unreadable(self, now: float) -> None:
+    def restore_unreadable(self, lease_ended_at: float) -> None:
         """Replace all ranges after the stored ones turned out unreadable.
 
         Every key may be held by somebody, until the last grant that an earlier
         coordinator may send expires.
+
+        Parameters
+        ----------
+        lease_ended_at : float
+            By when the lease of every earlier coordinator had ended, seconds.
         """
-        until = grant_expiry(now + MAX_OFFLINE_RENEWAL_S)
+        until = grant_expiry(lease_ended_at + MAX_OFFLINE_RENEWAL_S)
         self.items = [
             Holding(
                 0,
