Log why a stopping process could not leave the store's group

Cause: the call that leaves the group runs in a task beside the stop. The end of the task was awaited without looking at its error: at an instance that does not coordinate, an unexpected one left no trace. At a coordinator, it ended the process before 'stopped' was logged.

Change: the error is logged, and the stop goes on.

Measured: test_leaving_that_fails failed before the change and passes with it (one run each).

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -210,10 +210,16 @@
             if member.coordinator is not None:
                 # No other instance can take over yet, so this one continues
                 # to renew the grants.
-                await leaving
+                await asyncio.wait((leaving,))
         finally:
             leaving.cancel()
-            await asyncio.gather(leaving, return_exceptions=True)
+            (error,) = await asyncio.gather(leaving, return_exceptions=True)
+            if isinstance(error, Exception):
+                logs.warning(
+                    'task_fault',
+                    task='leaving',
+                    reason=tasks_module.describe(error),
+                )
 
     async def _leave_group(
         self, member: membership.Membership, until: float
--- a/packages/knapweedhall-router/tests/test_coordinator_stops.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_stops.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from unittest import mock
 
 from knapweedhall_router import application
 from knapweedhall_router import coordinator_link
@@ -132,6 +133,30 @@
 
     routers = 3
 
+    async def test_leaving_that_fails(self) -> None:
+        """Guards against a fault beside the stop that leaves no trace."""
+        stopped = self.coordinator()
+        member = stopped.member
+        assert member is not None
+        fault = RuntimeError('no call')
+        with (
+            mock.patch.object(member, 'leave', side_effect=fault),
+            mock.patch.object(application.logs, 'warning') as warning,
+            mock.patch.object(application.logs, 'info') as info,
+        ):
+            stopped.stop.set()
+            await self.fleet.wait_until(
+                lambda: mock.call('stopped', running=0, unsent_bytes=0)
+                in info.mock_calls
+            )
+        reasons = [
+            call.kwargs['reason']
+            for call in warning.mock_calls
+            if call.kwargs.get('task') == 'leaving'
+        ]
+        self.assertEqual(1, len(reasons))
+        self.assertIn('no call', reasons[0])
+
     async def test_leaves_the_group_when_the_store_answers_again(self) -> None:
         """Guards against a coordinator that has left already.
 
