Find the end of a response's head that arrives in two parts

Cause: a head is parsed on its own, as the parser drops a whole response if invalid bytes follow it in the same part. The end of the head was not found if its four bytes were divided, by the network or by the size of the parts, so that such a response was dropped all the same and the caller got 502.

Change: the last three bytes are kept and searched together with the next ones.

Measured: test_bytes_after_a_response_in_two_parts failed in 15 cases before the change, in none with it (one run each).

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -65,6 +65,8 @@
 # Limit of responses that are parsed and not yet read.
 MAX_UNREAD_RESPONSES = 8
 HEAD_END = b'\r\n\r\n'
+# Bytes of the end of a head that may arrive before the rest of it.
+HEAD_OVERLAP = len(HEAD_END) - 1
 # Makes `close` send a reset and discard the data that is not yet sent.
 _ZERO_LINGER = struct.pack('ii', 1, 0)
 
@@ -89,6 +91,8 @@
         Body that is being read.
     last_stream : aiohttp.StreamReader or None
         Body of the last response that was parsed.
+    last_bytes : bytes
+        Last bytes received, which may be the beginning of the end of a head.
     idle_since : float
         When its last exchange ended, on `clock.now`; inf before the first
         exchange.
@@ -113,6 +117,7 @@
         self.received_bytes = 0
         self.stream: streams.StreamReader | None = None
         self.last_stream: streams.StreamReader | None = None
+        self.last_bytes = b''
         self.idle_since = math.inf
         self.usable_until = 0.0
         self.keep_alive_s = MAX_IDLE_S
@@ -136,6 +141,7 @@
         self.received_bytes = 0
         self.stream = None
         self.last_stream = None
+        self.last_bytes = b''
         self.set_response_params(
             skip_payload=not with_body,
             read_until_eof=True,
@@ -205,6 +211,9 @@
             if self.transport is None:
                 return
             begin = end
+        self.last_bytes = (self.last_bytes + data[-HEAD_OVERLAP:])[
+            -HEAD_OVERLAP:
+        ]
         body_bytes = 0 if self.stream is None else self.stream.total_bytes
         max_bytes = MAX_OVERHEAD_BYTES + body_bytes * MAX_FRAMING_SHARE
         if self.received_bytes - body_bytes > max_bytes:
@@ -217,10 +226,15 @@
         found in a part if bytes after them are not valid.
         """
         end = begin + PARSE_BYTES
-        if self.last_stream is None or self.last_stream.is_eof():
-            head_end = data.find(HEAD_END, begin, end)
+        if self.last_stream is not None and not self.last_stream.is_eof():
+            return end
+        if not begin:
+            head_end = (self.last_bytes + data[:HEAD_OVERLAP]).find(HEAD_END)
             if head_end >= 0:
-                return head_end + len(HEAD_END)
+                return head_end + len(HEAD_END) - len(self.last_bytes)
+        head_end = data.find(HEAD_END, max(0, begin - HEAD_OVERLAP), end)
+        if head_end >= 0:
+            return head_end + len(HEAD_END)
         return end
 
     def feed_data(
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -15,6 +15,7 @@
 
 from knapweedhall_adapter import orders
 from knapweedhall_adapter import outcomes
+from knapweedhall_router import connections
 from knapweedhall_routing import model
 from knapweedhall_standins import upstream
 from tests import fleet
@@ -62,12 +63,15 @@
         Whether it responds before it reads the body of the request.
     pause_s : float
         Time between the response and the end, seconds.
+    late_bytes : int
+        How many bytes of the response are sent after a pause; 0 for none.
     """
 
     response: bytes
     end: End = End.KEEP
     is_early: bool = False
     pause_s: float = 0.02
+    late_bytes: int = 0
 
 
 def response(
@@ -199,9 +203,12 @@
         if not script.is_early:
             await self._discard(connection, left)
         request_id = fields['x-attempt-id'].encode()
-        await loop.sock_sendall(
-            connection, script.response.replace(b'@ID', request_id)
-        )
+        raw = script.response.replace(b'@ID', request_id)
+        first = len(raw) - script.late_bytes
+        await loop.sock_sendall(connection, raw[:first])
+        if script.late_bytes:
+            await asyncio.sleep(script.pause_s)
+            await loop.sock_sendall(connection, raw[first:])
         if script.end is End.KEEP:
             if script.is_early:
                 await self._discard(connection, left)
@@ -622,6 +629,33 @@
                 sound = await self.ask('POST', 4)
                 self.assertEqual((200, b'sound'), sound[:2])
 
+    async def test_bytes_after_a_response_in_two_parts(self) -> None:
+        """Guards against the same where the head arrives in two parts."""
+        surplus = b'no response\r\n\r\n'
+        short = response('Content-Length: 16', body=PART) + surplus
+        field = 'X-Long: ' + 'x' * connections.PARSE_BYTES
+        long = response(field, 'Content-Length: 16', body=PART) + surplus
+        after_head = len(PART + surplus)
+        for raw, late, kept in itertools.product(
+            (short, long), range(-1, 6), (False, True)
+        ):
+            with self.subTest(size=len(raw), late=late, kept=kept):
+                answer = await self.play(
+                    Script(raw, late_bytes=after_head + late), 'POST', 4, kept
+                )
+                self.assertEqual((200, PART), answer[:2])
+        # The end of the head is where the router divides what it parses.
+        for shift in range(-200, 5):
+            size = connections.PARSE_BYTES + shift
+            field = 'X-Long: ' + 'x' * size
+            raw = response(field, 'Content-Length: 16', body=PART) + surplus
+            head_size = raw.index(b'\r\n\r\n')
+            if abs(head_size - connections.PARSE_BYTES) > 8:
+                continue
+            with self.subTest(head=head_size):
+                answer = await self.play(Script(raw), 'POST', 4, True)
+                self.assertEqual((200, PART), answer[:2])
+
 
 class InterimTest(InvalidResponseTest):
     """Interim responses, with and without a final one."""
