Keep a term whose own write shows the restore until the next one

Cause: when a write of the term's record was the first call that showed a restored store, its error ended the term at once, and with it the connections to the instances, before the membership could pass them to the next term. Keys without an owner then waited until the instances had found the same coordinator again.

Change: the error is logged, and the term goes on without orders (it must not send any once the store is restored) until the membership ends it.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -219,7 +219,7 @@
         if self.store.knows_predecessors:
             for service in self.services.values():
                 service.holdings.record_predecessors_ended(now)
-        await self.store.clear_predecessors()
+        await self._write_term(self.store.clear_predecessors())
 
     async def _update_fleet(self) -> None:
         """Keep the connected instances in the record of the term.
@@ -230,10 +230,25 @@
         while True:
             await asyncio.sleep(FLEET_STABLE_S)
             connected = self.links.instances()
+            if self.store.restored:
+                return
             if connected != previous or self.lease.is_expired():
                 previous = connected
             elif connected != self.store.fleet:
-                await self.store.write_fleet(connected)
+                await self._write_term(self.store.write_fleet(connected))
+
+    async def _write_term(
+        self, writing: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        """Write the record of the term, unless the store was restored.
+
+        The membership then begins the next term, which takes over the
+        connections only if this one has not ended by itself.
+        """
+        try:
+            await writing
+        except coordinator_store.RestoredError:
+            logs.info('table_not_written', reason='the store was restored')
 
     # Instances
 
--- a/packages/knapweedhall-router/tests/test_restored_store.py
+++ b/packages/knapweedhall-router/tests/test_restored_store.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import typing
+from unittest import mock
 
 from knapweedhall_adapter import positions
+from knapweedhall_router import coordinator
+from knapweedhall_router import membership
 from knapweedhall_routing import model
 from knapweedhall_standins import upstream
 from tests import fleet
@@ -176,6 +179,12 @@
         assert member is not None and member.coordinator is not None
         former = member.coordinator
         self.restore(0.5)
+        await self.assert_stay_connected(member, former)
+
+    async def assert_stay_connected(
+        self, member: membership.Membership, former: coordinator.Coordinator
+    ) -> None:
+        """Check that the next term of a coordinator keeps all connections."""
         loop = asyncio.get_running_loop()
         until = loop.time() + SERVED_AGAIN_S
         while loop.time() < until:
@@ -194,6 +203,27 @@
                 all(owned.upstream for owned in table.owned_ranges)
             )
 
+    async def test_instances_stay_connected_after_a_write(self) -> None:
+        """Guards against a term whose own write shows the restore.
+
+        It ended by itself, and with it the connections.
+        """
+        member = self.coordinator().member
+        assert member is not None and member.coordinator is not None
+        former = member.coordinator
+        write = former.store.write_fleet
+        written = asyncio.Event()
+
+        async def restore_before(instances: list[str]) -> None:
+            self.restore(0.5)
+            written.set()
+            await write(instances)
+
+        with mock.patch.object(former.store, 'write_fleet', restore_before):
+            former.store.fleet = []
+            await written.wait()
+            await self.assert_stay_connected(member, former)
+
     async def test_keys_under_the_next_coordinator(self) -> None:
         """Guards against two owners after the coordinator has ended, too.
 
