Begin no moves once a write showed that the store was restored

Cause: a term that goes on until the membership ends it could still release a range, whose new owner it can't record. Its keys would have no owner until the next term.

Change: no plan is made from then on.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -410,7 +410,8 @@
     async def _plan(self) -> None:
         while True:
             await asyncio.sleep(PLAN_PERIOD_S)
-            if self.hand_over_at is not None:
+            if self.hand_over_at is not None or self.store.restored:
+                # A move would leave its keys to the next term, released.
                 continue
             if self.lease.is_expired() or self.lease.is_store_unresponsive():
                 continue
