--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -64,6 +64,7 @@
 PARSE_BYTES = 16384
 # Limit of responses that are parsed and not yet read.
 MAX_UNREAD_RESPONSES = 8
+# End of the head of a response.
 HEAD_END = b'\r\n\r\n'
 # Bytes of the end of a head that may arrive before the rest of it.
 HEAD_OVERLAP = len(HEAD_END) - 1
--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -35,8 +35,7 @@
 # that stops sending does not hold its connection. Also applies if the caller
 # states no time limit.
 MAX_DISCARD_S = 30.0
-
-
+# Sent to callers that wait for it before they send a body.
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
