--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -25,7 +25,7 @@
 PACKAGE_TIMEOUT_S = 480
 # Packages whose test modules are divided among several processes, as their
 # tests mostly wait for whole fleets.
-SHARDS = {'knapweedhall-router': 3}
+SHARDS = {'knapweedhall-router': 6}
 
 
 class PackageResult(typing.NamedTuple):
