Let a new term rebalance at once again

Cause: in a series of stops, terms last about 1.5 s, which is how long a term waited before it rebalanced, so that keys were never moved away from upstreams that were full or leaving.

That a new term moves keys before it knows the load remains a fault.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -71,9 +71,6 @@
         Executes moves.
     renewer : renewals.Renewer
         Renews grants.
-    measured_at : float
-        When the reports show the load, seconds; infinite before the first
-        report of the term.
     has_begun : bool
         Whether the assignments were read.
     hand_over_at : float or None
@@ -103,7 +100,6 @@
         self.service_times = rates.ServiceTimes()
         self.pauses: dict[str, float] = {}
         self.keeps_links = False
-        self.measured_at = float('inf')
         self.has_begun = False
         self.hand_over_at: float | None = None
         if links is None:
@@ -329,8 +325,6 @@
 
     def record_report(self, report: messages.Report) -> None:
         """Add the measurements of an instance."""
-        if self.measured_at == float('inf'):
-            self.measured_at = clock.now() + rates.SLOW_TIME_CONSTANT_S
         for name, counts in report.keys.items():
             if name in self.services:
                 self.services[name].rates.add(counts)
@@ -467,9 +461,7 @@
             )
         ]
         planned_moves = planning.place_orphans(items, inputs, orphans)
-        # The assignment that the term found was planned by the load. Without
-        # measurements a service counts as idle.
-        if not planned_moves and now >= self.measured_at:
+        if not planned_moves:
             planned_moves = planning.rebalance(items, inputs, now)
         for move in planned_moves:
             self._start_move(service, move, now)
