Refuse keys that are no numbers in knapweedhallctl owners

Cause: the keys of the command line were checked by str.isdigit and then passed to int, which rejects some of these digits, and more than 4300 of them. Operators got a traceback. A key above the highest one was taken and matched nothing.

Change: only ASCII digits up to the highest key are accepted.

Result: test_keys_that_are_no_numbers failed in 5 of 5 cases before (two of them accepted) and passes; the other tests of the module pass.

--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/owners.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/owners.py
@@ -76,7 +76,7 @@
     if not text:
         return _KeyRange(0, model.KEY_COUNT - 1)
     first, _, last = text.partition('-')
-    if not first.isdigit() or (last and not last.isdigit()):
+    if not _is_key(first) or (last and not _is_key(last)):
         return errors.InvalidField(
             f'{text!r} is not a key or a range of keys',
             f'use numbers from 0 to {model.KEY_COUNT - 1}',
@@ -84,6 +84,14 @@
     return _KeyRange(int(first), int(last or first))
 
 
+def _is_key(text: str) -> bool:
+    # `str.isdigit` alone accepts digits that `int` rejects, and `int` rejects
+    # more than 4300 digits.
+    is_number = text.isascii() and text.isdigit()
+    is_short = len(text) <= len(str(model.KEY_COUNT))
+    return is_number and is_short and int(text) < model.KEY_COUNT
+
+
 async def _assignment(
     arguments: argparse.Namespace,
 ) -> list[holdings.StoredRange]:
--- a/packages/knapweedhall-ctl/tests/test_publish.py
+++ b/packages/knapweedhall-ctl/tests/test_publish.py
@@ -229,6 +229,15 @@
         )
         self.assertEqual(exit_codes.INVALID_INPUT, result.exit_code)
 
+    async def test_keys_that_are_no_numbers(self) -> None:
+        """Guards against a traceback in place of a refusal."""
+        for keys in ('\u00b2', '1-\u00b2', '1' * 5000, '65536', '0-70000'):
+            with self.subTest(keys=keys[:10]):
+                result = await asyncio.to_thread(
+                    owners.run, self.arguments(service='ledger', keys=keys)
+                )
+                self.assertEqual(exit_codes.INVALID_INPUT, result.exit_code)
+
     async def test_status_without_a_coordinator(self) -> None:
         """Guards against a command that hangs or fails with a traceback."""
         argv = ['status', '--store', self.arguments().store]
