Separate the shutdown from the run of the application

Cause: _run listened, waited for the signal and ended the term and the requests, and some constants and one event did not say what they are now for.

Change: _shut_down has what follows the signal; names and text only otherwise.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/checker.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/checker.py
@@ -27,6 +27,7 @@
 GRACE_S = 6.0
 EXCUSED_FROM_S = GRACE_S * 5 / 6
 EXCUSED_S = 3.0
+# Time for which the platform counts answers to a stop beyond the grace time.
 STOP_END_SLACK_S = 1.0
 # An instance may answer this long before a deadline that it received late.
 DEADLINE_SLACK_S = 0.1
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
@@ -46,6 +46,7 @@
 )
 # Faults of the store that surround a part of a series.
 BESIDE_KINDS = ('down', 'slow', 'refuse', 'deaf', 'lose-answers')
+# Number of series in a run, and of the parts of each.
 SERIES_COUNT = 3
 MIN_SERIES_LENGTH, MAX_SERIES_LENGTH = 3, 6
 MIN_GAP_S, MAX_GAP_S = 0.2, 2.0
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -80,6 +80,7 @@
 FULL_LINK_BURST = 8
 # Time from an upstream's notice to its end on the platform.
 SHORT_NOTICE_S = 2.0
+# An upstream forgets its idle connections once each period.
 FORGET_PERIOD_S = 0.1
 
 
--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -151,7 +151,8 @@
 assignments_restored | INFO | services | The store came back from a copy, and \
 the coordinator wrote the assignments of its last term again.
 table_not_written | INFO | reason | The store did not confirm a write of an \
-assignment of keys or of the term's record; the write is retried.
+assignment of keys or of the term's record; the write is retried, or left to \
+the next term if the store was restored.
 predecessor_silent | INFO | address reason | An earlier coordinator did not \
 answer the request to end its term.
 predecessor_odd | WARNING | address reason | An earlier coordinator's answer \
--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -33,7 +33,7 @@
 # Time after a stop signal for which new connections are still accepted: the
 # load balancer checks readiness once per second and needs two failed checks.
 ACCEPT_AFTER_STOP_S = 2.6
-# Share of the grace time after which no request is running any more.
+# Share of the grace time in which upstreams have to end their work.
 WORK_GRACE_SHARE = 0.85
 # Share of the grace time until which responses of upstreams are awaited.
 # Requests that are sent after a stop signal have the end of the work as their
@@ -189,6 +189,18 @@
         self.state.stopping = True
         listening.cancel()
         await asyncio.gather(listening, return_exceptions=True)
+        await self._shut_down(
+            member, membership_task, caller_server, open_listeners
+        )
+
+    async def _shut_down(
+        self,
+        member: membership.Membership,
+        membership_task: asyncio.Task[None],
+        caller_server: caller_connections.CallerServer,
+        open_listeners: listeners.Listeners,
+    ) -> None:
+        """End the term and the requests of a process that was stopped."""
         logs.info('stopping', running=self.frontend.in_flight)
         stopped_at = clock.now()
         work_until = stopped_at + self.settings.grace_s * WORK_GRACE_SHARE
