End without listening if the stop came during the start

Callers whose requests a process accepted after a start that was slow got no answer if the process had been asked to stop during that start: the platform killed it while their upstreams were at work.

Cause: SIGTERM is held back while the libraries are imported. The process then took the time at which it handled the signal for that of the signal, opened its listeners, accepted requests for 2.6 s and planned its end within the grace time from then on. With an import of 2 s it would end at 7.7 s and is killed at 6 s.

Change: a stop signal that was held back is taken before the others arrive, and the process ends without opening a listener. How much of the grace time has passed by then is not known to it, and nobody is connected.

Result: test_requests_of_a_process_that_was_stopped_before failed before (the first request ended without an answer at the kill) and passes; test_process, test_planned_stop and test_build pass (26 tests, one run).

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -95,9 +95,12 @@
         """Serve until a stop signal is received."""
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(_log_callback_fault)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in startup.STOP_SIGNALS:
             loop.add_signal_handler(number, self._stop_on_signal, number)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        held_back = startup.take_stop_signal()
+        if held_back is not None:
+            self._stop_on_signal(held_back)
         startup.unblock_signals()
         timeout = aiohttp.ClientTimeout(total=None)
         try:
@@ -171,6 +174,10 @@
         caller_server: caller_connections.CallerServer,
         open_listeners: listeners.Listeners,
     ) -> None:
+        if self.stop.is_set():
+            # How much of the grace time has passed during the start is not
+            # known, so no requests are accepted.
+            return
         listening = asyncio.create_task(
             self._listen(
                 caller_server,
--- a/packages/knapweedhall-router/src/knapweedhall_router/startup.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/startup.py
@@ -10,7 +10,8 @@
 import signal
 
 # Signals that the process handles; the default action of each ends it.
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
 _STANDARD_STREAMS = (0, 1, 2)
 
 
@@ -27,6 +28,12 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
 
 
+def take_stop_signal() -> signal.Signals | None:
+    """Return a stop signal that is held back, which will not arrive then."""
+    received = signal.sigtimedwait(STOP_SIGNALS, 0)
+    return signal.Signals(received.si_signo) if received else None
+
+
 def open_standard_streams() -> None:
     """Open the standard streams that the parent process has closed.
 
--- a/packages/knapweedhall-router/tests/test_planned_stop.py
+++ b/packages/knapweedhall-router/tests/test_planned_stop.py
@@ -24,6 +24,22 @@
 LARGE_BODY_BYTES = 12_000_000
 WINDOW_BYTES = 65536
 TIME_LIMIT_MS = 10_000
+# Time that the import of a library takes on a slow machine.
+SLOW_IMPORT_S = 2.0
+# Delays the first import of the HTTP library.
+SLOW_IMPORT = f"""
+import sys
+import time
+
+
+class Delay:
+    def find_spec(self, name, path=None, target=None):
+        if name == 'aiohttp':
+            time.sleep({SLOW_IMPORT_S})
+
+
+sys.meta_path.insert(0, Delay())
+"""
 # Time after which a request that was received whole has to be answered though
 # no upstream ran it: the platform's bound.
 LOSS_SLACK_S = 0.2
@@ -315,6 +331,45 @@
         await self.assert_ended(stopped_at)
 
 
+class StopDuringTheStartTest(test_process.ProcessTest):
+    """A process that gets SIGTERM before it has imported its libraries."""
+
+    async def test_requests_of_a_process_that_was_stopped_before(self) -> None:
+        """Guards against requests that are cut when the platform kills it.
+
+        The grace time runs from the signal, which the process can't handle
+        until it has imported its libraries.
+        """
+        upstream = await self.fleet.add_upstream('orders', False)
+        upstream.work_s = 2 * GRACE_S
+        route = self.fleet.route('order', '/order/', 'unsafe', 'orders')
+        route[4] = 2 * GRACE_S
+        self.fleet.configure([route])
+        folder = self.router.settings.parent
+        (folder / 'sitecustomize.py').write_text(SLOW_IMPORT)
+        self.router.start({'PYTHONPATH': str(folder)})
+        await self.router.wait_for_event('starting')
+        self.router.send(signal.SIGTERM)
+        callers: list[Caller] = []
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(GRACE_S):
+                while self.router.status() is None:
+                    with contextlib.suppress(OSError):
+                        await self.send_first(callers)
+                    await asyncio.sleep(0.1)
+        self.router.kill()
+        for caller in callers:
+            self.assertNotEqual(0, (await caller.read_answer()).status)
+
+    async def send_first(self, callers: list[Caller]) -> None:
+        """Send a request over a new connection and add it to the list."""
+        caller = await Caller.connect(self.host, self.ports[0])
+        self.addCleanup(caller.writer.close)
+        caller.send_head(f'first-{len(callers)}', 4)
+        caller.writer.write(b'work')
+        callers.append(caller)
+
+
 class StopsUnderLoadTest(StopCase):
     """A series of stops while callers use their connections to the end."""
 
