Count a request on its way to its handler as one with a handler

A whole request that waited behind another one on its connection could end without an answer: a stop closed the connection as idle, or it was closed because the body of the request counted as a head that is too large.

Cause: the HTTP server takes a waiting request out of its queue one cycle of the event loop before the handler begins. In that cycle no request waited and none was handled, and the head of a request that arrives while another one is handled is not noted.

Change: a connection whose server neither waits for a request nor handles one is not idle, and its bytes are no head.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -162,10 +162,18 @@
 
         After an early response, the rest of the body is discarded.
         """
-        if self.running:
+        if self.running or self._is_passing_request():
             return True
         return self.content is not None and not self.content.is_eof()
 
+    def _is_passing_request(self) -> bool:
+        """Return whether a request that waited is on its way to its handler.
+
+        The server takes it out of the queue one cycle of the event loop before
+        the handler begins.
+        """
+        return self._waiter is None and not self._request_in_progress
+
     def is_idle(self) -> bool:
         """Return whether the connection is open and its caller awaits nothing.
 
--- /dev/null
+++ b/packages/knapweedhall-router/tests/test_caller_connections.py
@@ -0,0 +1,89 @@
+"""Tests of the connections of callers alone."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from aiohttp import web
+
+from knapweedhall_router import caller_connections
+
+HOST = '127.0.9.250'
+HEAD = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n'
+HANDLER_S = 0.1
+# More than a head may have.
+BODY_BYTES = 2 * caller_connections.MAX_HEAD_BYTES
+TIMEOUT_S = 5.0
+
+
+class WaitingRequestTest(unittest.IsolatedAsyncioTestCase):
+    """A request that waits while the one before it is handled.
+
+    The server takes it out of its queue one cycle of the event loop before
+    its handler begins.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """Start a server and send it the first request."""
+        self.count = 0
+        self.server = caller_connections.CallerServer(
+            self.handle, access_log=None, handler_cancellation=True
+        )
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(self.server, HOST, 0)
+        self.addCleanup(listener.close)
+        address = listener.sockets[0].getsockname()
+        self.reader, self.writer = await asyncio.open_connection(*address)
+        self.addCleanup(self.writer.close)
+        self.writer.write(HEAD % 0)
+        await asyncio.sleep(HANDLER_S / 4)
+        (self.connection,) = self.server.caller_connections()
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Respond with the length of the body."""
+        connection = request.protocol
+        assert isinstance(connection, caller_connections.CallerConnection)
+        connection.record_request(request.content)
+        self.count += 1
+        try:
+            await asyncio.sleep(HANDLER_S)
+            return web.Response(text=str(len(await request.read())))
+        finally:
+            connection.record_response()
+
+    async def read_response(self) -> bytes:
+        """Return the body of the next response."""
+        async with asyncio.timeout(TIMEOUT_S):
+            head = await self.reader.readuntil(b'\r\n\r\n')
+            length = head.lower().split(b'content-length: ')[1].split()[0]
+            return await self.reader.readexactly(int(length))
+
+    async def test_idle_connections_are_closed(self) -> None:
+        """Guards against whole requests that a stop leaves unanswered."""
+        self.writer.write(HEAD % 0)
+
+        async def close_idle() -> None:
+            while self.count < 2:
+                self.server.close_idle()
+                await asyncio.sleep(0)
+
+        closing = asyncio.create_task(close_idle())
+        self.addCleanup(closing.cancel)
+        for _ in range(2):
+            self.assertEqual(b'0', await self.read_response())
+
+    async def test_body_arrives(self) -> None:
+        """Guards against a body that counts as a head that is too large."""
+        self.writer.write(HEAD % BODY_BYTES)
+        await asyncio.sleep(HANDLER_S / 4)
+        body = bytes(BODY_BYTES)
+        while self.count < 2:
+            is_taken = not self.connection.has_waiting_request()
+            if is_taken and not self.connection.running and body:
+                self.connection.data_received(body)
+                body = b''
+            await asyncio.sleep(0)
+        self.assertEqual(b'', body)
+        self.assertEqual(b'0', await self.read_response())
+        self.assertEqual(str(BODY_BYTES).encode(), await self.read_response())
