Wait for connections that are set up after the listener was closed

A stopping process without connections ended 0.6 s later although its listener had accepted a connection in the same cycle of the event loop; a request on it that took longer was cut.

Cause: a connection is known two cycles after it was accepted. The process looked for connections at the close of the listener and not again.

Change: the process ends once it has had no connection for the 0.6 s in which the kernel sends, within the same limit as before.

Result: test_connection_that_was_accepted_last failed before and passes. It uses a stand-in for the listener: with a process of its own the cycle could not be met (a process that was paused finds its timer first and closes the listener with the connection unaccepted).

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -347,10 +347,13 @@
         """
         await asyncio.sleep(accept_until - clock.now())
         open_listeners.close_one(FRONT)
-        while caller_server.connections and clock.now() < end_at:
-            caller_server.close_idle()
+        # A connection that was accepted before may still be set up.
+        sent_at = clock.now() + KERNEL_SEND_S
+        while clock.now() < min(sent_at, end_at):
+            if caller_server.connections:
+                sent_at = clock.now() + KERNEL_SEND_S
+                caller_server.close_idle()
             await asyncio.sleep(DRAIN_CHECK_S)
-        await asyncio.sleep(min(KERNEL_SEND_S, end_at - clock.now()))
 
     async def _housekeeping(
         self, caller_server: caller_connections.CallerServer
