--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -95,9 +95,12 @@
         """Serve until a stop signal is received."""
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(_log_callback_fault)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in startup.STOP_SIGNALS:
             loop.add_signal_handler(number, self._stop_on_signal, number)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        held_back = startup.take_stop_signal()
+        if held_back is not None:
+            self._stop_on_signal(held_back)
         startup.unblock_signals()
         timeout = aiohttp.ClientTimeout(total=None)
         try:
@@ -171,6 +174,10 @@
         caller_server: caller_connections.CallerServer,
         open_listeners: listeners.Listeners,
     ) -> None:
+        if self.stop.is_set():
+            # How much of the grace time has passed during the start is not
+            # known, so no requests are accepted.
+            return
         listening = asyncio.create_task(
             self._listen(
                 caller_server,
@@ -340,10 +347,13 @@
         """
         await asyncio.sleep(accept_until - clock.now())
         open_listeners.close_one(FRONT)
-        while caller_server.connections and clock.now() < end_at:
-            caller_server.close_idle()
+        # A connection that was accepted before may still be set up.
+        sent_at = clock.now() + KERNEL_SEND_S
+        while clock.now() < min(sent_at, end_at):
+            if caller_server.connections:
+                sent_at = clock.now() + KERNEL_SEND_S
+                caller_server.close_idle()
             await asyncio.sleep(DRAIN_CHECK_S)
-        await asyncio.sleep(min(KERNEL_SEND_S, end_at - clock.now()))
 
     async def _housekeeping(
         self, caller_server: caller_connections.CallerServer
