Accept the connections that wait before a stop closes the listener

Callers saw their connection reset although it had been set up and a request had been sent on it.

Cause: a stopping process closed its listener 2.6 s after the signal with whatever waited there. The kernel resets connections that were set up but not accepted. One that was accepted in the same cycle of the event loop was dropped by asyncio, whose task for its set-up fails once the server is closed. Both need a cycle in which the close is due and a connection arrives; it is as long as the longest callback in it.

Change: the listener is closed once no connection waits in two cycles, of which the first accepts and the second sets up. A process without free descriptors accepts none, so the cycles are limited.

That this happened at scale is not shown.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -339,7 +339,7 @@
             responses are still being sent, on `clock.now`.
         """
         await asyncio.sleep(accept_until - clock.now())
-        open_listeners.close_one(FRONT)
+        await open_listeners.close_one(FRONT)
         while caller_server.connections and clock.now() < end_at:
             caller_server.close_idle()
             await asyncio.sleep(DRAIN_CHECK_S)
--- a/packages/knapweedhall-router/src/knapweedhall_router/listeners.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/listeners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import typing
 
 from knapweedhall_router import clock
@@ -16,6 +17,11 @@
 RETRY_S = 0.1
 # Period of log lines about it.
 REPORT_PERIOD_S = 10.0
+# Cycles of the event loop in which waiting connections are accepted before a
+# listener is closed. One cycle accepts all that wait, the next one sets them up;
+# a process without free descriptors accepts none.
+MAX_LAST_CYCLES = 10
+SET_UP_CYCLES = 2
 
 CreateProtocol = typing.Callable[[], asyncio.BaseProtocol]
 Notify = typing.Callable[[], None]
@@ -74,12 +80,34 @@
         if on_open is not None:
             on_open()
 
-    def close_one(self, name: str) -> None:
-        """Accept no more connections on a listener."""
-        if name in self.servers:
-            self.servers[name].close()
+    async def close_one(self, name: str) -> None:
+        """Accept the connections that wait, and then no more.
+
+        Callers may have sent requests on them. The kernel resets those that
+        were not accepted, and asyncio drops those that it has not set up.
+        """
+        if name not in self.servers:
+            return
+        server = self.servers[name]
+        calm_cycles = 0
+        for _ in range(MAX_LAST_CYCLES):
+            calm_cycles += 1
+            if _has_waiting_connections(server):
+                calm_cycles = 0
+            elif calm_cycles == SET_UP_CYCLES:
+                break
+            await asyncio.sleep(0)
+        server.close()
 
     def close(self) -> None:
         """Accept no more connections."""
         for server in self.servers.values():
             server.close()
+
+
+def _has_waiting_connections(server: asyncio.Server) -> bool:
+    """Return whether connections were set up that are not accepted yet."""
+    poll = select.poll()
+    for listening in server.sockets:
+        poll.register(listening, select.POLLIN)
+    return bool(poll.poll(0))
--- a/packages/knapweedhall-router/tests/test_planned_stop.py
+++ b/packages/knapweedhall-router/tests/test_planned_stop.py
@@ -21,6 +21,8 @@
 # Callers whose requests arrive one after the other around that time.
 IDLE_CALLERS = 120
 AROUND_CLOSE_S = 0.2
+# Longer than the process waits for its kernel to send.
+LAST_WORK_S = 1.5
 LARGE_BODY_BYTES = 12_000_000
 WINDOW_BYTES = 65536
 TIME_LIMIT_MS = 10_000
@@ -146,9 +148,9 @@
         self.fleet.configure([route])
         self.router.start()
         await self.wait_until_ready()
-        caller = await self.connect()
+        self.first_caller = await self.connect()
         async with asyncio.timeout(10):
-            while (await self.ask(caller, 'first')).status != 200:
+            while (await self.ask(self.first_caller, 'first')).status != 200:
                 await asyncio.sleep(0.02)
 
     async def connect(self) -> Caller:
@@ -301,6 +303,36 @@
         self.assertEqual(200, answer.status)
         await self.assert_ended(stopped_at)
 
+    async def connect_in_the_last_cycle(self) -> Caller:
+        """Send a request on a connection that the router can't accept yet.
+
+        The process stands still until the listener has to be closed, as in a
+        long cycle of its event loop.
+        """
+        await asyncio.sleep(application.ACCEPT_AFTER_STOP_S - 0.1)
+        self.router.send(signal.SIGSTOP)
+        caller = await self.connect()
+        caller.send_head('last', 4)
+        caller.writer.write(b'work')
+        await asyncio.sleep(0.2)
+        self.router.send(signal.SIGCONT)
+        return caller
+
+    async def test_connection_that_waits_when_the_listener_closes(
+        self,
+    ) -> None:
+        """Guards against connections that are dropped with the listener.
+
+        They had been set up, and a request had been sent.
+        """
+        self.upstream.work_s = LAST_WORK_S
+        stopped_at = self.request_stop()
+        busy = asyncio.create_task(self.ask(self.first_caller, 'busy'))
+        caller = await self.connect_in_the_last_cycle()
+        self.assertEqual(200, (await caller.read_answer()).status)
+        self.assertEqual(200, (await busy).status)
+        await self.assert_ended(stopped_at)
+
     async def test_stop_while_the_store_does_not_answer(self) -> None:
         """Guards against a stop that is delayed by calls to the store."""
         await self.fleet.store.stop()
