Wait for connections that are set up after the listener closed

Callers saw their connection end without an answer while their request was running.

Cause: a stopping process waited for its connections until there were none, and then 0.6 s for the kernel. A connection that was accepted in the cycle in which the listener closed is not among them yet if no other was open, so that the process ended 0.6 s later, whatever its request was doing.

Change: the 0.6 s count from the last time at which a connection was open. A comment line that was too long for the linter is divided.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -340,10 +340,12 @@
         """
         await asyncio.sleep(accept_until - clock.now())
         await open_listeners.close_one(FRONT)
-        while caller_server.connections and clock.now() < end_at:
-            caller_server.close_idle()
+        quiet_until = clock.now() + KERNEL_SEND_S
+        while clock.now() < min(quiet_until, end_at):
+            if caller_server.connections:
+                caller_server.close_idle()
+                quiet_until = clock.now() + KERNEL_SEND_S
             await asyncio.sleep(DRAIN_CHECK_S)
-        await asyncio.sleep(min(KERNEL_SEND_S, end_at - clock.now()))
 
     async def _housekeeping(
         self, caller_server: caller_connections.CallerServer
--- a/packages/knapweedhall-router/src/knapweedhall_router/listeners.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/listeners.py
@@ -18,8 +18,8 @@
 # Period of log lines about it.
 REPORT_PERIOD_S = 10.0
 # Cycles of the event loop in which waiting connections are accepted before a
-# listener is closed. One cycle accepts all that wait, the next one sets them up;
-# a process without free descriptors accepts none.
+# listener is closed. One cycle accepts all that wait, the next one sets them
+# up; a process without free descriptors accepts none.
 MAX_LAST_CYCLES = 10
 SET_UP_CYCLES = 2
 
--- a/packages/knapweedhall-router/tests/test_planned_stop.py
+++ b/packages/knapweedhall-router/tests/test_planned_stop.py
@@ -333,6 +333,18 @@
         self.assertEqual(200, (await busy).status)
         await self.assert_ended(stopped_at)
 
+    async def test_connection_that_waits_when_no_other_is_open(self) -> None:
+        """Guards against a process that ends while its last request runs.
+
+        It waited for the connections that were open when the listener closed.
+        """
+        self.upstream.work_s = LAST_WORK_S
+        self.first_caller.writer.close()
+        stopped_at = self.request_stop()
+        caller = await self.connect_in_the_last_cycle()
+        self.assertEqual(200, (await caller.read_answer()).status)
+        await self.assert_ended(stopped_at)
+
     async def test_stop_while_the_store_does_not_answer(self) -> None:
         """Guards against a stop that is delayed by calls to the store."""
         await self.fleet.store.stop()
