Accept the connections that wait before the listener is closed

Callers on new connections got neither an answer nor a refusal for whole requests if the stopping process had got no processor time just before it closed its listener.

Cause: the kernel resets connections that were set up and not accepted when their listener is closed. After a standstill the event loop finds the end of its timer first, as the interrupted wait for events returns none, and the connections of the meantime were not accepted any more.

Change: the listener is closed once no connection waits, after 0.2 s at the latest. The check and the close are one step, without another cycle in between.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -346,7 +346,7 @@
             responses are still being sent, on `clock.now`.
         """
         await asyncio.sleep(accept_until - clock.now())
-        open_listeners.close_one(FRONT)
+        await open_listeners.close_one(FRONT)
         # A connection that was accepted before may still be set up.
         sent_at = clock.now() + KERNEL_SEND_S
         while clock.now() < min(sent_at, end_at):
--- a/packages/knapweedhall-router/src/knapweedhall_router/listeners.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/listeners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import typing
 
 from knapweedhall_router import clock
@@ -16,6 +17,10 @@
 RETRY_S = 0.1
 # Period of log lines about it.
 REPORT_PERIOD_S = 10.0
+# Time for which a listener that is to be closed accepts connections that the
+# kernel has set up, and period of the check whether there are any.
+LAST_ACCEPT_S = 0.2
+LAST_ACCEPT_CHECK_S = 0.005
 
 CreateProtocol = typing.Callable[[], asyncio.BaseProtocol]
 Notify = typing.Callable[[], None]
@@ -74,12 +79,29 @@
         if on_open is not None:
             on_open()
 
-    def close_one(self, name: str) -> None:
-        """Accept no more connections on a listener."""
-        if name in self.servers:
-            self.servers[name].close()
+    async def close_one(self, name: str) -> None:
+        """Accept no more connections on a listener.
+
+        The kernel resets those that were not accepted, though their callers
+        may have sent requests. There are some if the process stood still.
+        """
+        server = self.servers.get(name)
+        if server is None:
+            return
+        until = clock.now() + LAST_ACCEPT_S
+        while _has_waiting_connections(server) and clock.now() < until:
+            await asyncio.sleep(LAST_ACCEPT_CHECK_S)
+        server.close()
 
     def close(self) -> None:
         """Accept no more connections."""
         for server in self.servers.values():
             server.close()
+
+
+def _has_waiting_connections(server: asyncio.Server) -> bool:
+    """Return whether the kernel has connections that were not accepted."""
+    poll = select.poll()
+    for listener in server.sockets:
+        poll.register(listener, select.POLLIN)
+    return bool(poll.poll(0))
--- a/packages/knapweedhall-router/tests/test_drain.py
+++ b/packages/knapweedhall-router/tests/test_drain.py
@@ -23,7 +23,7 @@
     def __init__(self) -> None:
         self.connections: list[object] = []
 
-    def close_one(self, name: str) -> None:
+    async def close_one(self, name: str) -> None:
         """Close the listener after a connection was accepted."""
         asyncio.get_running_loop().call_soon(self.connections.append, object())
 
--- a/packages/knapweedhall-router/tests/test_planned_stop.py
+++ b/packages/knapweedhall-router/tests/test_planned_stop.py
@@ -21,6 +21,8 @@
 # Callers whose requests arrive one after the other around that time.
 IDLE_CALLERS = 120
 AROUND_CLOSE_S = 0.2
+# Time for which the router gets no processor time.
+STANDSTILL_S = 0.4
 LARGE_BODY_BYTES = 12_000_000
 WINDOW_BYTES = 65536
 TIME_LIMIT_MS = 10_000
@@ -317,6 +319,26 @@
         self.assertEqual(200, answer.status)
         await self.assert_ended(stopped_at)
 
+    async def test_connections_that_were_not_accepted_yet(self) -> None:
+        """Guards against whole requests that are lost with the listener.
+
+        A process that gets no processor time finds the end of its timer before
+        it finds the connections of the meantime.
+        """
+        stopped_at = self.request_stop()
+        await asyncio.sleep(application.ACCEPT_AFTER_STOP_S - STANDSTILL_S / 2)
+        self.router.send(signal.SIGSTOP)
+        callers = [await self.connect() for _ in range(3)]
+        answers = [
+            asyncio.create_task(self.ask(caller, f'waiting-{number}'))
+            for number, caller in enumerate(callers)
+        ]
+        await asyncio.sleep(STANDSTILL_S)
+        self.router.send(signal.SIGCONT)
+        for answer in answers:
+            self.assertEqual(200, (await answer).status)
+        await self.assert_ended(stopped_at)
+
     async def test_stop_while_the_store_does_not_answer(self) -> None:
         """Guards against a stop that is delayed by calls to the store."""
         await self.fleet.store.stop()
