Make the order in the demonstration of a late release certain

The store named the successor at 894.6231 s; the successor's request to step down ended the former term at 894.6351 s and cancelled the move, 12 ms later and before the next poll. The router is not at fault: the step-down is another guard, and it came first.

Change: the former coordinator gets no request to step down and sends no renewals, whose rejection would also end its moves, and the grant of the source counts as unexpired, as a takeover of 3 s would leave nothing to release. So only the lease and the store's last answer can keep it from the release. It goes on when the source has accepted the successor's grant, by an event instead of a poll, and the end is the arrival of the release or the end of the move. The successor now really holds the term and has granted the keys when the check is made, so both tests are stricter than before: the guard passes only by the check itself.

--- a/packages/knapweedhall-router/tests/test_operator_stories.py
+++ b/packages/knapweedhall-router/tests/test_operator_stories.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections.abc
 import itertools
+import math
 import time
 import typing
 from unittest import mock
@@ -19,11 +20,14 @@
 
 from knapweedhall_router import application
 from knapweedhall_router import connections
+from knapweedhall_router import coordinator
 from knapweedhall_router import dispatch
 from knapweedhall_router import exchange
 from knapweedhall_router import feed
 from knapweedhall_router import followers
+from knapweedhall_router import moves
 from knapweedhall_router import selection
+from knapweedhall_routing import holdings
 from knapweedhall_standins import upstream
 from tests import fleet
 from tests import fleet_case
@@ -522,7 +526,12 @@
 
 
 class HandOverTest(StoryTest):
-    """Story 6: two coordinators that act for a moment."""
+    """Story 6: two coordinators that act for a moment.
+
+    The former coordinator does not learn of its successor: requests to step
+    down do not reach it, and it sends no renewals that could be rejected.
+    Both end its moves as well.
+    """
 
     routers = 3
 
@@ -540,50 +549,94 @@
             Releases of the former coordinator after its lease.
         """
         running = self.fleet
-        await running.wait_until(
-            lambda: self.has_recorded(running.routers), 3.0
-        )
-        former = self.coordinator()
-        assert former.member is not None
-        term = former.member.coordinator
-        assert term is not None
+        await running.wait_until(lambda: self.has_recorded(running.routers))
+        source = self.upstreams(True)[0]
+        begun, succeeded = asyncio.Event(), asyncio.Event()
+        ended = asyncio.Event()
+        terms: list[coordinator.Coordinator] = []
         released: list[int] = []
-        for each in self.upstreams(True):
-            each.on_event = lambda name, fields: (
-                released.append(typing.cast(int, fields['fence']))
-                if name == 'released'
-                else None
-            )
-        checking = asyncio.Event()
         late: list[int] = []
-        next_fence = term.sender.fences.next
+        original = moves.Mover.move
 
-        async def wait_for_the_successor(*arguments: object) -> bool:
-            checking.set()
-            await running.wait_until(
-                lambda: self.coordinator() is not former, 8.0
+        async def move(
+            mover: moves.Mover,
+            service_holdings: holdings.Holdings,
+            holding: holdings.Holding,
+            *arguments: typing.Any,
+        ) -> None:
+            if holding.upstream != source.name or begun.is_set():
+                await original(mover, service_holdings, holding, *arguments)
+                return
+            begun.set()
+            # The source holds the keys however long the takeover takes.
+            holding.held_until = math.inf
+            terms.append(self.cut_off(mover))
+            mover.sender.has_recovered = (  # type: ignore[method-assign]
+                wait_for_the_successor
             )
-            term.sender.fences.next = record  # type: ignore[method-assign]
-            return True
+            if without_lease:
+                mover.lease = mock.Mock(
+                    is_expired=lambda: False,
+                    is_store_unresponsive=lambda: False,
+                )
+            try:
+                await original(mover, service_holdings, holding, *arguments)
+            finally:
+                ended.set()
 
-        def record() -> int:
-            late.append(next_fence())
-            return late[-1]
+        async def wait_for_the_successor(*arguments: object) -> bool:
+            await succeeded.wait()
+            fences = terms[0].sender.fences
+            next_fence = fences.next
 
-        term.sender.has_recovered = (  # type: ignore[method-assign]
-            wait_for_the_successor
-        )
-        if without_lease:
-            term.mover.lease = mock.Mock(
-                is_expired=lambda: False, is_store_unresponsive=lambda: False
+            def record() -> int:
+                late.append(next_fence())
+                return late[-1]
+
+            fences.next = record  # type: ignore[method-assign]
+            return True
+
+        def observe(name: str, fields: dict[str, object]) -> None:
+            fence = typing.cast(int, fields.get('fence', 0))
+            if name == 'released':
+                released.append(fence)
+            elif name == 'granted' and terms:
+                # Tokens contain the epoch of their term plus 1.
+                epoch = (fence >> holdings.FENCE_NUMBER_BITS) - 1
+                if epoch > terms[0].store.epoch:
+                    succeeded.set()
+
+        source.on_event = observe
+        with mock.patch.object(moves.Mover, 'move', move):
+            source.drain()
+            await asyncio.wait_for(begun.wait(), fleet.START_TIMEOUT_S)
+            await asyncio.wait_for(succeeded.wait(), fleet.START_TIMEOUT_S)
+            await running.wait_until(
+                lambda: ended.is_set() or bool(set(released) & set(late))
             )
-        self.upstreams(True)[0].drain()
-        await asyncio.wait_for(checking.wait(), 3.0)
-        running.store.faults.refused = [fleet.source_address(former.settings)]
-        await running.wait_until(lambda: self.coordinator() is not former, 8.0)
-        await asyncio.sleep(1.0)
+            await asyncio.sleep(1.0)
         return [f'fence {fence}' for fence in released if fence in late]
 
+    def cut_off(self, mover: moves.Mover) -> coordinator.Coordinator:
+        """Keep the coordinator of a move from learning of its successor."""
+        for router in self.fleet.routers:
+            assert router.member is not None
+            term = router.member.coordinator
+            if term is not None and term.mover is mover:
+                break
+        else:
+            raise AssertionError('no coordinator has this move')
+
+        async def lose_request(epoch: int) -> None:
+            raise ConnectionError('lost')
+
+        router.member.step_down = lose_request  # type: ignore[method-assign]
+        term.renewer.may_renew = lambda: False
+        self.fleet.store.faults.refused = [
+            fleet.source_address(router.settings)
+        ]
+        return term
+
     async def test_former_coordinator_sends_no_release(self) -> None:
         """Guards against orders of two coordinators."""
         self.assertEqual([], await self.play(False))
