End a request at once when the chunks of its response are not valid

Callers of a response whose chunks are not valid after a valid head (a bad or missing size, data of another length, bad trailers) waited until their time limit and got 504, though the response was known to be unusable.

Cause: a head is parsed on its own, so such an error comes after it. aiohttp's parser then forgets the body, and the error is set on the queue of responses only, which nobody reads while a body is read.

Change: an error of the connection is also set on the body that is received.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -283,12 +283,21 @@
 
     def fail(self, reason: str) -> None:
         """Reset the connection; its exchange fails for the given reason."""
-        error = ResponseLimitError(reason)
-        stream = self.stream
         self.reset()
+        self.set_exception(ResponseLimitError(reason))
+
+    def set_exception(
+        self, exc: BaseException, exc_cause: BaseException | None = None
+    ) -> None:
+        """End the exchange with an error, also the body that is received.
+
+        The parser tells nobody that the framing of a body is not valid.
+        """
+        super().set_exception(exc, exc if exc_cause is None else exc_cause)
+        stream = self.last_stream
         if stream is not None and not stream.is_eof():
-            stream.set_exception(error)
-        self.set_exception(error)
+            if stream.exception() is None:
+                stream.set_exception(exc)
 
     def eof_received(self) -> None:
         """Handle the end of the upstream's stream.
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -572,6 +572,32 @@
         )
         await self.assert_unusable(Script(both), 'POST', 4, True)
 
+    async def test_invalid_chunks(self) -> None:
+        """Guards against a caller that waits for the rest of a broken body.
+
+        The response was known to be unusable, but the caller got 504 at its
+        time limit.
+        """
+        whole = b'10\r\n' + PART + b'\r\n'
+        for body in (
+            b'0x10\r\n' + PART,
+            b'-10\r\n' + PART,
+            b' 10\r\n' + PART,
+            b'\r\n' + PART,
+            b'10\r' + PART,
+            b'10000000000000010\r\n' + PART,
+            b'0f\r\n' + PART + b'\r\n0\r\n\r\n',
+            whole + PART,
+            whole + b'0\r\nContent-Length: 16\r\n\r\n',
+            whole + b'0\r\nno field\r\n\r\n',
+        ):
+            raw = response('Transfer-Encoding: chunked', body=body)
+            for method, kept, late in (('GET', False, 5), ('POST', True, 0)):
+                with self.subTest(body=body, method=method, late=late):
+                    await self.assert_unusable(
+                        Script(raw, late_bytes=late), method, 4, kept
+                    )
+
     async def test_invalid_keep_alive(self) -> None:
         """Guards against a whole response that is dropped for its hints.
 
