Do not close a connection whose head has arrived as a slow one

Callers whose head took most of its time (3 s) lost a whole request without an answer if the router got no processor time meanwhile.

Cause: the check of slow heads judged by the bytes that had been read. After a standstill its timer comes first, with the rest of the head in the kernel. Besides, a head counted as arriving until its handler began, one or two cycles of the event loop after it was read; that needs no standstill, only a head that takes as long as it may.

Change: a connection with bytes to read, or with a request that waits for its handler or has one, has no slow head.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -192,6 +192,15 @@
             return False
         return not self._has_unread_bytes()
 
+    def has_slow_head(self, began_before: float) -> bool:
+        """Return whether a head began before a time and has not arrived."""
+        if self.transport is None:
+            return False
+        if self.is_handling() or self.has_waiting_request():
+            return False
+        # After a standstill of the process, what arrived was not read yet.
+        return self.head_since < began_before and not self._has_unread_bytes()
+
     def close_now(self) -> None:
         """Close the idle connection, at once for its caller.
 
@@ -274,8 +283,7 @@
         slow = [
             connection
             for connection in self.caller_connections()
-            if connection.head_since < began_before
-            and not connection.has_waiting_request()
+            if connection.has_slow_head(began_before)
         ]
         for connection in slow:
             connection.force_close()
