Tell requests that crossed a close in a full link from cut ones

Cause: the link of 10 Mbit/s holds a chunk of 64 KB of each of eight large requests, so that a request waits in it for 0.4 s and more. All that were reported ended 2.60 to 2.86 s after SIGTERM, when the router closes its idle connections, and are in no log. No byte of them had arrived.

Change: the proxy records the data that its target had not received when it closed the connection. A request whose ID is in it, which is part of its head, is left out if it did not run and its router was being stopped; how long it waited does not matter. Any other is reported as before.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -549,10 +549,11 @@
         """Return requests that got no response though they were accepted.
 
         They ran, or were sent whole a while before their connection ended.
-        Requests to an instance that was disrupted meanwhile are left out, and
-        responses that the caller received until its time limit. A disturbed
-        upstream is no reason: a response is read whole before it is sent on,
-        and one that is cut is a 502.
+        Requests to an instance that was disrupted meanwhile are left out,
+        those of which it received nothing before it closed the connection in
+        a stop, and responses that the caller received until its time limit. A
+        disturbed upstream is no reason: a response is read whole before it is
+        sent on, and one that is cut is a 502.
         """
         ran = {run.request for run in activity.runs}
         return [
@@ -563,6 +564,7 @@
             and (
                 result.request in ran
                 or result.ended_at - result.sent_whole_at > LOSS_SLACK_S
+                and not self._has_crossed_a_close(result)
             )
             and not any(
                 begin - DISRUPTION_MARGIN_S <= result.ended_at
@@ -571,6 +573,21 @@
             )
         ]
 
+    def _has_crossed_a_close(self, result: callers.Result) -> bool:
+        """Return whether a request's head was in the link at a stop's close.
+
+        The head has the request's ID. A router that has received any of it
+        must answer.
+        """
+        undelivered = self.deployment.routers[result.router].front.undelivered
+        has_crossed = any(
+            at <= result.ended_at <= at + checker.GRACE_S
+            for at in self.signalled_at[result.router]
+        ) and any(result.request.encode() in data for data in undelivered)
+        if has_crossed:
+            self._log(f'crossed a close: {result}')
+        return has_crossed
+
     def _is_undisturbed(self, router: str, begin: float, end: float) -> bool:
         """Return whether a router ran without a disruption in a time."""
         return not any(
--- a/packages/knapweedhall-bench/tests/test_checker.py
+++ b/packages/knapweedhall-bench/tests/test_checker.py
@@ -7,6 +7,7 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 from knapweedhall_bench import callers
 from knapweedhall_bench import checker
@@ -199,6 +200,31 @@
                 1, len(run._check_cut_requests([result], activity))
             )
 
+    def test_requests_in_the_link_at_a_close(self) -> None:
+        """Guards against a request that counts as lost before it arrived.
+
+        In seed 970009, a full link held requests when their router closed
+        idle connections. Any other request without an answer is cut.
+        """
+        late = ORDER._replace(status=0, sent_whole_at=1.0, ended_at=1.5)
+        runs = [checker.Run(1.05, 'a', 'o1', None)]
+        for broken, undelivered, signal_at, seen in (
+            (0, b'X-Attempt-Id: o1\r\n', 0.5, []),
+            (1, b'rest of a body', 0.5, []),
+            (1, b'X-Attempt-Id: o1\r\n', 1.6, []),
+            (1, b'X-Attempt-Id: o1\r\n', 0.5, runs),
+        ):
+            with self.subTest(undelivered=undelivered, signal_at=signal_at):
+                run = soak.Soak(soak.SMALL, 1, pathlib.Path())
+                run._log = mock.Mock()
+                run.signalled_at['r'] = [signal_at]
+                run.deployment = mock.Mock()
+                run.deployment.routers = {'r': mock.Mock()}
+                run.deployment.routers['r'].front.undelivered = [undelivered]
+                activity = checker.UpstreamActivity(seen, [])
+                found = run._check_cut_requests([late], activity)
+                self.assertEqual(broken, len(found))
+
     def test_hosts_that_the_configuration_has(self) -> None:
         """Guards against a missed 404 for a confirmed host, and false ones."""
         missing = ORDER._replace(
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/proxy.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/proxy.py
@@ -5,6 +5,7 @@
 import asyncio
 import enum
 import math
+import select
 import socket
 import struct
 
@@ -21,6 +22,16 @@
     transport.abort()
 
 
+def _has_closed(transport: asyncio.WriteTransport) -> bool:
+    """Return whether the end of the peer's data has arrived."""
+    sock = transport.get_extra_info('socket')
+    if sock is None or sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class Mode(enum.Enum):
     """How a link treats data and new connections."""
 
@@ -51,6 +62,9 @@
     busy_until : dict of bool to float
         When the data that was read so far has passed, by whether it goes to
         the target; seconds of the loop's clock.
+    undelivered : list of bytes
+        Data that the target has not received because it had closed the
+        connection before.
     """
 
     def __init__(self, target: tuple[str, int]) -> None:
@@ -59,6 +73,7 @@
         self.delay_s = 0.0
         self.bytes_per_s = math.inf
         self.busy_until = {True: 0.0, False: 0.0}
+        self.undelivered: list[bytes] = []
         self.mode_changed = asyncio.Event()
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -153,11 +168,14 @@
         to_target: bool,
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
-            if self.delay_s:
-                await asyncio.sleep(self.delay_s)
-            await self._wait_for_capacity(len(data), to_target)
-            while self._is_blocked(to_target):
-                await self.mode_changed.wait()
+            try:
+                await self._hold(len(data), to_target)
+            except asyncio.CancelledError:
+                if to_target:
+                    self.undelivered.append(data)
+                raise
+            if to_target and _has_closed(writer.transport):
+                self.undelivered.append(data)
             error = reader.exception()
             if error is not None:
                 # Data held back by a network partition is lost if its sender
@@ -166,6 +184,14 @@
             writer.write(data)
             await writer.drain()
 
+    async def _hold(self, size: int, to_target: bool) -> None:
+        """Wait until the link passes data of a size on."""
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        await self._wait_for_capacity(size, to_target)
+        while self._is_blocked(to_target):
+            await self.mode_changed.wait()
+
     async def _wait_for_capacity(self, size: int, to_target: bool) -> None:
         """Wait until the link has passed the data before and this data."""
         if math.isinf(self.bytes_per_s):
--- a/packages/knapweedhall-standins/tests/test_proxy.py
+++ b/packages/knapweedhall-standins/tests/test_proxy.py
@@ -110,6 +110,38 @@
         self.assertGreaterEqual(loop.time() - began_at, size * count / rate)
 
 
+class UndeliveredTest(unittest.IsolatedAsyncioTestCase):
+    """Data that a target did not receive before it closed."""
+
+    async def test_data_in_the_link_at_the_close(self) -> None:
+        """Guards against delivered data that counts as undelivered."""
+        received = bytearray()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            received.extend(await reader.read(1))
+            await asyncio.sleep(SETTLE_S)
+            writer.close()
+
+        target = await asyncio.start_server(serve, HOST, 0)
+        self.addCleanup(target.close)
+        link = proxy.Link((HOST, target.sockets[0].getsockname()[1]))
+        await link.listen(HOST, 0)
+        self.addCleanup(link.close)
+        assert link.server is not None
+        port = link.server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b'a')
+        await asyncio.sleep(SETTLE_S / 2)
+        link.set_mode(proxy.Mode.PASS, delay_s=2 * SETTLE_S)
+        writer.write(b'b')
+        self.assertEqual(b'', await reader.read())
+        writer.close()
+        self.assertEqual(b'a', received)
+        self.assertEqual([b'b'], link.undelivered)
+
+
 class PassedResetTest(unittest.IsolatedAsyncioTestCase):
     """Resets by one side of a connection."""
 
