Take any plausible number of interim responses

Cause: interim responses counted towards the four responses that are read for one request, which bounds late responses to earlier requests.

Change: interim responses are dropped when they are parsed, and count neither there nor towards the unread responses. After one that may follow the final response, the connection is not used again, as before.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -64,6 +64,8 @@
 PARSE_BYTES = 16384
 # Limit of responses that are parsed and not yet read.
 MAX_UNREAD_RESPONSES = 8
+# Statuses of interim responses (RFC 9110, 15.2). 101 ends an exchange.
+INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
 # End of the head of a response.
 HEAD_END = b'\r\n\r\n'
 # Bytes of the end of a head that may arrive before the rest of it.
@@ -250,7 +252,16 @@
         data: tuple[http.RawResponseMessage, streams.StreamReader],
         size: int = 0,
     ) -> None:
-        """Queue a parsed response, unless too many were not read."""
+        """Queue a parsed response, unless too many were not read.
+
+        Interim responses are dropped, so that only the limit of bytes and the
+        time limit of the caller bound their number.
+        """
+        if data[0].code in INTERIM_STATUSES:
+            if self.last_stream is not None:
+                # If it follows the final response, it belongs to no request.
+                self.force_close()
+            return
         if len(self) >= MAX_UNREAD_RESPONSES:
             self.fail('too-many-responses')
             return
--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -18,7 +18,6 @@
 
 # Valid statuses (RFC 9110, 15); the parser lets all of three digits pass.
 VALID_STATUSES = range(100, 600)
-FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS_STATUS = 101
 # Headers that apply to one connection only (RFC 9110, 7.6.1), and those that
 # frame the body; framing is generated from the known length of the body.
@@ -44,8 +43,8 @@
 # Digits of a number in a header that are converted: more than any sensible
 # value has, and fewer than the 4300 above which Python refuses to.
 MAX_DIGITS = 18
-# Limit of responses read for one request, with the interim ones and the late
-# ones to earlier requests, which are skipped.
+# Limit of responses read for one request, with the late ones to earlier
+# requests, which are skipped.
 MAX_RESPONSES_READ = 4
 
 Headers = list[tuple[str, str]]
@@ -249,8 +248,6 @@
             return Broken('invalid-status', True)
         if message.code == SWITCHING_PROTOCOLS_STATUS:
             return Broken('upgrade', True)
-        if message.code < FIRST_FINAL_STATUS:
-            continue
         headers = message.headers
         observer.on_head(message.code, headers)
         if is_foreign(headers, request.request_id):
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -726,6 +726,47 @@
                             Script(interim, end, is_early), 'POST', size, kept
                         )
 
+    async def test_many_interim_responses(self) -> None:
+        """Guards against a valid response that is dropped for interim ones.
+
+        Callers got 502 after four interim responses.
+        """
+        final = response('Content-Length: 5', body=b'final')
+        interim = response(status='100 Continue', signed=False)
+        hint = response('Link: x', status='103 Early Hints', signed=False)
+        for raw in (interim * 4, interim * 12, hint * 200, interim * 2000):
+            for kept, late_bytes, is_early in (
+                (True, 0, False),
+                (False, len(final), False),
+                (True, len(raw) // 2 + 3, True),
+            ):
+                size = LONG_BODY_BYTES if is_early else 4
+                with self.subTest(size=len(raw), late=late_bytes):
+                    answer = await self.play(
+                        Script(
+                            raw + final,
+                            is_early=is_early,
+                            late_bytes=late_bytes,
+                        ),
+                        'POST',
+                        size,
+                        kept,
+                    )
+                    self.assertEqual((200, b'final'), answer[:2])
+        # More than any upstream sends, and without end.
+        await self.assert_unusable(
+            Script(interim * 8000, End.HOLD), 'POST', 4, True
+        )
+
+    async def test_interim_response_after_the_final_one(self) -> None:
+        """Guards against bytes of no request on a connection in use."""
+        final = response('Content-Length: 5', body=b'final')
+        interim = response(status='100 Continue', signed=False)
+        answer = await self.play(Script(final + interim), 'POST', 4, True)
+        self.assertEqual((200, b'final'), answer[:2])
+        self.assertEqual((200, b'sound'), (await self.ask('POST', 4))[:2])
+        self.assertFalse(self.upstream.kept)
+
     async def test_upgrade(self) -> None:
         """Guards against a caller that waits for an upgraded connection."""
         for fields in ((), ('Connection: Upgrade', 'Upgrade: websocket')):
