Keep trailers of a late response out of the next response

Callers of a request that had run got 503, which states that it has not, if a late response to an earlier request came before its response in chunks with a trailer field 'X-Not-Executed'. With a trailer 'X-Attempt-Id' they waited until their time limit. Any other trailer became a field of their response.

Cause: aiohttp's parser keeps the last trailer field and adds it to the next head that it parses.

Change: the chunks of a late response are parsed up to the end of the trailers only, and what follows by a new parser.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -23,6 +23,7 @@
 from aiohttp import http
 from aiohttp import streams
 
+from knapweedhall_adapter import names
 from knapweedhall_router import clock
 from knapweedhall_routing import body_budget
 from knapweedhall_routing import model
@@ -96,6 +97,8 @@
         Body of the last response that was parsed.
     last_length : int or None
         Its length in bytes; None if its head does not state it.
+    last_is_late : bool
+        Whether it is a chunked response to another request.
     last_bytes : bytes
         Last bytes received, which may be the beginning of the end of a head.
     idle_since : float
@@ -123,6 +126,7 @@
         self.stream: streams.StreamReader | None = None
         self.last_stream: streams.StreamReader | None = None
         self.last_length: int | None = None
+        self.last_is_late = False
         self.last_bytes = b''
         self.idle_since = math.inf
         self.usable_until = 0.0
@@ -148,6 +152,9 @@
         self.stream = None
         self.last_stream = None
         self.last_bytes = b''
+        self._renew_parser(with_body)
+
+    def _renew_parser(self, with_body: bool) -> None:
         self.set_response_params(
             skip_payload=not with_body,
             read_until_eof=True,
@@ -216,6 +223,10 @@
             super().data_received(data[begin:end])
             if self.transport is None:
                 return
+            if self.last_is_late and not self._is_body_due():
+                # The parser adds a trailer field to the head that follows.
+                self.last_is_late = False
+                self._renew_parser(True)
             begin = end
         self.last_bytes = (self.last_bytes + data[-HEAD_OVERLAP:])[
             -HEAD_OVERLAP:
@@ -230,12 +241,14 @@
 
         A head is parsed on its own, and so is a body of known length: the
         parser drops the responses that it found in a part if bytes after them
-        are not valid.
+        are not valid. So are the chunks of a late response, which end like a
+        head.
         """
         end = begin + PARSE_BYTES
-        if self.last_stream is not None and not self.last_stream.is_eof():
+        if self._is_body_due() and not self.last_is_late:
             if self.last_length is None:
                 return end
+            assert self.last_stream is not None
             missing = self.last_length - self.last_stream.total_bytes
             return min(end, begin + max(1, missing))
         if not begin:
@@ -247,6 +260,10 @@
             return head_end + len(HEAD_END)
         return end
 
+    def _is_body_due(self) -> bool:
+        """Return whether the last body that was parsed is not complete."""
+        return self.last_stream is not None and not self.last_stream.is_eof()
+
     def feed_data(
         self,
         data: tuple[http.RawResponseMessage, streams.StreamReader],
@@ -268,7 +285,10 @@
         if not len(self):
             self.stream = data[1]
         self.last_stream = data[1]
-        length = data[0].headers.get('Content-Length', '')
+        headers = data[0].headers
+        response_id = headers.get(names.REQUEST_ID_HEADER, self.request_id)
+        self.last_is_late = data[0].chunked and response_id != self.request_id
+        length = headers.get('Content-Length', '')
         is_stated = length.isascii() and length.isdigit()
         self.last_length = int(length[:18]) if is_stated else None
         super().feed_data(data, size)
@@ -305,10 +325,10 @@
         The parser tells nobody that the framing of a body is not valid.
         """
         super().set_exception(exc, exc if exc_cause is None else exc_cause)
-        stream = self.last_stream
-        if stream is not None and not stream.is_eof():
-            if stream.exception() is None:
-                stream.set_exception(exc)
+        if self._is_body_due():
+            assert self.last_stream is not None
+            if self.last_stream.exception() is None:
+                self.last_stream.set_exception(exc)
 
     def eof_received(self) -> None:
         """Handle the end of the upstream's stream.
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -598,6 +598,39 @@
                         Script(raw, late_bytes=late), method, 4, kept
                     )
 
+    async def test_trailers_of_a_late_response(self) -> None:
+        """Guards against a response with the fields of another one.
+
+        A trailer field of a late response to an earlier request counted as a
+        field of the response to the current one: a request that had run got
+        503, which states that it has not.
+        """
+        chunks = b'10\r\n' + PART + b'\r\n4\r\n\r\n\r\n\r\n0\r\n'
+        final = response('Content-Length: 5', body=b'final')
+        for field in (
+            b'X-Not-Executed: 1',
+            b'X-Attempt-Id: another',
+            b'Connection: X-Response-Signature',
+        ):
+            late = response(
+                'Transfer-Encoding: chunked',
+                body=chunks + field + b'\r\n\r\n',
+            ).replace(b'@ID', b'earlier')
+            for count, late_bytes, kept in (
+                (1, 0, True),
+                (3, 0, True),
+                (1, len(final), False),
+                (1, len(final) + 2, True),
+                (1, len(final) + 9, True),
+                (1, len(final) - 5, True),
+            ):
+                raw = late * count + final
+                with self.subTest(field=field, count=count, late=late_bytes):
+                    answer = await self.play(
+                        Script(raw, late_bytes=late_bytes), 'POST', 4, kept
+                    )
+                    self.assertEqual((200, b'final'), answer[:2])
+
     async def test_invalid_keep_alive(self) -> None:
         """Guards against a whole response that is dropped for its hints.
 
