Refuse a transfer coding that only resembles chunked

A response that ended with its connection and had 'Transfer-Encoding' with a space that HTTP does not have (vertical tab, form feed, no-break space), or with the Kelvin sign for the letter K, reached the caller as a 200 whose body was the chunks with their sizes.

Cause: the value was compared after Python's strip and lower, while the parser, which knows 'chunked' only, read the body up to the end of the connection.

Two fields are refused like one field that lists chunked twice.

--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -313,9 +313,11 @@
             return 'unsigned-answer'
     # No other coding was offered to the upstream (RFC 9112, 7.4). The body
     # would be forwarded encoded, without the header that says so.
-    for coding in headers.getall('Transfer-Encoding', ()):
-        if coding.strip().lower() != 'chunked':
-            return 'transfer-coding'
+    codings = [
+        each.lower() for each in headers.getall('Transfer-Encoding', ())
+    ]
+    if codings and not (message.chunked and codings == ['chunked']):
+        return 'transfer-coding'
     length = _parse_number(headers.get('Content-Length', ''))
     # A response to HEAD states the length of a body that it does not have.
     if request.method != 'HEAD' and length is not None:
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -523,7 +523,8 @@
     async def test_other_transfer_codings(self) -> None:
         """Guards against encoded bytes that are forwarded as the body.
 
-        The header that names the coding applies to one connection only.
+        The header that names the coding applies to one connection only. With
+        a space that HTTP does not have, callers got the chunks as the body.
         """
         chunked = b'10\r\n' + PART + b'\r\n0\r\n\r\n'
         for value, body in (
@@ -532,6 +533,12 @@
             ('chunked, gzip', chunked),
             ('xchunked', chunked),
             ('chunked, chunked', chunked),
+            ('chunked\r\nTransfer-Encoding: chunked', chunked),
+            ('\x0bchunked', chunked),
+            ('chunked\x0c', chunked),
+            ('chunked\xa0', chunked),
+            # Its lower case is the one of the letter K.
+            ('chun\u212aed', chunked),
         ):
             raw = response(f'Transfer-Encoding: {value}', body=body)
             for method, end in (
