Refuse responses with a space after a field name

Callers got 'Transfer-Encoding : chunked' as the upstream had sent it, beside the Content-Length of a body without chunks; a recipient that allows for the space reads another body. 'Transfer-Encoding : gzip' gave the encoded bytes as a 200.

Cause: the parser applies framing fields with such a name, but keeps the space in it, so that they were neither found by the checks nor taken off.

Change: such a response is not used (502). RFC 9112, 5.1, asks proxies to take the space off, which would need a second parse of the framing.

--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -304,6 +304,10 @@
 ) -> str:
     """Return why a response can't be used, before its body is read; or ''."""
     headers = message.headers
+    if any(name[-1:] in (' ', '\t') for name in headers):
+        # RFC 9112, 5.1. The parser applies framing fields with such a name,
+        # which are not found under their own.
+        return 'invalid-field-name'
     signed = all(
         name in headers and not CONTROL_CHARACTER.search(headers[name])
         for name in (names.SIGNATURE_HEADER, names.REQUEST_ID_HEADER)
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -551,6 +551,29 @@
                         Script(raw, end), method, 4, True
                     )
 
+    async def test_space_after_a_field_name(self) -> None:
+        """Guards against framing that a caller applies to another body.
+
+        Callers got 'Transfer-Encoding : chunked' beside the length of a body
+        without chunks, or the encoded bytes as the body.
+        """
+        for field, body, end in (
+            (
+                'Transfer-Encoding : chunked',
+                b'10\r\n' + PART + b'\r\n0\r\n\r\n',
+                End.KEEP,
+            ),
+            ('Transfer-Encoding : gzip', PART, End.FIN),
+            ('Content-Length : 16', PART, End.KEEP),
+            ('Content-Length : 16', PART, End.FIN),
+        ):
+            raw = response(field, body=body)
+            for method, kept in (('GET', False), ('POST', True)):
+                with self.subTest(field=field, method=method, end=end):
+                    await self.assert_unusable(
+                        Script(raw, end), method, 4, kept
+                    )
+
     async def test_invalid_lengths(self) -> None:
         """Guards against a body whose length is a guess."""
         for value in (
