--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -523,7 +523,8 @@
     async def test_other_transfer_codings(self) -> None:
         """Guards against encoded bytes that are forwarded as the body.
 
-        The header that names the coding applies to one connection only.
+        The header that names the coding applies to one connection only. With
+        a space that HTTP does not have, callers got the chunks as the body.
         """
         chunked = b'10\r\n' + PART + b'\r\n0\r\n\r\n'
         for value, body in (
@@ -532,6 +533,12 @@
             ('chunked, gzip', chunked),
             ('xchunked', chunked),
             ('chunked, chunked', chunked),
+            ('chunked\r\nTransfer-Encoding: chunked', chunked),
+            ('\x0bchunked', chunked),
+            ('chunked\x0c', chunked),
+            ('chunked\xa0', chunked),
+            # Its lower case is the one of the letter K.
+            ('chun\u212aed', chunked),
         ):
             raw = response(f'Transfer-Encoding: {value}', body=body)
             for method, end in (
@@ -544,6 +551,29 @@
                         Script(raw, end), method, 4, True
                     )
 
+    async def test_space_after_a_field_name(self) -> None:
+        """Guards against framing that a caller applies to another body.
+
+        Callers got 'Transfer-Encoding : chunked' beside the length of a body
+        without chunks, or the encoded bytes as the body.
+        """
+        for field, body, end in (
+            (
+                'Transfer-Encoding : chunked',
+                b'10\r\n' + PART + b'\r\n0\r\n\r\n',
+                End.KEEP,
+            ),
+            ('Transfer-Encoding : gzip', PART, End.FIN),
+            ('Content-Length : 16', PART, End.KEEP),
+            ('Content-Length : 16', PART, End.FIN),
+        ):
+            raw = response(field, body=body)
+            for method, kept in (('GET', False), ('POST', True)):
+                with self.subTest(field=field, method=method, end=end):
+                    await self.assert_unusable(
+                        Script(raw, end), method, 4, kept
+                    )
+
     async def test_invalid_lengths(self) -> None:
         """Guards against a body whose length is a guess."""
         for value in (
@@ -598,6 +628,39 @@
                         Script(raw, late_bytes=late), method, 4, kept
                     )
 
+    async def test_trailers_of_a_late_response(self) -> None:
+        """Guards against a response with the fields of another one.
+
+        A trailer field of a late response to an earlier request counted as a
+        field of the response to the current one: a request that had run got
+        503, which states that it has not.
+        """
+        chunks = b'10\r\n' + PART + b'\r\n4\r\n\r\n\r\n\r\n0\r\n'
+        final = response('Content-Length: 5', body=b'final')
+        for field in (
+            b'X-Not-Executed: 1',
+            b'X-Attempt-Id: another',
+            b'Connection: X-Response-Signature',
+        ):
+            late = response(
+                'Transfer-Encoding: chunked',
+                body=chunks + field + b'\r\n\r\n',
+            ).replace(b'@ID', b'earlier')
+            for count, late_bytes, kept in (
+                (1, 0, True),
+                (3, 0, True),
+                (1, len(final), False),
+                (1, len(final) + 2, True),
+                (1, len(final) + 9, True),
+                (1, len(final) - 5, True),
+            ):
+                raw = late * count + final
+                with self.subTest(field=field, count=count, late=late_bytes):
+                    answer = await self.play(
+                        Script(raw, late_bytes=late_bytes), 'POST', 4, kept
+                    )
+                    self.assertEqual((200, b'final'), answer[:2])
+
     async def test_invalid_keep_alive(self) -> None:
         """Guards against a whole response that is dropped for its hints.
 
@@ -726,6 +789,47 @@
                             Script(interim, end, is_early), 'POST', size, kept
                         )
 
+    async def test_many_interim_responses(self) -> None:
+        """Guards against a valid response that is dropped for interim ones.
+
+        Callers got 502 after four interim responses.
+        """
+        final = response('Content-Length: 5', body=b'final')
+        interim = response(status='100 Continue', signed=False)
+        hint = response('Link: x', status='103 Early Hints', signed=False)
+        for raw in (interim * 4, interim * 12, hint * 200, interim * 2000):
+            for kept, late_bytes, is_early in (
+                (True, 0, False),
+                (False, len(final), False),
+                (True, len(raw) // 2 + 3, True),
+            ):
+                size = LONG_BODY_BYTES if is_early else 4
+                with self.subTest(size=len(raw), late=late_bytes):
+                    answer = await self.play(
+                        Script(
+                            raw + final,
+                            is_early=is_early,
+                            late_bytes=late_bytes,
+                        ),
+                        'POST',
+                        size,
+                        kept,
+                    )
+                    self.assertEqual((200, b'final'), answer[:2])
+        # More than any upstream sends, and without end.
+        await self.assert_unusable(
+            Script(interim * 8000, End.HOLD), 'POST', 4, True
+        )
+
+    async def test_interim_response_after_the_final_one(self) -> None:
+        """Guards against bytes of no request on a connection in use."""
+        final = response('Content-Length: 5', body=b'final')
+        interim = response(status='100 Continue', signed=False)
+        answer = await self.play(Script(final + interim), 'POST', 4, True)
+        self.assertEqual((200, b'final'), answer[:2])
+        self.assertEqual((200, b'sound'), (await self.ask('POST', 4))[:2])
+        self.assertFalse(self.upstream.kept)
+
     async def test_upgrade(self) -> None:
         """Guards against a caller that waits for an upgraded connection."""
         for fields in ((), ('Connection: Upgrade', 'Upgrade: websocket')):
