Give the test of a standstill an upstream in a process of its own

The router was right to refuse: the test's upstream shares the event loop that stood still, so it had not answered when the instance decided, and answered only if its timer and its write fitted into the 20 ms of the check.

Change: the owner of the key is a process. The event loop stands still until the owner counts as silent and its response is in the socket, and that socket is read only after the later request has been handled, so that the order that the test is about is certain. The route's time limit covers a long standstill; the later request must still get a 200 within its second. The fleet's store takes entries of processes for this.

--- a/packages/knapweedhall-router/tests/fleet.py
+++ b/packages/knapweedhall-router/tests/fleet.py
@@ -15,7 +15,7 @@
 from knapweedhall_router import application
 from knapweedhall_router import settings
 from knapweedhall_routing import model
-from knapweedhall_standins import store
+from knapweedhall_standins import store_process
 from knapweedhall_standins import upstream
 
 HOST = 'shop.example'
@@ -76,7 +76,8 @@
     """Starts and stops a store, upstreams and routers."""
 
     def __init__(self) -> None:
-        self.store = store.Store()
+        # Upstreams with processes of their own can register in it too.
+        self.store = store_process.StoreProcess()
         self.upstreams: list[upstream.FakeUpstream] = []
         self.routers: list[application.Application] = []
         self.tasks: dict[application.Application, asyncio.Task[None]] = {}
--- a/packages/knapweedhall-router/tests/test_fleet_keys.py
+++ b/packages/knapweedhall-router/tests/test_fleet_keys.py
@@ -3,15 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import select
+import subprocess
+import sys
 import time
 
+from knapweedhall_router import clock
 from knapweedhall_standins import upstream
+from knapweedhall_standins import upstream_process
 from tests import fleet
 from tests import fleet_case
 
 TRAFFIC_S = 2.5
 # Users' target for the time from a loss until a key is served again.
 SERVED_AGAIN_S = 2.0
+# A start takes 0.4 s of processor time; tests run beside each other.
+START_TIMEOUT_S = 20.0
 
 
 class OwnershipTest(fleet_case.FleetTest):
@@ -255,6 +262,33 @@
 
     routers = 1
 
+    async def start_upstream_process(self, name: str) -> None:
+        """Start a process with an upstream, and move all keys to it.
+
+        Upstreams of this event loop would stand still with the router.
+        """
+        running = self.fleet
+        (port,) = fleet.free_ports('127.0.0.1', 1)
+        arguments = [name, 'views', '127.0.0.1', str(port), '--divided']
+        arguments += ['--work-s', '0.01', '--store', running.store.address]
+        process = subprocess.Popen(
+            [sys.executable, '-m', upstream_process.__name__, *arguments],
+            stdout=subprocess.DEVNULL,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        router = running.routers[0]
+        await running.wait_until(
+            lambda: name in router.state.directory.entries, START_TIMEOUT_S
+        )
+        for fake_upstream in running.upstreams:
+            if fake_upstream.divided:
+                fake_upstream.drain()
+        table = router.state.owner_table('views')
+        await running.wait_until(
+            lambda: {owned.upstream for owned in table.owned_ranges} == {name}
+        )
+
     async def test_owner_is_not_blamed(self) -> None:
         """Guards against refusals for keys whose owner has answered.
 
@@ -263,24 +297,51 @@
         503, "silent-owner", for this cause.
         """
         router = self.fleet.routers[0]
+        await self.start_upstream_process('apart')
+        # The standstill may last until the time limit of other routes.
+        route = self.fleet.route('view', '/view/', 'safe', 'views')
+        route[4] = 20.0
+        self.fleet.configure([route])
+        await self.fleet.wait_until(
+            lambda: router.state.configuration.version == self.fleet.version
+        )
         for _ in range(10):
             await self.fleet.send_request(router, '/view/x', 7)
         reader, writer = await asyncio.open_connection(*router.settings.front)
         self.addCleanup(writer.transport.abort)
         before = asyncio.create_task(
-            self.fleet.send_request(router, '/view/x', 7)
+            self.fleet.send_request(router, '/view/x', 7, timeout_ms=20000)
         )
-        health = router.state.healths[
-            router.state.owner_table('views').find(7).upstream
-        ]
+        health = router.state.healths['apart']
         while not health.outstanding:
             await asyncio.sleep(0)
+        (exchanging,) = (
+            connection
+            for pool in router.dispatcher.pools.pools.values()
+            for connection in pool.open
+            if connection.exchanging
+        )
         writer.write(
             b'GET /view/y HTTP/1.1\r\nHost: shop.example\r\n'
             b'X-Attempt-Id: late\r\nX-Shard-Key: 7\r\n'
             b'X-Deadline-Ms: 1000\r\n\r\n'
         )
+        # The response is read as soon as the later request has been handled.
+        exchanging.transport.pause_reading()
+        is_silent = health.is_silent
+
+        def read_response(now: float) -> bool:
+            exchanging.transport.resume_reading()
+            return is_silent(now)
+
         time.sleep(0.5)
+        # Stands still until the owner seems silent and its response is there.
+        while not is_silent(clock.now()):
+            time.sleep(0.05)
+        sock = exchanging.transport.get_extra_info('socket')
+        arrived, _, _ = select.select([sock], [], [], 10.0)
+        self.assertTrue(arrived)
+        health.is_silent = read_response  # type: ignore[method-assign]
         answer = await reader.read(4096)
         self.assertIn(b' 200 ', answer.partition(b'\r\n')[0])
         self.assertEqual(200, (await before).status)
