Keep the soak from waiting for the disk when it changes settings

The soak had noted standstills of 3.0, 2.5 and 1.1 s, but router-2 logged all the while: only the soak's own event loop stood still, with all callers and links in it. Such a standstill also excuses all routers, so that less is checked.

Cause: each reload wrote a file and renamed it over the settings. The kernel writes such a file to the disk at once, and 180 of them in a second wait for it.

The test fails on the code before (a file is written at each reload).

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/deployment.py
@@ -242,19 +242,27 @@
         await node.front.listen(ip, node.front_port)
         self.routers[name] = node
 
-    def write_retry_extra(self, name: str, retry_extra: int) -> None:
-        """Change a setting of a router, which it reads at a reload."""
+    def set_retry_extra(self, name: str, retry_extra: int) -> None:
+        """Change a setting of a router, which it reads at a reload.
+
+        The settings file becomes a link to a file for each value. To replace
+        a file waits for the disk, for 1 s and more if that is busy, and with
+        it the event loop of all callers and links.
+        """
         assert self.folder is not None
         path = self.folder / f'{name}.ini'
-        text = re.sub(
-            '(?m)^retry_extra = .*',
-            f'retry_extra = {retry_extra}',
-            path.read_text(),
-        )
-        # Renamed, so that a router that starts meanwhile reads a whole file.
-        changed = path.with_suffix('.new')
-        changed.write_text(text)
-        changed.replace(path)
+        with_value = self.folder / f'{name}-{retry_extra}.ini'
+        if not with_value.exists():
+            text = re.sub(
+                '(?m)^retry_extra = .*',
+                f'retry_extra = {retry_extra}',
+                path.read_text(),
+            )
+            with_value.write_text(text)
+        # Renamed, so that a router that starts meanwhile finds a file.
+        link = path.with_suffix('.new')
+        link.symlink_to(with_value.name)
+        link.replace(path)
 
     async def set_store_faults(self, store_faults: faults.StoreFaults) -> None:
         """Replace the faults of the store."""
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -307,7 +307,7 @@
         for retry_extra in itertools.cycle(RETRY_EXTRAS):
             if time.monotonic() >= until:
                 return
-            self.deployment.write_retry_extra(name, retry_extra)
+            self.deployment.set_retry_extra(name, retry_extra)
             if time.monotonic() - child.started_at > MIN_SIGNAL_AGE_S:
                 child.send_signal(signal.SIGHUP)
             await asyncio.sleep(RELOAD_PERIOD_S)
--- a/packages/knapweedhall-bench/tests/test_soak.py
+++ b/packages/knapweedhall-bench/tests/test_soak.py
@@ -116,7 +116,7 @@
             )
             path = pathlib.Path(folder) / 'r.ini'
             path.write_text(deployment.SETTINGS)
-            running.write_retry_extra('r', 61)
+            running.set_retry_extra('r', 61)
             self.assertEqual(
                 deployment.SETTINGS.replace(
                     'retry_extra = 62', 'retry_extra = 61'
@@ -125,6 +125,29 @@
             )
             self.assertNotEqual(deployment.SETTINGS, path.read_text())
 
+    def test_reloads_do_not_wait_for_the_disk(self) -> None:
+        """Guards against a soak that stands still while it changes settings.
+
+        In a play of seed 970009 it stood still for 3 s, as each change
+        replaced a file, and its call to the store's process timed out.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            running = deployment.Deployment(
+                soak.SMALL.spec, pathlib.Path(folder)
+            )
+            path = pathlib.Path(folder) / 'r.ini'
+            path.write_text(deployment.SETTINGS)
+            for retry_extra in soak.RETRY_EXTRAS:
+                running.set_retry_extra('r', retry_extra)
+            with mock.patch.object(
+                pathlib.Path, 'write_text', side_effect=AssertionError
+            ):
+                for retry_extra in soak.RETRY_EXTRAS:
+                    running.set_retry_extra('r', retry_extra)
+                    self.assertIn(
+                        f'\nretry_extra = {retry_extra}\n', path.read_text()
+                    )
+
 
 class RestartTest(unittest.IsolatedAsyncioTestCase):
     """Upstreams that faults kill and start again."""
