Do not count refused and given-up requests of the soak as cut

The soak reported cut requests twice that no router had failed to answer.

They went over its limited link, whose proxy accepts connections that the router then refuses; callers see such a connection end, not a refusal. Change: the proxy records the first data of connections that its target refused.

Change: a caller that gives up before its own time limit was not cut.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/callers.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/callers.py
@@ -107,6 +107,8 @@
         Whether the response is an upstream's.
     began : bool
         Whether the head of a response arrived.
+    gave_up : bool
+        Whether the caller closed the connection, as it did not wait longer.
     """
 
     request: str
@@ -122,6 +124,7 @@
     deadline: float = math.inf
     signed: bool = False
     began: bool = False
+    gave_up: bool = False
 
 
 class Callers:
@@ -213,7 +216,7 @@
             pause_s = share * MAX_PART_PAUSE_S / (LARGE_PARTS - 1)
             upload = Upload(parts, pause_s)
         sent_at, status, right = time.monotonic(), 0, False
-        signed = began = False
+        signed = began = gave_up = False
         try:
             async with session.request(
                 method,
@@ -231,9 +234,10 @@
                 )
         except aiohttp.ClientConnectorError:
             status = -1
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
             # Status 0: the connection ended without a response.
             status = 0
+            gave_up = isinstance(error, TimeoutError)
         result = Result(
             request,
             target.router,
@@ -248,6 +252,7 @@
             sent_at + timeout_ms / 1000,
             signed,
             began,
+            gave_up,
         )
         self.results.append(result)
         return result
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/proxy.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
 import math
 import select
@@ -10,6 +11,8 @@
 import struct
 
 CHUNK_BYTES = 65536
+# Time in which the first data of a connection arrives that its target refuses.
+FIRST_DATA_S = 0.1
 # SO_LINGER with a timeout of 0 s: closing the socket sends a reset.
 _LINGER_RESET = struct.pack('ii', 1, 0)
 
@@ -65,6 +68,8 @@
     undelivered : list of bytes
         Data that the target has not received because it had closed the
         connection before.
+    refused : list of bytes
+        First data of connections that the target did not accept.
     """
 
     def __init__(self, target: tuple[str, int]) -> None:
@@ -74,6 +79,7 @@
         self.bytes_per_s = math.inf
         self.busy_until = {True: 0.0, False: 0.0}
         self.undelivered: list[bytes] = []
+        self.refused: list[bytes] = []
         self.mode_changed = asyncio.Event()
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -135,9 +141,15 @@
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        target_reader, target_writer = await asyncio.open_connection(
-            *self.target
-        )
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                *self.target
+            )
+        except OSError:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_DATA_S):
+                    self.refused.append(await reader.read(CHUNK_BYTES))
+            raise
         self.writers.add(target_writer)
         pumps = [
             asyncio.create_task(self._pump(reader, target_writer, True)),
--- a/packages/knapweedhall-standins/tests/test_proxy.py
+++ b/packages/knapweedhall-standins/tests/test_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 import unittest
@@ -141,6 +142,26 @@
         self.assertEqual(b'a', received)
         self.assertEqual([b'b'], link.undelivered)
 
+    async def test_data_for_a_target_that_refuses(self) -> None:
+        """Guards against requests to an ended process that count as cut.
+
+        In seed 990040 they were sent by a link to a router whose listener was
+        closed, and reached nobody.
+        """
+        with socket.socket() as unused:
+            unused.bind((HOST, 0))
+            link = proxy.Link(unused.getsockname())
+            await link.listen(HOST, 0)
+            self.addCleanup(link.close)
+            assert link.server is not None
+            port = link.server.sockets[0].getsockname()[1]
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(b'a')
+            with contextlib.suppress(ConnectionResetError):
+                self.assertEqual(b'', await reader.read())
+            writer.close()
+        self.assertEqual(([b'a'], []), (link.refused, link.undelivered))
+
 
 class PassedResetTest(unittest.IsolatedAsyncioTestCase):
     """Resets by one side of a connection."""
