Refuse a success whose signature is not passed on

Callers got a 200 without X-Response-Signature if the upstream listed that field in Connection, and one with another value if it had bytes that are not UTF-8.

Cause: the check looked at what the upstream had sent, while fields that Connection lists are taken off, and the server leaves out such bytes.

Change: a success needs both fields (signature and ID of the request) among those that are passed on, with values that can be sent; otherwise 502.

--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -40,6 +40,9 @@
 # Characters that a field value must not contain (RFC 9110, 5.5). The parser of
 # responses lets them pass; the server writes no head with them.
 CONTROL_CHARACTER = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
+# The server leaves out bytes that are not UTF-8, which the parser decodes to
+# surrogates, and nothing would show that the value is another one.
+UNSENDABLE_CHARACTER = re.compile(r'[\x00-\x08\x0a-\x1f\x7f\ud800-\udfff]')
 # Digits of a number in a header that are converted: more than any sensible
 # value has, and fewer than the 4300 above which Python refuses to.
 MAX_DIGITS = 18
@@ -157,9 +160,7 @@
     a value that is not valid.
     """
     invalid = set(invalid_headers(raw))
-    listed: set[str] = set()
-    for value in raw.getall('Connection', ()):
-        listed |= {token.strip().lower() for token in value.split(',')}
+    listed = _connection_options(raw)
     return [
         (name, value)
         for name, value in raw.items()
@@ -169,6 +170,15 @@
     ]
 
 
+def _connection_options(raw: multidict.CIMultiDictProxy[str]) -> set[str]:
+    """Return the names in `Connection`, in lower case."""
+    return {
+        token.strip().lower()
+        for value in raw.getall('Connection', ())
+        for token in value.split(',')
+    }
+
+
 def encode_head(
     method: str, path: str, headers: Headers, body_length: int | None
 ) -> bytes:
@@ -308,8 +318,11 @@
         # RFC 9112, 5.1. The parser applies framing fields with such a name,
         # which are not found under their own.
         return 'invalid-field-name'
+    options = _connection_options(headers)
     signed = all(
-        name in headers and not CONTROL_CHARACTER.search(headers[name])
+        name in headers
+        and name.lower() not in options
+        and not UNSENDABLE_CHARACTER.search(headers[name])
         for name in (names.SIGNATURE_HEADER, names.REQUEST_ID_HEADER)
     )
     if message.code < 300 and not signed:
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -574,6 +574,23 @@
                         Script(raw, end), method, 4, kept
                     )
 
+    async def test_signature_that_is_not_passed_on(self) -> None:
+        """Guards against a 200 without the signature of the upstream.
+
+        A field that Connection lists is left out, and so are bytes that are
+        not UTF-8.
+        """
+        length = 'Content-Length: 16'
+        for raw in (
+            response(length, 'Connection: X-Response-Signature', body=PART),
+            response(length, 'Connection: a,x-attempt-id ,b', body=PART),
+            response(length, body=PART).replace(b's.1', b's.\xff1'),
+            response(length, body=PART).replace(b's.1', b's.\x011'),
+        ):
+            for method, kept in (('GET', False), ('POST', True)):
+                with self.subTest(raw=raw, method=method):
+                    await self.assert_unusable(Script(raw), method, 4, kept)
+
     async def test_invalid_lengths(self) -> None:
         """Guards against a body whose length is a guess."""
         for value in (
