Take responses of HTTP/1 only

Callers got the body of a response of RTSP, ICE, HTTP/0.9 or HTTP/2.0 as a 200, though their request had been one of HTTP/1.1.

Cause: aiohttp's parser accepts these versions and protocols, and does not tell the protocols apart.

Change: the begin of each head is compared with 'HTTP/1.'; the parser refuses the versions above 1.1.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -67,6 +67,9 @@
 MAX_UNREAD_RESPONSES = 8
 # Statuses of interim responses (RFC 9110, 15.2). 101 ends an exchange.
 INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
+# Begin of the head of a response. The parser also takes the versions 0.9 and
+# 2.0 of HTTP, and other protocols (RTSP).
+HEAD_BEGIN = b'HTTP/1.'
 # End of the head of a response.
 HEAD_END = b'\r\n\r\n'
 # Bytes of the end of a head that may arrive before the rest of it.
@@ -101,6 +104,8 @@
         Whether it is a chunked response to another request.
     last_bytes : bytes
         Last bytes received, which may be the beginning of the end of a head.
+    head_begin : bytes
+        First bytes of a head that is not complete.
     idle_since : float
         When its last exchange ended, on `clock.now`; inf before the first
         exchange.
@@ -128,6 +133,7 @@
         self.last_length: int | None = None
         self.last_is_late = False
         self.last_bytes = b''
+        self.head_begin = b''
         self.idle_since = math.inf
         self.usable_until = 0.0
         self.keep_alive_s = MAX_IDLE_S
@@ -152,6 +158,7 @@
         self.stream = None
         self.last_stream = None
         self.last_bytes = b''
+        self.head_begin = b''
         self._renew_parser(with_body)
 
     def _renew_parser(self, with_body: bool) -> None:
@@ -220,6 +227,9 @@
         begin = 0
         while begin < len(data):
             end = self._end_of_part(data, begin)
+            if not self._is_body_due() and not self._is_head(data[begin:end]):
+                self.fail('no-http')
+                return
             super().data_received(data[begin:end])
             if self.transport is None:
                 return
@@ -236,6 +246,14 @@
         if self.received_bytes - body_bytes > max_bytes:
             self.fail('too-many-bytes')
 
+    def _is_head(self, data: bytes) -> bool:
+        """Return whether bytes may be a part of the head of a response."""
+        if len(self.head_begin) < len(HEAD_BEGIN):
+            # Empty lines before a head are allowed (RFC 9112, 2.2).
+            head = (self.head_begin + data).lstrip(b'\r\n')
+            self.head_begin = head[: len(HEAD_BEGIN)]
+        return HEAD_BEGIN.startswith(self.head_begin)
+
     def _end_of_part(self, data: bytes, begin: int) -> int:
         """Return up to where to parse at once.
 
@@ -274,6 +292,7 @@
         Interim responses are dropped, so that only the limit of bytes and the
         time limit of the caller bound their number.
         """
+        self.head_begin = b''
         if data[0].code in INTERIM_STATUSES:
             if self.last_stream is not None:
                 # If it follows the final response, it belongs to no request.
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -574,6 +574,33 @@
                         Script(raw, end), method, 4, kept
                     )
 
+    async def test_other_protocols(self) -> None:
+        """Guards against answers that are no responses of HTTP/1."""
+        whole = response('Content-Length: 16', body=PART)
+        for version in (
+            b'HTTP/0.9',
+            b'HTTP/1.2',
+            b'HTTP/2',
+            b'HTTP/2.0',
+            b'RTSP/1.0',
+            b'\r\n\r\nRTSP/1.0',
+            b'ICE/1.0',
+            b'http/1.1',
+        ):
+            raw = whole.replace(b'HTTP/1.1', version)
+            for kept, late in ((False, 0), (True, len(raw) - 1)):
+                with self.subTest(version=version, late=late):
+                    await self.assert_unusable(
+                        Script(raw, late_bytes=late), 'POST', 4, kept
+                    )
+        for start, late in itertools.product((b'', b'\r\n'), range(0, 9, 4)):
+            raw = start + whole
+            with self.subTest(start=start, late=late):
+                answer = await self.play(
+                    Script(raw, late_bytes=len(raw) - late), 'POST', 4, True
+                )
+                self.assertEqual((200, PART), answer[:2])
+
     async def test_signature_that_is_not_passed_on(self) -> None:
         """Guards against a 200 without the signature of the upstream.
 
