End the membership before the term of a router that ends

Seen in the log of a play of test_withdrawn_key_after_all_restart: 20 ms after the killed router had logged the end of its term, it began another one, with its sessions closed, which lasted until the end of the test ("Session is closed", three times).

Cause: the end of `serve` ended the term first and cancelled the membership afterwards. The answer to a join in flight, between the two, named the router as the coordinator, and the membership began a term that nothing ended. A stop in order cancels the membership before and is not affected; a process that fails ends anyway. Tests that kill a router of their own event loop got a second coordinator that answers and stores nothing.

Change: the tasks are cancelled first.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -152,11 +152,12 @@
                 )
             finally:
                 self.state.stopping = True
-                await member.end()
-                open_listeners.close()
+                # The answer to a join in flight could begin another term.
                 for task in tasks:
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
+                await member.end()
+                open_listeners.close()
         logs.info(
             'stopped',
             running=self.frontend.in_flight,
--- a/packages/knapweedhall-router/tests/test_coordinator_stops.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_stops.py
@@ -220,3 +220,32 @@
         await self.fleet.wait_until(
             lambda: member not in members, SECOND_LEAVE_S
         )
+
+
+class EndTest(fleet_case.FleetTest):
+    """A coordinator that ends without an orderly stop."""
+
+    routers = 1
+
+    async def test_no_term_begins_at_the_end(self) -> None:
+        """Guards against a term that outlasts its router.
+
+        The answer to a join arrived while the term was being ended.
+        """
+        running = self.fleet
+        router = running.routers[0]
+        original = membership.Membership.end
+
+        async def end_slowly(member: membership.Membership) -> None:
+            await original(member)
+            await asyncio.sleep(0.3)
+
+        running.store.faults.delays['/log-join'] = 0.1
+        joins = running.store.calls['/log-join']
+        await running.wait_until(
+            lambda: running.store.calls['/log-join'] > joins
+        )
+        with mock.patch.object(membership.Membership, 'end', end_slowly):
+            await running.kill(router)
+        assert router.member is not None
+        self.assertIsNone(router.member.coordinator)
