Wait in a stop until callers' hosts have received the responses

Callers lost the end of a response although a stop had time for it. If they sent the next request before they had the response to the last one, their connection was reset and the rest was dropped: 1,179,648 of 2,000,000 bytes arrived in a test. And the process ended 0.6 s after its kernel had taken the last response, however much of it was not sent, which is lost if the machine is removed with the process.

That the kernel has taken a response was taken for its arrival: the socket was closed, and the process ended. When bytes arrive at a socket that was closed, the kernel resets the connection and drops what it has not sent. The callers can't know of the end of the connection before they have the head of the response, which a full link delays.

Change: in a stop, the socket of a closed connection is kept, with its sending side ended, until the caller's host has acknowledged all (SIOCOUTQ) or is gone. Two kept sockets are checked for each that is added, so that they do not add up.

A caller that does not read now holds up the end of the process also if the kernel has taken all.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -49,9 +49,8 @@
 # Pause between attempts to leave the store's group, which ends the term of a
 # coordinator, while the store does not answer.
 LEAVE_RETRY_S = 0.3
-# Time from the end of the last connection to the end of the process. Until
-# then the kernel sends what it took, which is lost if the machine is removed
-# with the process.
+# Time from the end of the last connection to the end of the process. What the
+# caller's host has acknowledged may still be on its way to the caller.
 KERNEL_SEND_S = 0.6
 HOUSEKEEPING_PERIOD_S = 1.0
 # Name of the listener for callers.
@@ -210,6 +209,7 @@
         """End the term and the requests of a process that was stopped."""
         logs.info('stopping', running=self.frontend.in_flight)
         stopped_at = clock.now()
+        caller_server.is_stopping = True
         work_until = stopped_at + self.settings.grace_s * WORK_GRACE_SHARE
         self.frontend.limit_work(
             work_until,
@@ -350,7 +350,7 @@
         # A connection that was accepted before may still be set up.
         sent_at = clock.now() + KERNEL_SEND_S
         while clock.now() < min(sent_at, end_at):
-            if caller_server.connections:
+            if caller_server.is_sending():
                 sent_at = clock.now() + KERNEL_SEND_S
                 caller_server.close_idle()
             await asyncio.sleep(DRAIN_CHECK_S)
--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import fcntl
 import math
 import select
 import socket
+import termios
 import typing
 
 from aiohttp import streams
@@ -98,6 +101,11 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Drop the transport of a closed connection."""
+        if exc is None and self.sending is not None:
+            if isinstance(self._manager, CallerServer):
+                self._manager.record_closed(
+                    self.sending.get_extra_info('socket')
+                )
         self.sending = None
         super().connection_lost(exc)
 
@@ -249,7 +257,57 @@
 
 
 class CallerServer(web.Server):
-    """HTTP server for callers."""
+    """HTTP server for callers.
+
+    Attributes
+    ----------
+    is_stopping : bool
+        Whether closed connections are kept until their bytes have arrived.
+    closed : collections.deque of socket.socket
+        Sockets of these connections. Once they are closed, the kernel resets
+        a connection on which bytes arrive, and drops what it has not sent.
+    """
+
+    def __init__(self, *arguments: typing.Any, **options: typing.Any) -> None:
+        super().__init__(*arguments, **options)
+        self.is_stopping = False
+        self.closed: collections.deque[socket.socket] = collections.deque()
+
+    def record_closed(self, connection: socket.socket) -> None:
+        """Keep the socket of a connection that is closed in a stop."""
+        if not self.is_stopping:
+            return
+        # Two for each that is added, so that they do not add up.
+        self._close_arrived(2)
+        try:
+            kept = connection.dup()
+        except OSError as error:
+            logs.warning('caller_fault', reason=tasks.describe(error))
+            return
+        try:
+            kept.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The caller has left.
+            kept.close()
+            return
+        self.closed.append(kept)
+
+    def is_sending(self) -> bool:
+        """Return whether bytes for callers have not arrived.
+
+        Those of a caller that does not read have not, either.
+        """
+        self._close_arrived(len(self.closed))
+        return bool(self.connections) or bool(self.closed)
+
+    def _close_arrived(self, count: int) -> None:
+        """Check some sockets, and close those whose bytes have arrived."""
+        for _ in range(min(count, len(self.closed))):
+            kept = self.closed.popleft()
+            if _has_arrived(kept):
+                kept.close()
+            else:
+                self.closed.append(kept)
 
     def caller_connections(self) -> list[CallerConnection]:
         """Return the open connections, also those that are closing."""
@@ -288,3 +346,13 @@
         for connection in slow:
             connection.force_close()
         return len(slow)
+
+
+def _has_arrived(connection: socket.socket) -> bool:
+    """Return whether a caller's host has acknowledged all, or is gone."""
+    poll = select.poll()
+    poll.register(connection, 0)
+    if poll.poll(0):
+        return True
+    # Size of the kernel's send queue (tcp(7), SIOCOUTQ).
+    return not any(fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(4)))
--- a/packages/knapweedhall-router/tests/test_caller_connections.py
+++ b/packages/knapweedhall-router/tests/test_caller_connections.py
@@ -15,6 +15,9 @@
 # More than a head may have.
 BODY_BYTES = 2 * caller_connections.MAX_HEAD_BYTES
 TIMEOUT_S = 5.0
+CLOSED_CONNECTIONS = 100
+# Checked and not yet acknowledged.
+MAX_KEPT = 10
 
 
 class WaitingRequestTest(unittest.IsolatedAsyncioTestCase):
@@ -87,3 +90,32 @@
         self.assertEqual(b'', body)
         self.assertEqual(b'0', await self.read_response())
         self.assertEqual(str(BODY_BYTES).encode(), await self.read_response())
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """Connections that are closed in a stop."""
+
+    async def test_many_connections_are_closed(self) -> None:
+        """Guards against sockets that are kept although all has arrived."""
+
+        async def handle(request: web.BaseRequest) -> web.Response:
+            response = web.Response()
+            response.force_close()
+            return response
+
+        server = caller_connections.CallerServer(handle, access_log=None)
+        server.is_stopping = True
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(server, HOST, 0)
+        self.addCleanup(listener.close)
+        address = listener.sockets[0].getsockname()
+        for _ in range(CLOSED_CONNECTIONS):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(HEAD % 0)
+            self.assertIn(b' 200 ', await reader.read())
+            writer.close()
+            self.assertLess(len(server.closed), MAX_KEPT)
+        async with asyncio.timeout(TIMEOUT_S):
+            while server.is_sending():
+                await asyncio.sleep(0.01)
+        self.assertFalse(server.closed)
--- a/packages/knapweedhall-router/tests/test_drain.py
+++ b/packages/knapweedhall-router/tests/test_drain.py
@@ -27,6 +27,10 @@
         """Close the listener after a connection was accepted."""
         asyncio.get_running_loop().call_soon(self.connections.append, object())
 
+    def is_sending(self) -> bool:
+        """Return whether there is a connection."""
+        return bool(self.connections)
+
     def close_idle(self) -> None:
         """Leave the connection, which has a request."""
 
--- a/packages/knapweedhall-router/tests/test_planned_stop.py
+++ b/packages/knapweedhall-router/tests/test_planned_stop.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import select
 import signal
 import socket
@@ -24,6 +25,8 @@
 # Time for which the router gets no processor time.
 STANDSTILL_S = 0.4
 LARGE_BODY_BYTES = 12_000_000
+# Fits into the buffers of the kernel, and the pace at which it is read.
+KERNEL_BODY_BYTES, KERNEL_BYTES_PER_S = 2_000_000, 600_000
 WINDOW_BYTES = 65536
 TIME_LIMIT_MS = 10_000
 # Time that the import of a library takes on a slow machine.
@@ -145,11 +148,12 @@
         )
 
 
-def enlarge(request: web.BaseRequest, raw: bytes) -> bytes:
+def enlarge(
+    request: web.BaseRequest, raw: bytes, size: int = LARGE_BODY_BYTES
+) -> bytes:
     """Return a response with a large body."""
     head, _, _ = raw.partition(b'Content-Length')
-    length = b'Content-Length: %d\r\n\r\n' % LARGE_BODY_BYTES
-    return head + length + bytes(LARGE_BODY_BYTES)
+    return head + b'Content-Length: %d\r\n\r\n' % size + bytes(size)
 
 
 class StopCase(test_process.ProcessTest):
@@ -249,6 +253,48 @@
         self.assertEqual((200, LARGE_BODY_BYTES), answer[:2])
         await self.assert_ended(stopped_at)
 
+    async def test_response_that_the_kernel_still_sends(self) -> None:
+        """Guards against a process that ends before its callers have theirs.
+
+        The machine may be removed with it, and with that what its kernel has
+        not sent.
+        """
+        self.upstream.response_hook = functools.partial(
+            enlarge, size=KERNEL_BODY_BYTES
+        )
+        caller = await self.connect()
+        stopped_at = self.request_stop()
+        await asyncio.sleep(1.0)
+        caller.send_head('large', 4)
+        caller.writer.write(b'work')
+        answer = await caller.read_answer(KERNEL_BYTES_PER_S)
+        self.assertIsNone(self.router.status())
+        self.assertEqual((200, KERNEL_BODY_BYTES), answer[:2])
+        await self.assert_ended(stopped_at)
+
+    async def test_request_that_is_sent_while_its_connection_ends(
+        self,
+    ) -> None:
+        """Guards against a response that a reset cuts.
+
+        The kernel drops what it has not sent when bytes arrive at a socket
+        that was closed. The caller can't know that the connection ends.
+        """
+        self.upstream.response_hook = functools.partial(
+            enlarge, size=KERNEL_BODY_BYTES
+        )
+        caller = await self.connect()
+        stopped_at = self.request_stop()
+        await asyncio.sleep(1.0)
+        caller.send_head('large', 4)
+        caller.writer.write(b'work')
+        reading = asyncio.create_task(caller.read_answer(KERNEL_BYTES_PER_S))
+        await asyncio.sleep(KERNEL_BODY_BYTES / KERNEL_BYTES_PER_S / 2)
+        caller.send_head('next', 4)
+        answer = await reading
+        self.assertEqual((200, KERNEL_BODY_BYTES), answer[:2])
+        await self.assert_ended(stopped_at)
+
     async def test_requests_that_do_not_end_in_time(self) -> None:
         """Guards against requests that end without a response or a refusal.
 
