Tell callers how long they may use an idle connection

Callers lost requests that crossed the close of their idle connection, 2.6 s after a stop signal: the process had not read them, and they ended without an answer. What callers can't send again by themselves, such as a payment, they had to take for lost.

Cause: callers could not know when their connections would be closed.

Change: each response that leaves its connection open states 2 s in Keep-Alive, less than the 2.6 s for which a stopping process keeps idle connections. Responses after the signal close their connection, so that every connection which is idle then was idle for longer than its caller uses it. A caller that ignores the header is where it was before.

Measured: the test failed before (no header) and passes.

--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
@@ -37,6 +37,10 @@
 MAX_DISCARD_S = 30.0
 # Sent to callers that wait for it before they send a body.
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+# Idle time after which callers are asked to open another connection, whole
+# seconds. Shorter than the time for which a stopping process leaves idle
+# connections open, so that no request crosses their close.
+CALLER_IDLE_S = 2
 
 
 class ForwardedResponse(web.Response):
@@ -166,6 +170,8 @@
             response = await self._handle(request, memory)
             if self.state.stopping and not connection.has_waiting_request():
                 response.force_close()
+            elif response.keep_alive is not False:
+                response.headers['Keep-Alive'] = f'timeout={CALLER_IDLE_S}'
             return response
         finally:
             connection.record_response()
--- a/packages/knapweedhall-router/tests/test_planned_stop.py
+++ b/packages/knapweedhall-router/tests/test_planned_stop.py
@@ -69,6 +69,8 @@
         When the response or the connection ended, on the loop's clock.
     signature : str
         The header that only upstreams send; '' if there is none.
+    keep_alive : str
+        The header; '' if there is none.
     """
 
     status: int
@@ -77,6 +79,7 @@
     retry_after: str
     ended_at: float
     signature: str
+    keep_alive: str
 
 
 class Caller:
@@ -121,7 +124,7 @@
         """Read a response, not faster than `bytes_per_s`."""
         loop = asyncio.get_running_loop()
         status, length, received = 0, -1, 0
-        retry_after = signature = ''
+        retry_after = signature = keep_alive = ''
         with contextlib.suppress(OSError, EOFError):
             head = (await self.reader.readuntil(b'\r\n\r\n')).decode()
             first, *lines = head.strip().split('\r\n')
@@ -131,6 +134,7 @@
             }
             retry_after = fields.get('retry-after', '')
             signature = fields.get('x-response-signature', '')
+            keep_alive = fields.get('keep-alive', '')
             length = int(fields['content-length'])
             status = int(first.split()[1])
             while received < length:
@@ -147,6 +151,7 @@
             retry_after,
             loop.time(),
             signature,
+            keep_alive,
         )
 
 
@@ -350,6 +355,23 @@
         self.assertNotIn(0, statuses)
         await self.assert_ended(stopped_at)
 
+    async def test_callers_are_told_how_long_a_connection_is_open(
+        self,
+    ) -> None:
+        """Guards against requests that cross the close of an idle connection.
+
+        A stop leaves connections open for longer than callers use them.
+        """
+        caller = await self.connect()
+        answer = await self.ask(caller, 'before')
+        idle_s = int(answer.keep_alive.removeprefix('timeout='))
+        stopped_at = self.request_stop()
+        self.assertLess(idle_s, application.ACCEPT_AFTER_STOP_S)
+        await asyncio.sleep(idle_s)
+        answer = await self.ask(caller, 'in the stop')
+        self.assertEqual((200, ''), (answer.status, answer.keep_alive))
+        await self.assert_ended(stopped_at)
+
     async def test_first_request_of_a_connection_of_the_last_moment(
         self,
     ) -> None:
