Take connections that were set up during a standstill of the process

Callers got a 503 "not-connected" for a key whose owner had accepted the connection, if the router's process got no processor for 0.4 s while it connected. Seen in 5 of 32 plays of test_unreadable_records_change_nothing at a load average of 45: one of the first requests each, 0.45 to 0.55 s after its arrival.

Cause: after a standstill the event loop handles the set-up of the connection and the time limit in the same iteration; the limit cancels the attempt before its coroutine has run. The upstream also counts as unreachable for 0.3 s.

Change: the limit is set when 20 ms of the time are left, to 20 ms from then, so that what was set up in the meantime is taken first, as for silent owners. The limit itself stays at 0.4 s.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -33,6 +33,10 @@
 # Connecting takes one or two round trips; a machine without power does not
 # respond at all.
 CONNECT_TIMEOUT_S = 0.4
+# Time for which connections that were set up are taken before the limit above
+# ends them. After a standstill of the process the limit may be handled before
+# the connections that were set up in the meantime.
+SET_UP_CHECK_S = 0.02
 # Idle time after which a connection is closed: half of the upstreams' shortest
 # idle timeout (10 s). Idle connections count towards an upstream's connection
 # limit; with 8 s, 500 new connections were reset in one day.
@@ -493,10 +497,18 @@
     async def _open(self, deadline: float) -> Connection:
         loop = asyncio.get_running_loop()
         timeout_s = min(CONNECT_TIMEOUT_S, deadline - clock.now())
-        async with asyncio.timeout(max(0.0, timeout_s)):
-            _, connection = await loop.create_connection(
-                lambda: Connection(loop), *self.address
-            )
+        limit = asyncio.timeout(None)
+        ending = loop.call_later(
+            max(0.0, timeout_s - SET_UP_CHECK_S),
+            lambda: limit.reschedule(loop.time() + SET_UP_CHECK_S),
+        )
+        try:
+            async with limit:
+                _, connection = await loop.create_connection(
+                    lambda: Connection(loop), *self.address
+                )
+        finally:
+            ending.cancel()
         connection.on_lost = self._remove
         self.open.add(connection)
         return connection
--- a/packages/knapweedhall-router/tests/test_connections.py
+++ b/packages/knapweedhall-router/tests/test_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 import unittest
 
 from knapweedhall_router import clock
@@ -41,6 +42,19 @@
         connection.expect_response(True)
         return connection
 
+    async def test_connection_is_made_during_a_standstill(self) -> None:
+        """Guards against a refusal though the upstream has accepted.
+
+        After a standstill of the process the time limit is handled together
+        with the connection. Beside load, test_fleet had a 503,
+        "not-connected", for this cause.
+        """
+        connecting = asyncio.create_task(self._connect())
+        # The kernel has set it up at the end of the first step.
+        await asyncio.sleep(0)
+        time.sleep(1.5 * connections.CONNECT_TIMEOUT_S)
+        await connecting
+
     async def test_idle_limit_of_the_request_is_respected(self) -> None:
         """Guards against a non-idempotent request on a stale connection.
 
