Read a response before its connection counts as failed

An upstream that answered an upload at once with a whole response (such as 413) and closed gave the caller 502 in a third of the cases.

Cause: the upload was still being written. The write that met the upstream's reset ended the transport before it had read the response, which the kernel had received.

Change: after an error, what the kernel has received is read and parsed first. A body that ends with such a connection still counts as truncated.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -12,6 +12,7 @@
 import collections
 import fcntl
 import math
+import os
 import select
 import socket
 import struct
@@ -384,10 +385,27 @@
         """Handle the end of the connection and notify `on_lost`."""
         if exc is not None:
             self.ended_cleanly = False
+            self._read_rest()
         super().connection_lost(exc)
         if self.on_lost is not None:
             self.on_lost(self)
 
+    def _read_rest(self) -> None:
+        """Parse what the kernel has received before the connection failed.
+
+        A write that fails ends the transport before it has read on.
+        """
+        while self.exchanging and self.transport is not None:
+            sock = self.transport.get_extra_info('socket')
+            try:
+                data = os.read(sock.fileno(), READ_BYTES)
+            except OSError:
+                # Nothing is left; the caller handles the failure.
+                return
+            if not data:
+                return
+            self.data_received(data)
+
     def reset(self) -> None:
         """Abort the connection with a TCP reset.
 
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -294,7 +294,9 @@
                 head = (await reader.readuntil(b'\r\n\r\n')).decode()
                 if method != 'HEAD':
                     _, _, length = head.lower().partition('content-length: ')
-                    body = await reader.readexactly(int(length.split()[0]))
+                    # 204 and 304 state none.
+                    size = int((length.split() or ['0'])[0])
+                    body = await reader.readexactly(size)
                 status = int(head.split()[1])
         finally:
             writer.transport.abort()
@@ -502,6 +504,30 @@
                     self.assertEqual((200, body), answer[:2])
                     self.assertLess(answer.waited_s, MAX_WAIT_S)
 
+    async def test_whole_responses_before_a_reset(self) -> None:
+        """Guards against a whole response that a failed write discards.
+
+        The upstream refused the upload and closed; the router, which still
+        wrote, noticed the reset before it read the response.
+        """
+        chunked = b'10\r\n' + PART + b'\r\n0\r\n\r\n'
+        for raw, number in itertools.product(
+            (
+                response('Content-Length: 16', body=PART),
+                response('Transfer-Encoding: chunked', body=chunked),
+                response('Content-Length: 16', status='413 No', body=PART),
+            ),
+            range(4),
+        ):
+            with self.subTest(raw=raw, number=number):
+                answer = await self.play(
+                    Script(raw, End.CLOSE, True, 0.0),
+                    'POST',
+                    LONG_BODY_BYTES,
+                    bool(number % 2),
+                )
+                self.assertEqual(PART, answer.body)
+
     async def test_early_response_ends_the_connection(self) -> None:
         """Guards against connections that stay open for an unread upload.
 
