Use no connection again whose request was not received

After an early response to an upload, a further request was sent over the same connection and waited behind the upload until its time limit (504), if the upstream neither read on nor closed.

Cause: a request counted as sent once the kernel had taken it, which has a send buffer of a few MB.

Change: the connection is only used again if the upstream's host has acknowledged the whole request; otherwise it is reset, as before for larger uploads.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -201,12 +201,10 @@
         self._send_more()
 
     def end_sending(self) -> bool:
-        """Drop what is not yet sent; return whether all of it was."""
-        has_sent_all = not self.unsent
+        """Drop what is not yet sent; return whether all of it was received."""
+        is_received = self._is_request_received()
         self.unsent = memoryview(b'')
-        if self.transport is not None:
-            has_sent_all &= not self.transport.get_write_buffer_size()
-        return has_sent_all
+        return is_received
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit the size of reads."""
--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
@@ -241,8 +241,8 @@
         connection.reset()
         raise
     finally:
-        has_sent_all = connection.end_sending()
-    if isinstance(outcome, Broken) or not has_sent_all:
+        is_received = connection.end_sending()
+    if isinstance(outcome, Broken) or not is_received:
         # If the upstream responded before it read the whole body, the rest
         # would precede the next request. Closing would wait until it is read.
         connection.reset()
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -532,14 +532,19 @@
         """Guards against connections that stay open for an unread upload.
 
         They count towards the upstream's connection limit, and each held
-        about 4 MB of unsent data.
+        about 4 MB of unsent data. If the kernel had taken the whole upload, a
+        further request waited behind it until its time limit.
         """
         whole = response('Content-Length: 16', body=PART)
         refusal = response('Content-Length: 0', status='400 No')
-        for raw, kept in itertools.product((whole, refusal), (False, True)):
-            with self.subTest(raw=raw, kept=kept):
+        for raw, size, kept in itertools.product(
+            (whole, refusal),
+            (MEDIUM_BODY_BYTES, LONG_BODY_BYTES),
+            (False, True),
+        ):
+            with self.subTest(raw=raw, size=size, kept=kept):
                 answer = await self.play(
-                    Script(raw, End.HOLD, True), 'POST', LONG_BODY_BYTES, kept
+                    Script(raw, End.HOLD, True), 'POST', size, kept
                 )
                 self.assertIn(answer.status, (200, 400))
                 async with asyncio.timeout(MAX_WAIT_S):
