Return the upstream's error when the retry finds no upstream

A request that may run again got an error (5xx) from its upstream and was to be retried. If no other upstream took it, the caller got a 503 of the router's own, without the upstream's answer and signature.

Cause: the result of the retry replaced the response in hand, whatever it was; only the time limit returned the response.

Change: a response goes before a failure of the router's own that follows.

--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
@@ -92,12 +92,18 @@
                 self.running[call] = timeout
                 while True:
                     result = await self._attempt(call)
-                    if not isinstance(result, Retry):
-                        return result
-                    last = result.fallback
-                    if not self._may_retry(call):
+                    is_final = not isinstance(result, Retry)
+                    if isinstance(result, Retry):
+                        result = result.fallback
+                    if not (
+                        isinstance(last, exchange.Response)
+                        and isinstance(result, selection.Failure)
+                    ):
+                        # An upstream's response goes before a later failure.
+                        last = result
+                    if is_final or not self._may_retry(call):
                         return last
-                    self._log_retry(call, last)
+                    self._log_retry(call, result)
         except TimeoutError:
             return self._time_out(call, last)
         finally:
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -413,6 +413,26 @@
                     )
 
 
+class RetryTest(InvalidResponseTest):
+    """Requests that may run again, at the only upstream of their service."""
+
+    async def test_error_response_without_another_upstream(self) -> None:
+        """Guards against an answer that is dropped for a refusal.
+
+        After a response with an error, callers got 503, as there was no other
+        upstream, though their request had run.
+        """
+        for status, end, kept in itertools.product(
+            ('500 Failed', '503 Failed', '504 Late'),
+            (End.KEEP, End.FIN),
+            (False, True),
+        ):
+            raw = response('Content-Length: 16', status=status, body=PART)
+            with self.subTest(status=status, end=end, kept=kept):
+                answer = await self.play(Script(raw, end), 'GET', 0, kept)
+                self.assertEqual((int(status[:3]), PART), answer[:2])
+
+
 LENGTH_CUT = response('Content-Length: 99', body=PART)
 CHUNK_CUT = response('Transfer-Encoding: chunked', body=b'20\r\n' + PART)
 NO_LAST_CHUNK = response(
