--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -12,6 +12,7 @@
 import collections
 import fcntl
 import math
+import os
 import select
 import socket
 import struct
@@ -204,12 +205,10 @@
         self._send_more()
 
     def end_sending(self) -> bool:
-        """Drop what is not yet sent; return whether all of it was."""
-        has_sent_all = not self.unsent
+        """Drop what is not yet sent; return whether all of it was received."""
+        is_received = self._is_request_received()
         self.unsent = memoryview(b'')
-        if self.transport is not None:
-            has_sent_all &= not self.transport.get_write_buffer_size()
-        return has_sent_all
+        return is_received
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit the size of reads."""
@@ -388,10 +387,27 @@
         """Handle the end of the connection and notify `on_lost`."""
         if exc is not None:
             self.ended_cleanly = False
+            self._read_rest()
         super().connection_lost(exc)
         if self.on_lost is not None:
             self.on_lost(self)
 
+    def _read_rest(self) -> None:
+        """Parse what the kernel has received before the connection failed.
+
+        A write that fails ends the transport before it has read on.
+        """
+        while self.exchanging and self.transport is not None:
+            sock = self.transport.get_extra_info('socket')
+            try:
+                data = os.read(sock.fileno(), READ_BYTES)
+            except OSError:
+                # Nothing is left; the caller handles the failure.
+                return
+            if not data:
+                return
+            self.data_received(data)
+
     def reset(self) -> None:
         """Abort the connection with a TCP reset.
 
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -294,7 +294,9 @@
                 head = (await reader.readuntil(b'\r\n\r\n')).decode()
                 if method != 'HEAD':
                     _, _, length = head.lower().partition('content-length: ')
-                    body = await reader.readexactly(int(length.split()[0]))
+                    # 204 and 304 state none.
+                    size = int((length.split() or ['0'])[0])
+                    body = await reader.readexactly(size)
                 status = int(head.split()[1])
         finally:
             writer.transport.abort()
@@ -411,6 +413,26 @@
                     )
 
 
+class RetryTest(InvalidResponseTest):
+    """Requests that may run again, at the only upstream of their service."""
+
+    async def test_error_response_without_another_upstream(self) -> None:
+        """Guards against an answer that is dropped for a refusal.
+
+        After a response with an error, callers got 503, as there was no other
+        upstream, though their request had run.
+        """
+        for status, end, kept in itertools.product(
+            ('500 Failed', '503 Failed', '504 Late'),
+            (End.KEEP, End.FIN),
+            (False, True),
+        ):
+            raw = response('Content-Length: 16', status=status, body=PART)
+            with self.subTest(status=status, end=end, kept=kept):
+                answer = await self.play(Script(raw, end), 'GET', 0, kept)
+                self.assertEqual((int(status[:3]), PART), answer[:2])
+
+
 LENGTH_CUT = response('Content-Length: 99', body=PART)
 CHUNK_CUT = response('Transfer-Encoding: chunked', body=b'20\r\n' + PART)
 NO_LAST_CHUNK = response(
@@ -502,18 +524,47 @@
                     self.assertEqual((200, body), answer[:2])
                     self.assertLess(answer.waited_s, MAX_WAIT_S)
 
+    async def test_whole_responses_before_a_reset(self) -> None:
+        """Guards against a whole response that a failed write discards.
+
+        The upstream refused the upload and closed; the router, which still
+        wrote, noticed the reset before it read the response.
+        """
+        chunked = b'10\r\n' + PART + b'\r\n0\r\n\r\n'
+        for raw, number in itertools.product(
+            (
+                response('Content-Length: 16', body=PART),
+                response('Transfer-Encoding: chunked', body=chunked),
+                response('Content-Length: 16', status='413 No', body=PART),
+            ),
+            range(4),
+        ):
+            with self.subTest(raw=raw, number=number):
+                answer = await self.play(
+                    Script(raw, End.CLOSE, True, 0.0),
+                    'POST',
+                    LONG_BODY_BYTES,
+                    bool(number % 2),
+                )
+                self.assertEqual(PART, answer.body)
+
     async def test_early_response_ends_the_connection(self) -> None:
         """Guards against connections that stay open for an unread upload.
 
         They count towards the upstream's connection limit, and each held
-        about 4 MB of unsent data.
+        about 4 MB of unsent data. If the kernel had taken the whole upload, a
+        further request waited behind it until its time limit.
         """
         whole = response('Content-Length: 16', body=PART)
         refusal = response('Content-Length: 0', status='400 No')
-        for raw, kept in itertools.product((whole, refusal), (False, True)):
-            with self.subTest(raw=raw, kept=kept):
+        for raw, size, kept in itertools.product(
+            (whole, refusal),
+            (MEDIUM_BODY_BYTES, LONG_BODY_BYTES),
+            (False, True),
+        ):
+            with self.subTest(raw=raw, size=size, kept=kept):
                 answer = await self.play(
-                    Script(raw, End.HOLD, True), 'POST', LONG_BODY_BYTES, kept
+                    Script(raw, End.HOLD, True), 'POST', size, kept
                 )
                 self.assertIn(answer.status, (200, 400))
                 async with asyncio.timeout(MAX_WAIT_S):
