Send the whole overview before its connection is closed

knapweedhallctl status and owners failed at a coordinator whose overview does not fit into the kernel's send buffer: its end was dropped.

Cause: `drain` returns while up to 64 KB are still in the transport's buffer, and the connection was aborted one cycle of the event loop later. That the message was handed on was taken for its having been sent.

Change: the buffer has no allowance, so that `drain` waits until it is empty, within the same limit of 1 s.

--- a/packages/knapweedhall-router/src/knapweedhall_router/peer_listener.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/peer_listener.py
@@ -75,6 +75,8 @@
     async def _respond(
         self, message: messages.Message, writer: asyncio.StreamWriter
     ) -> None:
+        # Lets `drain` wait until the transport has sent all.
+        writer.transport.set_write_buffer_limits(0)
         writer.write(messages.encode(message))
         async with asyncio.timeout(FIRST_MESSAGE_TIMEOUT_S):
             await writer.drain()
--- a/packages/knapweedhall-router/tests/test_coordinator_link.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import types
 import typing
 import unittest
@@ -14,8 +15,14 @@
 from knapweedhall_router import peer_listener
 from knapweedhall_router import state as state_module
 from tests import fleet
+from tests import test_planned_stop
 
 HOST = '127.0.0.1'
+# Send buffer of the kernel, and sizes of responses that it can't take at once.
+KERNEL_BYTES = 16384
+OVERVIEW_BYTES = range(100_000, 400_000, 20_000)
+# Pace of reading it, within the second that it may take.
+READ_BYTES, READ_PAUSE_S = 16384, 0.01
 
 
 class _Store:
@@ -66,6 +73,43 @@
         return server
 
 
+class OverviewTest(unittest.IsolatedAsyncioTestCase):
+    """The response of a coordinator to knapweedhallctl."""
+
+    async def test_overview_that_is_larger_than_the_buffers(self) -> None:
+        """Guards against a response whose end is dropped.
+
+        How much the kernel does not take at once depends on the connection.
+        """
+        instance = _Instance(True)
+        server = await instance.listen()
+        self.addCleanup(server.close)
+        for listener in server.sockets:
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BYTES
+            )
+        for size in OVERVIEW_BYTES:
+            overview = messages.Overview('x' * size, 1, False, {}, {})
+            instance.membership.coordinator.overview = lambda: overview
+            self.assertEqual(
+                len(messages.encode(overview)),
+                await self.receive(instance.member),
+            )
+
+    async def receive(self, member: str) -> int:
+        """Request the overview; return the number of received bytes."""
+        address = coordinator_link.member_address(member)
+        assert address is not None
+        caller = await test_planned_stop.Caller.connect(*address)
+        self.addCleanup(caller.writer.close)
+        caller.writer.write(messages.encode(messages.OverviewRequest()))
+        received = 0
+        while chunk := await caller.reader.read(READ_BYTES):
+            received += len(chunk)
+            await asyncio.sleep(READ_PAUSE_S)
+        return received
+
+
 class RedirectTest(unittest.IsolatedAsyncioTestCase):
     """Instances that the store rejects while the coordinator changes.
 
