Stop several routers at once in the soak, and use them until they are gone

What the soak did not do yet:

- Several routers that get SIGTERM at the same moment, the coordinator among them.
Series stopped one router after the other.
- A restore of the store beside a series; restores came alone.
- Callers that keep using a router that is being stopped until its process is gone, on kept connections that are idle in between, and with uploads whose last byte is sent up to 5 s after the first.
Requests were spread over all routers, and a body in parts took 0.4 s at most.
- Many processes.

Half of the runs now have a release: the coordinator and some other routers stop at once beside a series of reloads, three new records, a full link and a store that is down, slow or restored. The new faults are drawn apart, so that the others of a seed stay as they are.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/callers.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/callers.py
@@ -21,6 +21,10 @@
 # link; together they take MAX_PART_PAUSE_S at most.
 SLOW_BODY_PERIOD = 5
 MAX_PART_PAUSE_S = 0.4
+# The same for callers that use a router until its process is gone: the last
+# byte may be sent after idle connections were closed.
+MAX_HELD_S = 5.0
+MAX_IDLE_S = 0.5
 # Time limit of these requests. With that of the others, they would be refused
 # before a process that discards their bodies ends.
 SLOW_TIMEOUT_MS = 6000
@@ -176,10 +180,22 @@
         key: int | None = None,
         varied: bool = False,
         large: bool = False,
+        max_pause_s: float = MAX_PART_PAUSE_S,
     ) -> Result:
         """Send one request and record its result.
 
-        With `varied`, some take long or are large; with `large`, all are.
+        Parameters
+        ----------
+        session : aiohttp.ClientSession
+            Its connections are used.
+        target : Target
+            Where it is sent.
+        key : int or None
+            Its key; None for any, if the service has keys.
+        varied, large : bool
+            Whether some take long or are large, and whether all are large.
+        max_pause_s : float
+            Longest time for which a body in parts is held back, seconds.
         """
         number = next(_numbers)
         request = f'q{number}-{self.rng.getrandbits(32):08x}'
@@ -213,7 +229,7 @@
                 body[begin : begin + size]
                 for begin in range(0, len(body), size)
             ]
-            pause_s = share * MAX_PART_PAUSE_S / (LARGE_PARTS - 1)
+            pause_s = share * max_pause_s / (LARGE_PARTS - 1)
             upload = Upload(parts, pause_s)
         sent_at, status, right = time.monotonic(), 0, False
         signed = began = gave_up = False
@@ -256,3 +272,23 @@
         )
         self.results.append(result)
         return result
+
+    async def use_until(
+        self, targets: typing.Sequence[Target], gone: asyncio.Event
+    ) -> None:
+        """Send requests over kept connections until a process is gone.
+
+        Parameters
+        ----------
+        targets : sequence of Target
+            Hosts of one router.
+        gone : asyncio.Event
+            Set when its process has ended.
+        """
+        rng = random.Random(targets[0].router)
+        async with self.open_session() as session:
+            while not gone.is_set():
+                target = rng.choice(targets)
+                await self.send(session, target, max_pause_s=MAX_HELD_S)
+                # The connection is idle for a while.
+                await asyncio.sleep(rng.random() * MAX_IDLE_S)
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
@@ -30,7 +30,11 @@
 # Number of keys, evenly spaced, that are requested to check whether all keys
 # are served.
 PROBED_KEYS = 32
-MAX_CONNECTIONS = 130
+# Limit of a service's connections to its upstreams, for all routers together:
+# a number for each router, but not less than the first. Each has its share,
+# and is probed for all hosts at once.
+MIN_CONNECTIONS = 130
+CONNECTIONS_BY_ROUTER = 26
 
 
 class Environment:
@@ -100,7 +104,12 @@
         """
         body: draft.Draft = {
             'mode': mode,
-            'limits': {'connections': MAX_CONNECTIONS},
+            'limits': {
+                'connections': max(
+                    MIN_CONNECTIONS,
+                    CONNECTIONS_BY_ROUTER * len(self.deployment.routers),
+                )
+            },
             'default_timeout_ms': callers.SLOW_TIMEOUT_MS,
             'objective_ms': 500,
         }
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/faults.py
@@ -57,6 +57,21 @@
 MAX_MARGIN_S = 1.0
 
 
+# Share of the runs in which several routers stop at the same moment, and what
+# surrounds the stops: the time, and the target and the kind of each fault.
+RELEASE_SHARE = 0.5
+RELEASE_S = 4.0
+RELEASE_KINDS = (
+    ('fleet', 'stop'),
+    ('reloads', 'reload'),
+    ('front', 'full-link'),
+    ('operator', 'publish'),
+    ('operator', 'publish'),
+    ('operator', 'publish'),
+)
+RELEASE_STORE_KINDS = ('down', 'slow', 'restore')
+
+
 class Fault(typing.NamedTuple):
     """A fault.
 
@@ -65,14 +80,15 @@
     at, until : float
         Start and end, seconds since the start of the series.
     target : str
-        Type of component that it acts on: 'router', 'coordinator', 'reloads'
-        (all routers), 'front' (the link between callers and a router),
-        'upstream', 'response', 'store' or 'operator'.
+        Type of component that it acts on: 'router', 'coordinator', 'fleet'
+        (the coordinator and other routers), 'reloads' (all routers), 'front'
+        (the link between callers and a router), 'upstream', 'response',
+        'store' or 'operator'.
     kind : str
         Kind of the fault.
     pick : float
         Selects one of the present components, 0 to 1; for some kinds also the
-        number of calls or the kind of a link's fault.
+        number of calls or of routers, or the kind of a link's fault.
     mode : proxy.Mode
         Mode of a link during the fault.
     """
@@ -186,3 +202,18 @@
                 )
             at += rng.uniform(MIN_GAP_S, MAX_GAP_S)
     return sorted(fault for fault in faults if fault.at < duration_s)
+
+
+def generate_release(rng: random.Random, duration_s: float) -> list[Fault]:
+    """Return stops of several routers at once and what surrounds them."""
+    if rng.random() >= RELEASE_SHARE:
+        return []
+    at = rng.uniform(0.0, duration_s)
+    faults = [Fault(at, at, *RELEASE_KINDS[0], rng.random(), proxy.Mode.PASS)]
+    store_kind = ('store', rng.choice(RELEASE_STORE_KINDS))
+    for target, kind in (*RELEASE_KINDS[1:], store_kind):
+        begin = min(at + rng.uniform(0.0, RELEASE_S), duration_s)
+        until = min(begin + rng.uniform(MIN_PART_S, MAX_PART_S), duration_s)
+        pick = rng.random()
+        faults.append(Fault(begin, until, target, kind, pick, proxy.Mode.PASS))
+    return sorted(faults)
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import collections
+import collections.abc
 import contextlib
 import itertools
 import math
@@ -69,6 +70,9 @@
 # the platform's rules excuse an end within this time of a start.
 MIN_SIGNAL_AGE_S = 1.0
 RELOAD_PERIOD_S = 0.05
+# Callers that use a stopping router until its process is gone.
+USERS_IN_STOP = 3
+USE_BEFORE_STOP_S = 0.3
 # Time without a disruption after which an instance is in touch (platform's
 # pages, `stableWindowS`).
 STABLE_WINDOW_S = 3.0
@@ -120,6 +124,16 @@
     20,
     20.0,
 )
+# A size near the limits of the machine, about 100 processes.
+LARGE = Plan(
+    deployment.Spec(
+        20,
+        {environment.DIVIDED_SERVICE: 52, environment.CHOICE_SERVICE: 26},
+        (environment.DIVIDED_SERVICE,),
+    ),
+    60,
+    30.0,
+)
 
 
 class Soak:
@@ -201,6 +215,9 @@
         series += faults.generate_series(
             random.Random(f'series {self.seed}'), self.plan.duration_s
         )
+        series += faults.generate_release(
+            random.Random(f'release {self.seed}'), self.plan.duration_s
+        )
         await self._inject_all(sorted(series))
         missing = await self.environment.wait_until_served(RECOVERY_TIMEOUT_S)
         stop.set()
@@ -247,6 +264,8 @@
             await self._inject_router_fault(name, fault, duration_s)
         elif fault.target == 'coordinator':
             await self._inject_coordinator_fault(fault, duration_s)
+        elif fault.target == 'fleet':
+            await self._stop_fleet(fault.pick)
         elif fault.target == 'reloads':
             await asyncio.gather(
                 *(
@@ -329,15 +348,53 @@
         node.front.bytes_per_s = math.inf
 
     async def _stop_router(self, name: str, node: deployment.Node) -> None:
-        if name in self.stopping or node.child.paused:
-            return
-        if time.monotonic() - node.child.started_at < MIN_SIGNAL_AGE_S:
+        if name in self.stopping:
             return
         self.stopping.add(name)
-        self.signalled_at[name].append(time.monotonic())
-        await node.child.terminate()
+        async with self._use_until_gone(name):
+            await asyncio.sleep(USE_BEFORE_STOP_S)
+            age_s = time.monotonic() - node.child.started_at
+            if age_s >= MIN_SIGNAL_AGE_S and not node.child.paused:
+                self.signalled_at[name].append(time.monotonic())
+                await node.child.terminate()
         self.stopping.discard(name)
 
+    @contextlib.asynccontextmanager
+    async def _use_until_gone(
+        self, name: str
+    ) -> collections.abc.AsyncIterator[None]:
+        """Let callers use their connections to a router for a time."""
+        gone = asyncio.Event()
+        targets = [
+            target
+            for target in self.environment.targets()
+            if target.router == name
+        ]
+        async with asyncio.TaskGroup() as group:
+            for _ in range(USERS_IN_STOP):
+                group.create_task(
+                    self.environment.callers.use_until(targets, gone)
+                )
+            try:
+                yield
+            finally:
+                gone.set()
+
+    async def _stop_fleet(self, pick: float) -> None:
+        """Stop the coordinator and some other routers at the same moment."""
+        found = await self.environment.find_coordinator()
+        self.coordinator = found or self.coordinator
+        others = sorted(set(self.deployment.routers) - {self.coordinator})
+        count = 1 + int(pick * (len(others) - 1))
+        names = [*random.Random(pick).sample(others, count), self.coordinator]
+        await asyncio.gather(
+            *(
+                self._stop_router(name, self.deployment.routers[name])
+                for name in names
+                if name in self.deployment.routers
+            )
+        )
+
     async def _inject_upstream_fault(
         self, name: str, fault: faults.Fault, duration_s: float
     ) -> None:
@@ -691,6 +748,7 @@
         '--fresh', type=int, default=0, help='number of new seeds'
     )
     parser.add_argument('--small', action='store_true')
+    parser.add_argument('--large', action='store_true')
     parser.add_argument(
         '--without',
         default='',
@@ -701,7 +759,7 @@
         '--folder', type=pathlib.Path, help='keep logs of all runs here'
     )
     options = parser.parse_args()
-    plan = SMALL if options.small else DEFAULT
+    plan = SMALL if options.small else LARGE if options.large else DEFAULT
     if options.without:
         module = f'knapweedhall_bench.sabotage {options.without}'
         plan = plan._replace(spec=plan.spec._replace(router_module=module))
--- a/packages/knapweedhall-bench/tests/test_soak.py
+++ b/packages/knapweedhall-bench/tests/test_soak.py
@@ -104,6 +104,27 @@
         for fault in drawn:
             self.assertTrue(0.0 <= fault.at < 20.0 >= fault.until, fault)
 
+    def test_releases_surround_stops(self) -> None:
+        """Guards against releases without the faults that belong to them."""
+        first = faults.generate_release(random.Random('release 1'), 12.0)
+        self.assertEqual(
+            first, faults.generate_release(random.Random('release 1'), 12.0)
+        )
+        drawn = [
+            faults.generate_release(random.Random(seed), 12.0)
+            for seed in range(50)
+        ]
+        releases = [each for each in drawn if each]
+        self.assertTrue(0 < len(releases) < len(drawn))
+        store_kinds = set()
+        for each in releases:
+            kinds = sorted((fault.target, fault.kind) for fault in each)
+            store_kinds.add(kinds.pop()[1])
+            self.assertEqual(sorted(faults.RELEASE_KINDS), kinds)
+            for fault in each:
+                self.assertTrue(0.0 <= fault.at <= fault.until <= 12.0, fault)
+        self.assertEqual(set(faults.RELEASE_STORE_KINDS), store_kinds)
+
 
 class ReloadTest(unittest.TestCase):
     """Settings that change at reloads."""
