Keep a connection open until its last response has arrived

A caller that sent a further request before it had read a response lost that response in a stop: its connection was reset, with nothing of 1.5 MB received, although its request had run and the response was complete at the router.

Cause: the connection is closed after the response, while the kernel still has to send it. Bytes that arrive at a closed socket reset the connection, and the kernel drops what it has not sent. The same holds for idle connections that are closed: a response counted as sent once the kernel had taken it.

Change: after a last response the sending side is closed at once, as before, and the socket once the caller's machine has acknowledged all bytes, at the latest after 10 s. A connection with unacknowledged bytes is not idle. If the kernel does not tell the number, the connection is closed as before, with a log line.

Only callers that pipeline requests can see the fault.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import math
 import select
 import socket
+import struct
+import termios
 import typing
 
 from aiohttp import streams
@@ -27,6 +30,11 @@
 # Time after the set-up of a connection in which its first request may still be
 # on its way: a round trip, and what waits in front of it on a busy link.
 FIRST_REQUEST_S = 0.3
+# Longest time for which a connection stays open after its last response until
+# the caller has received it; longer than the grace time of a stop.
+MAX_LAST_RESPONSE_S = 10.0
+LAST_RESPONSE_CHECK_S = 0.02
+INT = struct.Struct('i')
 
 
 class CallerConnection(web_protocol.RequestHandler):
@@ -172,10 +180,12 @@
         A caller awaits a response as soon as it has sent a request, of which
         some bytes may not be read yet, or not have reached a handler.
         """
-        if self.transport is None or self.transport.is_closing():
+        if not self._is_open():
             return False
         if self.is_handling() or self.unsent_bytes():
             return False
+        if self._unacknowledged_bytes():
+            return False
         if self.has_waiting_request() or self.head_since < math.inf:
             # A head that is arriving ends with the response, or when it takes
             # too long.
@@ -199,6 +209,49 @@
         # `close` would leave an idle connection open and unread.
         self.force_close()
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send a response; wait for its arrival if it is the last one.
+
+        Bytes that a caller sends to a closed socket reset the connection, and
+        what the kernel has not sent by then is lost.
+        """
+        outcome = await super().finish_response(request, resp, start_time)
+        if resp.keep_alive is False and self._is_open():
+            assert self.transport is not None
+            self.transport.write_eof()
+            until = clock.now() + MAX_LAST_RESPONSE_S
+            while self._is_open() and clock.now() < until:
+                if (
+                    not self.unsent_bytes()
+                    and not self._unacknowledged_bytes()
+                ):
+                    break
+                await asyncio.sleep(LAST_RESPONSE_CHECK_S)
+        return outcome
+
+    def _is_open(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
+
+    def _unacknowledged_bytes(self) -> int:
+        """Return how many sent bytes the caller's machine has not received.
+
+        The end of the connection counts as one.
+        """
+        assert self.transport is not None
+        number = self.transport.get_extra_info('socket').fileno()
+        try:
+            taken = fcntl.ioctl(number, termios.TIOCOUTQ, bytes(INT.size))
+        except OSError as error:
+            logs.warning('caller_fault', reason=tasks.describe(error))
+            return 0
+        (count,) = INT.unpack(taken)
+        return int(count)
+
     def _has_unread_bytes(self) -> bool:
         """Return whether the kernel has bytes that were not read."""
         assert self.transport is not None
--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -14,6 +14,8 @@
 import signal
 import typing
 
+from aiohttp import web
+
 from knapweedhall_router import application
 from tests import fleet
 from tests import test_planned_stop
@@ -33,6 +35,8 @@
 SLOW_RESPONSE_S = 5.0
 # More than a head may have (64 KiB).
 UPLOAD_BYTES = 360_000
+# More than a caller's window takes, and less than the kernel for it.
+KERNEL_BYTES = 1_500_000
 # Connections on which requests are sent in random parts.
 PIPELINES = 60
 # Time that an upstream works while something else happens.
@@ -229,6 +233,32 @@
             self.assertEqual(1, self.run_count(f'pipelined-{number}'))
         await self.assert_ended(stopped_at)
 
+    async def test_further_request_after_the_last_response(self) -> None:
+        """Guards against a response that is lost with its connection.
+
+        A stopping process closes the connection after the response, of which
+        the kernel has much to send. The further request resets it.
+        """
+
+        def enlarge(request: web.BaseRequest, raw: bytes) -> bytes:
+            head, _, _ = raw.partition(b'Content-Length')
+            length = b'Content-Length: %d\r\n\r\n' % KERNEL_BYTES
+            return head + length + bytes(KERNEL_BYTES)
+
+        self.upstream.response_hook = enlarge
+        caller = await self.connect()
+        caller.writer.transport.pause_reading()
+        stopped_at = self.request_stop()
+        self.send(caller, 'last')
+        await self.router.wait_for_event('request_answered')
+        await asyncio.sleep(WORK_S)
+        self.send(caller, 'further')
+        await asyncio.sleep(WORK_S)
+        caller.writer.transport.resume_reading()
+        answer = await caller.read_answer()
+        self.assertEqual((200, KERNEL_BYTES), answer[:2])
+        await self.assert_ended(stopped_at)
+
     async def test_response_that_is_sent_slowly(self) -> None:
         """Guards against a waiting request that counts as a slow head.
 
