Let instances send a new coordinator what they counted recently

Cause: the request rates ended with the term. A new one knew the assignment but no load, took each service for an idle one, whose keys are distributed evenly, and so undid an assignment that was planned by the load. Counts that were added before the first plan of a term were lost as well, since the weights of a new `KeyRates` began at time 0.

Change: each instance keeps what it counted in the last 4.5 s, by time, and sends it with its recent service times as its first report, as soon as the first heartbeat shows a coordinator. The sum over the instances is what the former coordinator knew, also when that one crashed. A term rebalances when half of the instances that were last announced have sent their counts, and 1.5 s after its first report in any case; orphaned ranges do not wait. What an instance that reconnects has already reported in the term does not count twice. The next term of the same process, which keeps the connections after a restore of the store, keeps the load too. `load_known` logs when a term begins to rebalance. The field is the last one of the report; earlier releases ignore it, and instances of them count only by the time limit.

LoadTest (whole routers) finds a rate of 0 if the first report lacks the counts.

--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -171,6 +171,9 @@
 tenure_handed_over | INFO | epoch complete | A coordinator that is being \
 stopped renewed the grants of its term once more; `complete` tells whether \
 all were sent and all moves ended within its time limit.
+load_known | INFO | epoch informed instances after_s | The coordinator begins \
+to rebalance keys, `after_s` after its term began; `informed` of the \
+`instances` that its predecessor knew have sent their recent counts.
 """,
     ),
     _Group(
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -24,9 +24,9 @@
 from knapweedhall_router import takeover
 from knapweedhall_router import tasks
 from knapweedhall_routing import holdings
+from knapweedhall_routing import load as load_module
 from knapweedhall_routing import planning
 from knapweedhall_routing import quorum
-from knapweedhall_routing import rates
 
 RENEWAL_CHECK_PERIOD_S = 0.1
 # Longer than the check period, as a plan sums the rates of all keys.
@@ -56,8 +56,8 @@
         Sends grants and releases.
     services : dict of str to service_state.ServiceState
         Divided services, by name.
-    service_times : rates.ServiceTimes
-        Service times of the upstreams.
+    load : load.Load
+        Load of the services and service times of the upstreams.
     pauses : dict of str to float
         Until when upstreams want no requests, by name, seconds.
     links : instance_links.InstanceLinks
@@ -71,6 +71,8 @@
         Executes moves.
     renewer : renewals.Renewer
         Renews grants.
+    load_was_known : bool
+        Whether the load was known in the last plan.
     has_begun : bool
         Whether the assignments were read.
     hand_over_at : float or None
@@ -88,6 +90,7 @@
         lease_expires_at: float,
         checkpoint: coordinator_store.Checkpoint | None = None,
         links: instance_links.InstanceLinks | None = None,
+        load: load_module.Load | None = None,
     ) -> None:
         self.initial_checkpoint = checkpoint
         self.store = coordinator_store.CoordinatorStore(client, state.settings)
@@ -97,7 +100,6 @@
             order_client, holdings.FencingTokens(0)
         )
         self.services: dict[str, service_state.ServiceState] = {}
-        self.service_times = rates.ServiceTimes()
         self.pauses: dict[str, float] = {}
         self.keeps_links = False
         self.has_begun = False
@@ -113,6 +115,8 @@
             # Nobody reads again what is not relayed over these connections.
             state.feed.relay = self.relay_records
         self.links = links
+        self.load = load or load_module.Load(len(state.instances), clock.now())
+        self.load_was_known = False
         self.tasks: set[asyncio.Task[None]] = set()
         self.mover = moves.Mover(
             self.store, self.sender, self.state, self.lease
@@ -323,13 +327,19 @@
         epoch = self.store.epoch
         return [service.table(epoch) for service in self.services.values()]
 
-    def record_report(self, report: messages.Report) -> None:
+    def record_report(self, instance: str, report: messages.Report) -> None:
         """Add the measurements of an instance."""
-        for name, counts in report.keys.items():
-            if name in self.services:
-                self.services[name].rates.add(counts)
-        for upstream, (count, service_s) in report.times.items():
-            self.service_times.add(upstream, count, service_s)
+        self.load.add_report(
+            instance,
+            self._only_known(report.keys),
+            report.times,
+            report.recent
+            and [
+                (age_s, self._only_known(counts))
+                for age_s, counts in report.recent
+            ],
+            clock.now(),
+        )
         for upstream, born_ms in report.leaving:
             self.state.record_leaving(upstream, 'report', born_ms)
         now = clock.now()
@@ -337,6 +347,14 @@
             until = now + left_s
             self.pauses[upstream] = max(until, self.pauses.get(upstream, 0.0))
 
+    def _only_known(self, counts: load_module.Counts) -> load_module.Counts:
+        """Return the requests for services that have owners of keys.
+
+        Instances may connect before the assignments are read.
+        """
+        known = {*self.services, *self.state.divided_services()}
+        return {name: counts[name] for name in counts if name in known}
+
     def _announce(
         self,
         service: service_state.ServiceState,
@@ -419,14 +437,27 @@
             if not self.state.upstreams_listed:
                 continue
             now = clock.now()
-            self.service_times.keep_only(self.state.directory.entries)
+            self.load.service_times.keep_only(self.state.directory.entries)
             self.pauses = {
                 name: until
                 for name, until in self.pauses.items()
                 if until > now
             }
+            self._log_known_load(now)
             self._plan_all(now)
 
+    def _log_known_load(self, now: float) -> None:
+        if self.load_was_known or not self.load.is_known(now):
+            return
+        self.load_was_known = True
+        logs.info(
+            'load_known',
+            epoch=self.store.epoch,
+            informed=len(self.load.informed),
+            instances=self.load.instances,
+            after_s=round(now - self.load.begun_at, 3),
+        )
+
     def _plan_all(self, now: float) -> None:
         """Plan each service; a failure leaves the others alone."""
         for name in self.state.divided_services():
@@ -444,7 +475,7 @@
     def _plan_service(
         self, service: service_state.ServiceState, now: float
     ) -> None:
-        service.rates.decay(now)
+        self.load.rates_of(service.holdings.service).decay(now)
         items = service.holdings.items
         inputs = self._plan_inputs(service, now)
         if not service.is_assignable(len(inputs.capacity), now):
@@ -461,7 +492,8 @@
             )
         ]
         planned_moves = planning.place_orphans(items, inputs, orphans)
-        if not planned_moves:
+        # The assignment that the term found was planned by the load.
+        if not planned_moves and self.load.is_known(now):
             planned_moves = planning.rebalance(items, inputs, now)
         for move in planned_moves:
             self._start_move(service, move, now)
@@ -492,7 +524,7 @@
         warm = [upstream for upstream in usable if upstream.cold_until <= now]
         cold_per_s = self.state.service(name).cold_per_s
         capacity = {
-            upstream.name: self.service_times.capacity(upstream)
+            upstream.name: self.load.service_times.capacity(upstream)
             for upstream in warm
         }
         if not warm:
@@ -501,7 +533,9 @@
                 for upstream in usable
             }
         inputs = planning.Inputs(
-            capacity, service.rates, self.state.movement_rules_for(name)
+            capacity,
+            self.load.rates_of(name),
+            self.state.movement_rules_for(name),
         )
         pauses = {
             upstream: until - now for upstream, until in self.pauses.items()
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -13,6 +13,7 @@
 from knapweedhall_router import settings as settings_module
 from knapweedhall_router import state as state_module
 from knapweedhall_router import tasks
+from knapweedhall_routing import load
 from knapweedhall_routing import model
 
 COORDINATOR_GROUP = 'knapweedhall'
@@ -75,6 +76,8 @@
         Member ID of the coordinator of the last connection.
     known_coordinator : str
         Member ID to connect to while the store names no coordinator.
+    found : asyncio.Event
+        Set with the first heartbeat of the current connection.
     pause_s : float
         Upper bound of the random pause before the next search.
     """
@@ -92,6 +95,7 @@
         self.members: set[str] = set()
         self.coordinator = ''
         self.known_coordinator = ''
+        self.found = asyncio.Event()
         self.pause_s = INITIAL_PAUSE_S
 
     async def run(self) -> None:
@@ -181,6 +185,7 @@
             self.heartbeat = -1
             feed.record_connected(now)
             self.coordinator = member
+            self.found = asyncio.Event()
             async with asyncio.TaskGroup() as group:
                 reporting = group.create_task(self._send_reports(writer))
                 checking = group.create_task(
@@ -223,25 +228,33 @@
                 raise ConnectionError('replaced')
 
     async def _send_reports(self, writer: asyncio.StreamWriter) -> None:
+        # A term may end before it has measured the load. An instance that
+        # does not coordinate sends no heartbeat, and could not answer an
+        # unread report with the coordinator's name.
+        await self.found.wait()
+        now = clock.now()
+        recent, times = self.state.measurements.take_recent(now)
+        report = self._report({}, times, now)
+        report.recent = recent
         while True:
-            await asyncio.sleep(REPORT_PERIOD_S)
-            keys, self.state.key_counts = self.state.key_counts, {}
-            times, self.state.service_times = self.state.service_times, {}
-            means = {
-                name: (int(count), total / count)
-                for name, (count, total) in times.items()
-            }
-            store_answer_age_s = clock.now() - self.state.store_answered_at
-            report = messages.Report(
-                keys,
-                means,
-                self.heartbeat,
-                store_answer_age_s,
-                self.state.configuration_version(),
-                self.state.directory.unlisted_leaving(),
-                self.state.pauses(),
-            )
             writer.write(messages.encode(report))
+            await asyncio.sleep(REPORT_PERIOD_S)
+            now = clock.now()
+            keys, times = self.state.measurements.take(now)
+            report = self._report(keys, times, now)
+
+    def _report(
+        self, keys: load.Counts, times: load.Times, now: float
+    ) -> messages.Report:
+        return messages.Report(
+            keys,
+            times,
+            self.heartbeat,
+            now - self.state.store_answered_at,
+            self.state.configuration_version(),
+            self.state.directory.unlisted_leaving(),
+            self.state.pauses(),
+        )
 
     def _apply_heartbeat(self, message: messages.Heartbeat) -> None:
         now = clock.now()
@@ -249,6 +262,7 @@
             self.members = set()
             logs.info('coordinator_found', coordinator=self.coordinator)
         self.connected = True
+        self.found.set()
         self.known_coordinator = self.coordinator
         if message.lease_expired and not self.lease_expired:
             self.status_changed.notify()
--- a/packages/knapweedhall-router/src/knapweedhall_router/instance_links.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/instance_links.py
@@ -74,7 +74,7 @@
         Returns the first messages for an instance, from the topics that it
         requests.
     on_report : callable
-        Called with each report.
+        Called with the name of an instance and its report.
     make_heartbeat : callable
         Returns a heartbeat from its number, the members that joined, and
         those that left.
@@ -91,7 +91,7 @@
     def __init__(
         self,
         initial_messages: typing.Callable[[list[str]], list[messages.Message]],
-        on_report: typing.Callable[[messages.Report], None],
+        on_report: typing.Callable[[str, messages.Report], None],
         make_heartbeat: typing.Callable[
             [int, list[str], list[str]], messages.Heartbeat
         ],
@@ -167,7 +167,7 @@
                 heartbeat_sent_at, report.store_answer_age_s
             )
         link.version = report.version
-        self.on_report(report)
+        self.on_report(link.instance, report)
 
     async def attach(
         self,
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -23,6 +23,7 @@
 from knapweedhall_router import state as state_module
 from knapweedhall_router import tasks
 from knapweedhall_routing import candidacy
+from knapweedhall_routing import load as load_module
 
 # Time after the coordinator's last join at which the store lets another member
 # take over. Short, as the keys of a lost upstream are not reassigned until
@@ -223,8 +224,10 @@
             except asyncio.CancelledError:
                 current.close_links()
                 raise
-            links = current.links if current.keeps_links else None
-            self._start(lease_expires_at, links)
+            if current.keeps_links:
+                self._start(lease_expires_at, current.links, current.load)
+            else:
+                self._start(lease_expires_at)
 
     async def _call_join(self) -> outcomes.JoinOutcome:
         if self.generation_era != self.client.era:
@@ -275,6 +278,7 @@
         self,
         lease_expires_at: float,
         links: instance_links.InstanceLinks | None = None,
+        load: load_module.Load | None = None,
     ) -> None:
         checkpoint, self.checkpoint = self.checkpoint, None
         self.coordinator = coordinator_module.Coordinator(
@@ -284,6 +288,7 @@
             lease_expires_at,
             checkpoint,
             links,
+            load,
         )
         self.task = asyncio.create_task(self.coordinator.run())
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/messages.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from knapweedhall_adapter import errors
+from knapweedhall_routing import load
 from knapweedhall_routing import model
 from knapweedhall_routing import ranges
 
@@ -140,6 +141,10 @@
         and that the store does not list as draining.
     pauses : dict of str to float
         Time left for which upstreams want no requests, by name, seconds.
+    recent : list of tuple of float and dict, or None
+        Requests of the last seconds by service and bucket, with the time
+        since the begin of the period in which they were counted; only in the
+        first report of a connection, whose `keys` are empty.
     """
 
     keys: dict[str, dict[int, int]]
@@ -149,6 +154,7 @@
     version: int
     leaving: list[tuple[str, int]] = []
     pauses: dict[str, float] = {}
+    recent: load.RecentCounts | None = None
 
 
 class Table(msgspec.Struct, tag='table', array_like=True):
--- a/packages/knapweedhall-router/src/knapweedhall_router/service_state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/service_state.py
@@ -6,7 +6,6 @@
 
 from knapweedhall_router import messages
 from knapweedhall_routing import holdings
-from knapweedhall_routing import rates
 
 # Time for which the number of usable upstreams must be unchanged before the
 # first assignment of a service; otherwise the first few would get all keys.
@@ -14,14 +13,12 @@
 
 
 class ServiceState:
-    """Assignment and load of one service.
+    """Assignment of one service.
 
     Attributes
     ----------
     holdings : holdings.Holdings
         Ranges of keys with their possible holders.
-    rates : rates.KeyRates
-        Measured request rates by key.
     number : int
         Number of changes sent to the instances.
     upstream_count : int
@@ -32,7 +29,6 @@
 
     def __init__(self, name: str) -> None:
         self.holdings = holdings.Holdings(name)
-        self.rates = rates.KeyRates()
         self.number = 0
         self.upstream_count = 0
         self.assignable_at = 0.0
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -14,10 +14,10 @@
 from knapweedhall_routing import directory
 from knapweedhall_routing import health
 from knapweedhall_routing import idle_limits
+from knapweedhall_routing import load
 from knapweedhall_routing import model
 from knapweedhall_routing import planning
 from knapweedhall_routing import ranges
-from knapweedhall_routing import rates
 from knapweedhall_routing import routes
 
 TIMER_SLACK_S = 0.005
@@ -103,11 +103,8 @@
         are awaited, on `clock.now`; inf unless the process is being stopped.
     accepts_callers : bool
         Whether the listener for callers is open.
-    key_counts : dict of str to dict of int to int
-        Requests by service and bucket since the last report.
-    service_times : dict of str to list of float
-        Number and sum of service times in seconds, by upstream, since the last
-        report.
+    measurements : load.Measurements
+        Requests and service times for the reports to the coordinator.
     """
 
     def __init__(self, settings: settings_module.Settings) -> None:
@@ -127,8 +124,7 @@
         self.retry_budgets: dict[str, budgets.RetryBudget] = {}
         self.cold_budgets: dict[str, budgets.ColdBudget] = {}
         self.idle_limits: dict[str, idle_limits.IdleLimit] = {}
-        self.key_counts: dict[str, dict[int, int]] = {}
-        self.service_times: dict[str, list[float]] = {}
+        self.measurements = load.Measurements()
         self.movement_rules: dict[str, planning.Rules] = {}
         self.owners_changed = Signal()
         self.out_of_service = False
@@ -230,15 +226,11 @@
 
     def count_request(self, service: str, key: int) -> None:
         """Count a request for the rates that the coordinator computes."""
-        counts = self.key_counts.setdefault(service, {})
-        bucket = rates.bucket_of(key)
-        counts[bucket] = counts.get(bucket, 0) + 1
+        self.measurements.add_request(service, key, clock.now())
 
     def add_service_time(self, upstream: str, service_s: float) -> None:
         """Add a service time to those reported to the coordinator."""
-        sums = self.service_times.setdefault(upstream, [0, 0.0])
-        sums[0] += 1
-        sums[1] += service_s
+        self.measurements.add_service_time(upstream, service_s, clock.now())
 
     def record_leaving(
         self, upstream: str, source: str, born_ms: int | None = None
--- a/packages/knapweedhall-router/tests/test_coordinator.py
+++ b/packages/knapweedhall-router/tests/test_coordinator.py
@@ -208,7 +208,8 @@
     def report(self, bucket: int, count: int) -> None:
         """Record an instance's report of requests for keys."""
         self.coordinator.record_report(
-            messages.Report({'s': {bucket: count}}, {}, 0, 0.0, 1, [], {})
+            'router-1',
+            messages.Report({'s': {bucket: count}}, {}, 0, 0.0, 1, [], {}),
         )
 
     def test_moves_nothing_before_the_load_is_known(self) -> None:
--- a/packages/knapweedhall-router/tests/test_coordinator_link.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_link.py
@@ -41,7 +41,7 @@
         self.state = state_module.State(instance_settings)
         self.link = coordinator_link.CoordinatorLink(client, self.state)
         self.links = instance_links.InstanceLinks(
-            lambda topics: [], lambda report: None, _heartbeat
+            lambda topics: [], lambda instance, report: None, _heartbeat
         )
         coordinator = types.SimpleNamespace(links=self.links)
         self.membership = types.SimpleNamespace(
--- a/packages/knapweedhall-router/tests/test_coordinator_stops.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_stops.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from unittest import mock
 
 from knapweedhall_router import application
+from knapweedhall_router import clock
 from knapweedhall_router import coordinator_link
 from knapweedhall_router import membership
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
+from knapweedhall_routing import rates
 from tests import fleet
 from tests import fleet_case
 
@@ -23,6 +26,9 @@
 STOPS = 6
 KEYS = range(0, model.KEY_COUNT, 1024)
 CHECK_PERIOD_S = 0.02
+TRAFFIC_S = 3.0
+# Far less than the time for which instances keep their counts.
+KNOWN_LOAD_S = 2.5
 
 
 class StopsInSeriesTest(fleet_case.FleetTest):
@@ -161,6 +167,43 @@
         self.assert_one_owner()
 
 
+class LoadTest(fleet_case.FleetTest):
+    """The load that the next coordinator finds."""
+
+    routers = 4
+
+    async def test_next_coordinator_knows_the_rates(self) -> None:
+        """Guards against terms that end before they have measured the load.
+
+        No request is sent any longer, so that there is nothing to measure.
+        """
+        requests = await self.fleet.send_random_requests(TRAFFIC_S)
+        ended_at = clock.now()
+        stopped = self.coordinator()
+        await self.fleet.stop_router(stopped)
+        await self.fleet.wait_until(self.are_all_informing, KNOWN_LOAD_S)
+        member = self.coordinator().member
+        assert member is not None and member.coordinator is not None
+        term, now = member.coordinator, clock.now()
+        self.assertTrue(term.load.is_known(now))
+        measured = term.load.rates_of('views')
+        measured.decay(now)
+        # A quarter of the requests was counted by the stopped instance.
+        per_s = 0.75 * len(requests) / TRAFFIC_S
+        age_s = now - ended_at
+        expected = per_s * math.exp(-age_s / rates.SLOW_TIME_CONSTANT_S)
+        self.assertGreater(measured.total(), 0.5 * expected)
+        self.assertLess(measured.total(), 2 * expected)
+
+    def are_all_informing(self) -> bool:
+        """Return whether the next coordinator has counts of all instances."""
+        running = {router.settings.name for router in self.fleet.routers}
+        for router in self.fleet.routers:
+            if router.member is not None and router.member.coordinator:
+                return running <= router.member.coordinator.load.informed
+        return False
+
+
 class CandidateTest(fleet_case.FleetTest):
     """An instance that is stopped and does not coordinate."""
 
--- a/packages/knapweedhall-router/tests/test_membership.py
+++ b/packages/knapweedhall-router/tests/test_membership.py
@@ -40,11 +40,13 @@
         state: state_module.State,
         lease_expires_at: float,
         checkpoint: object,
-        links: object,
+        links: object = None,
+        load: object = None,
     ) -> None:
         self.lease = lease.Lease(state, lease_expires_at)
         self.initial_checkpoint = checkpoint
         self.links = links or object()
+        self.load = load or object()
         self.keeps_links = False
         self.close_links = mock.Mock()
         self.store = mock.Mock(epoch=7, era=client.era)
@@ -109,6 +111,7 @@
         former = typing.cast(_Coordinator, self.coordinator)
         begun = typing.cast(_Coordinator, self.membership.coordinator)
         self.assertIsNot(former.links, begun.links)
+        self.assertIsNot(former.load, begun.load)
 
     async def restore(self) -> None:
         """Restore the store, so that the next join counts as unanswered."""
@@ -126,6 +129,8 @@
         self.assertEqual('term 7', begun.initial_checkpoint)
         former = typing.cast(_Coordinator, self.coordinator)
         self.assertIs(former.links, begun.links)
+        # Instances that stay connected do not send their recent counts.
+        self.assertIs(former.load, begun.load)
         await self.membership._join(clock.now())
         self.assertIs(begun, self.membership.coordinator)
 
--- a/packages/knapweedhall-router/tests/test_messages.py
+++ b/packages/knapweedhall-router/tests/test_messages.py
@@ -92,6 +92,38 @@
     return bytes([raw[0] + 1]) + raw[1:] + depth * b'\x91' + b'\x01'
 
 
+class _FormerReport(msgspec.Struct, tag='report', array_like=True):
+    """Report of the release before the recent counts."""
+
+    keys: dict[str, dict[int, int]]
+    times: dict[str, tuple[int, float]]
+    heartbeat: int
+    store_answer_age_s: float
+    version: int
+    leaving: list[tuple[str, int]] = []
+    pauses: dict[str, float] = {}
+
+
+class ReportTest(unittest.TestCase):
+    """Reports between an instance and a coordinator of different releases."""
+
+    def test_report_of_an_earlier_release(self) -> None:
+        """Guards against an instance that counts as one without requests."""
+        raw = msgspec.msgpack.encode(_FormerReport({}, {}, 1, 0.1, 3))
+        report = messages.decode(raw)
+        assert isinstance(report, messages.Report)
+        self.assertIsNone(report.recent)
+
+    def test_report_to_an_earlier_release(self) -> None:
+        """Guards against a report that ends the connection."""
+        report = messages.Report(
+            {'s': {1: 2}}, {}, 1, 0.1, 3, recent=[(0.3, {'s': {1: 2}})]
+        )
+        raw = msgspec.msgpack.encode(report)
+        read = msgspec.msgpack.decode(raw, type=_FormerReport)
+        self.assertEqual({'s': {1: 2}}, read.keys)
+
+
 class NestedMessageTest(unittest.IsolatedAsyncioTestCase):
     """Messages with deep nesting."""
 
--- a/packages/knapweedhall-router/tests/test_properties.py
+++ b/packages/knapweedhall-router/tests/test_properties.py
@@ -43,6 +43,7 @@
     messages.Redirect('a@10.0.0.1:7540'),
     messages.SteppedDown(3),
     messages.Report({'s': {1: 2}}, {'u': (1, 0.1)}, 1, 0.1, 3),
+    messages.Report({}, {}, 1, 0.1, 3, recent=[(0.3, {'s': {1: 2}})]),
     messages.Table('s', 1, 2, [(0, 9, 'u', '10.0.0.1', 80)]),
     messages.TableChange('s', 1, 2, [(0, 9, 'u', '10.0.0.1', 80)]),
     messages.Heartbeat(1, ['a'], [], False, {'t': 0.1}, 9.0, [('u', 1)]),
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/rates.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/rates.py
@@ -66,18 +66,31 @@
         Sums of `counts` over all buckets before an index.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now: float = 0.0) -> None:
         self.slow_counts = [0.0] * BUCKET_COUNT
         self.fast_counts = [0.0] * BUCKET_COUNT
-        self.weights_reset_at = 0.0
-        self.decayed_at = 0.0
+        self.weights_reset_at = now
+        self.decayed_at = now
         self.counts = self.slow_counts
         self.per_s = 0.0
         self.sums: list[float] = [0.0] * (BUCKET_COUNT + 1)
 
-    def add(self, counts: typing.Mapping[int, int]) -> None:
-        """Add numbers of requests by bucket."""
-        age = self.decayed_at - self.weights_reset_at
+    def add(
+        self, counts: typing.Mapping[int, int], at: float | None = None
+    ) -> None:
+        """Add numbers of requests by bucket.
+
+        Parameters
+        ----------
+        counts : dict of int to int
+            Requests by bucket.
+        at : float or None
+            Begin of the period in which they were counted, seconds; None if
+            they were counted since the last call of `decay`.
+        """
+        if at is None:
+            at = self.decayed_at
+        age = at - self.weights_reset_at
         slow = math.exp(age / SLOW_TIME_CONSTANT_S)
         fast = math.exp(age / FAST_TIME_CONSTANT_S)
         for bucket, count in counts.items():
