Count the former coordinator's instances while the next one connects them

An instance divides the budgets of all instances (retries, cold upstreams, connections) by the number that the coordinator announced. With the first heartbeat of the next coordinator it forgot all instances but those that had connected to that one already. The first to connect counted alone and took whole budgets, and the next ones shares that were too large, at each change of the coordinator. It also made the next coordinator wait for the reports of too few instances before it rebalanced, if terms were short.

One that leaves the next coordinator is dropped at once.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -13,6 +13,7 @@
 from knapweedhall_router import settings as settings_module
 from knapweedhall_router import state as state_module
 from knapweedhall_router import tasks
+from knapweedhall_routing import announced
 from knapweedhall_routing import load
 from knapweedhall_routing import model
 
@@ -70,6 +71,8 @@
         Whether the coordinator's lease has expired.
     heartbeat : int
         Number of the last heartbeat; -1 before the first.
+    announced : announced.AnnouncedMembers
+        Members that the coordinators announced.
     members : set of str
         Member IDs of all instances that are connected to the coordinator.
     coordinator : str
@@ -92,6 +95,7 @@
         self.last_received_at = 0.0
         self.lease_expired = False
         self.heartbeat = -1
+        self.announced = announced.AnnouncedMembers()
         self.members: set[str] = set()
         self.coordinator = ''
         self.known_coordinator = ''
@@ -259,7 +263,7 @@
     def _apply_heartbeat(self, message: messages.Heartbeat) -> None:
         now = clock.now()
         if not self.connected:
-            self.members = set()
+            self.announced.begin(now)
             logs.info('coordinator_found', coordinator=self.coordinator)
         self.connected = True
         self.found.set()
@@ -272,10 +276,11 @@
         self.state.feed.coordinator_outage_at = now - message.outage_age_s
         for name, born_ms in message.leaving:
             self.state.record_leaving(name, 'heartbeat', born_ms)
-        self.members |= set(message.joined)
-        self.members -= set(message.left)
-        if self.members:
-            names = {member.rpartition('@')[0] for member in self.members}
+        self.announced.update(message.joined, message.left)
+        self.members = set(self.announced.current)
+        alive = self.announced.members(now)
+        if alive:
+            names = {member.rpartition('@')[0] for member in alive}
             self.state.instances = tuple(sorted(names))
 
     def apply(self, message: messages.Message) -> None:
--- a/packages/knapweedhall-router/tests/test_coordinator_link.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_link.py
@@ -149,3 +149,25 @@
         self.connecting.cancel()
         done, _ = await asyncio.wait([self.connecting], timeout=1.0)
         self.assertEqual({self.connecting}, done)
+
+
+class AnnouncedInstancesTest(unittest.TestCase):
+    """The number of instances that divide budgets."""
+
+    def test_change_of_the_coordinator(self) -> None:
+        """Guards against budgets that a few instances divide among them.
+
+        The first instance that connected to the next coordinator counted as
+        the only one, so that all of them together exceeded the budgets.
+        """
+        instance = _Instance(False)
+        members = [f'router-{n}@{HOST}:{n}' for n in range(1, 91)]
+        instance.link.apply(_heartbeat(1, members, []))
+        # The connection ends.
+        instance.link.connected = False
+        instance.link.apply(_heartbeat(1, members[:1], []))
+        budget = instance.state.retry_budget('s')
+        self.assertEqual(90, budget.instances)
+        self.assertEqual(set(members[:1]), instance.link.members)
+        instance.link.apply(_heartbeat(2, [], members[:1]))
+        self.assertEqual(89, instance.state.retry_budget('s').instances)
