Hand assignments over to another coordinator after a restore

Cause: only the coordinator at the time of the restore knows the assignments that the copy lacks, and it kept them for its own next term. When the group in the copy names another member, it stepped down and dropped them.

Change: a new coordinator that knows no holder asks the coordinator that it was connected to and those in the record to step down, and names the era of its term. One that steps down for a later era adds the assignments that the store had confirmed. The new one writes them before it uses them. It is safe because:

- they are handed over only after the term ended, and only with an unexpired lease of the former era: the request shows that the restore was before, so no other coordinator can have begun in that era.
Who was paused, cut off, fenced or deposed hands nothing over;
- owners change in the later era only after a record, which the new coordinator finds when it begins, or which makes its own write fail.
A record of that era that cannot be decoded counts as a change;
- they name their era, and a further restore makes them void;
- holders that do not answer keep their keys for 9 s more.

Tests: test_keys_under_another_coordinator failed before (no owner for 5.99 s of the 6 s that it looks) and passes (three runs alone, two of make test). test_former_coordinator_that_was_replaced plays a coordinator without the store that was replaced before the restore; it finds two holders when the check of the lease is removed. HandoverTest, AdoptTest, test_checkpoints and test_membership hold each condition. The doubles of the coordinator and of step_down take the new arguments.

Result: make test, 494 passed, none failed.

--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -174,6 +174,8 @@
 load_known | INFO | epoch informed instances after_s | The coordinator begins \
 to rebalance keys, `after_s` after its term began; `informed` of the \
 `instances` that its predecessor knew have sent their recent counts.
+assignments_adopted | INFO | service | The store came back from a copy, and \
+the coordinator continues with the assignment that the former one had.
 """,
     ),
     _Group(
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -6,6 +6,7 @@
 import functools
 import typing
 
+from knapweedhall_adapter import errors
 from knapweedhall_adapter import orders as order_client
 from knapweedhall_adapter import store
 from knapweedhall_router import clock
@@ -33,6 +34,8 @@
 PLAN_PERIOD_S = 0.25
 # Share of the cold budget of an upstream that its keys may use.
 COLD_BUDGET_SHARE = 0.8
+# Period of requests for assignments that the store has lost.
+ASSIGNMENT_RETRY_S = 0.3
 # Time for which the set of connected instances must not change before it is
 # stored, so that a restart of all instances makes only a few records.
 FLEET_STABLE_S = 0.5
@@ -80,6 +83,9 @@
     initial_checkpoint : coordinator_store.Checkpoint or None
         Assignments of this instance's last term, which ended with the store's
         era.
+    former : str
+        Member ID of the last coordinator that this instance was connected to;
+        '' if there was none.
     """
 
     def __init__(
@@ -91,8 +97,10 @@
         checkpoint: coordinator_store.Checkpoint | None = None,
         links: instance_links.InstanceLinks | None = None,
         load: load_module.Load | None = None,
+        former: str = '',
     ) -> None:
         self.initial_checkpoint = checkpoint
+        self.former = former
         self.store = coordinator_store.CoordinatorStore(client, state.settings)
         self.state = state
         self.lease = lease_module.Lease(state, lease_expires_at)
@@ -157,6 +165,20 @@
             return None
         return self.store.checkpoint()
 
+    def handover(self, era: int) -> coordinator_store.Checkpoint | None:
+        """Return the assignments for a coordinator in a later era.
+
+        With a lease of its own era, this was the only coordinator when the
+        store was restored, and the store does not name the assignments that
+        it had confirmed since its copy. Reports of an outage are no evidence
+        here, as they are up to a second old.
+        """
+        if not 0 <= self.store.era < era or self.store.epoch < 0:
+            return None
+        if self.store.deposed or self.sender.fenced or self.lease.is_expired():
+            return None
+        return self.store.checkpoint()._replace(era=era)
+
     async def run(self) -> None:
         """Begin the term and coordinate until cancelled or deposed."""
         try:
@@ -165,6 +187,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.links.run())
                 group.create_task(self._end_predecessors())
+                group.create_task(self._request_assignments())
                 group.create_task(self._update_fleet())
                 group.create_task(self._renew())
                 group.create_task(self._plan())
@@ -216,9 +239,7 @@
         }
 
     async def _end_predecessors(self) -> None:
-        request = messages.Takeover(
-            self.store.epoch, coordinator_link.member_id(self.state.settings)
-        )
+        request = self._takeover()
         await takeover.end_predecessors(
             self.store.predecessors, request, self.links.connected_at
         )
@@ -228,6 +249,64 @@
                 service.holdings.record_predecessors_ended(now)
         await self._write_term(self.store.clear_predecessors())
 
+    def _takeover(self) -> messages.Takeover:
+        return messages.Takeover(
+            self.store.epoch,
+            coordinator_link.member_id(self.state.settings),
+            self.store.era,
+        )
+
+    async def _request_assignments(self) -> None:
+        """Get the assignments that the restored store lacks.
+
+        The coordinator at the time of the restore may know them. Otherwise
+        the keys wait until no grant can be left.
+        """
+        addresses = {
+            predecessor.address for predecessor in self.store.predecessors
+        }
+        address = coordinator_link.member_address(self.former)
+        if address is not None:
+            addresses.add(str(address))
+        while any(
+            service.holdings.has_unknown_holder(clock.now())
+            for service in self.services.values()
+        ):
+            for confirmed in await asyncio.gather(
+                *(
+                    takeover.request_step_down(each, self._takeover())
+                    for each in addresses
+                )
+            ):
+                if confirmed is not None:
+                    await self._write_term(self._adopt(confirmed.assignments))
+            if self.must_stop():
+                return
+            await asyncio.sleep(ASSIGNMENT_RETRY_S)
+
+    async def _adopt(self, assignments: dict[str, bytes]) -> None:
+        """Begin with assignments of the coordinator before the restore."""
+        for name, raw in assignments.items():
+            service = self.services.get(name)
+            if service is None or not service.holdings.is_unknown(clock.now()):
+                continue
+            if name in self.store.unreadable:
+                # Its owners may have changed after the restore.
+                continue
+            try:
+                stored = coordinator_store.decode_assignment(raw)
+            except errors.DecodeError as error:
+                logs.warning(
+                    'predecessor_odd', address=self.former, reason=str(error)
+                )
+                continue
+            await self.store.adopt(name, stored)
+            now = clock.now()
+            if service.holdings.is_unknown(now):
+                service.holdings.restore(stored, now)
+                self.links.send(service.new_table(self.store.epoch))
+                logs.info('assignments_adopted', service=name)
+
     async def _update_fleet(self) -> None:
         """Keep the connected instances in the record of the term.
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -77,6 +77,8 @@
         Member IDs of all instances that are connected to the coordinator.
     coordinator : str
         Member ID of the coordinator of the last connection.
+    former_coordinator : str
+        Member ID of the last other instance that was the coordinator.
     known_coordinator : str
         Member ID to connect to while the store names no coordinator.
     found : asyncio.Event
@@ -98,6 +100,7 @@
         self.announced = announced.AnnouncedMembers()
         self.members: set[str] = set()
         self.coordinator = ''
+        self.former_coordinator = ''
         self.known_coordinator = ''
         self.found = asyncio.Event()
         self.pause_s = INITIAL_PAUSE_S
@@ -268,6 +271,8 @@
         self.connected = True
         self.found.set()
         self.known_coordinator = self.coordinator
+        if self.coordinator != member_id(self.state.settings):
+            self.former_coordinator = self.coordinator
         if message.lease_expired and not self.lease_expired:
             self.status_changed.notify()
         self.lease_expired = message.lease_expired
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_store.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_store.py
@@ -122,6 +122,8 @@
         Earlier coordinators that may still renew grants.
     outdated : set of str
         Services whose assignment the store has from an earlier era only.
+    unreadable : set of str
+        Services whose assignment, though of this era, cannot be decoded.
     lock : asyncio.Lock
         Held while a record is written.
     requested, written : dict of str to int
@@ -148,6 +150,7 @@
         self.next_fleet: list[str] = []
         self.predecessors: list[takeover.Predecessor] = []
         self.outdated: set[str] = set()
+        self.unreadable: set[str] = set()
         self.lock = asyncio.Lock()
         self.requested: dict[str, int] = {}
         self.written: dict[str, int] = {}
@@ -251,6 +254,21 @@
             self.stored[service] = stored
         logs.info('assignments_restored', services=sorted(self.stored))
 
+    async def adopt(
+        self, service: str, stored: list[holdings.StoredRange]
+    ) -> None:
+        """Write the assignment that a coordinator of an earlier era had.
+
+        It is in force only then: a coordinator that began later finds it, or
+        this one finds that it was deposed.
+        """
+        record = store.encode_record(
+            TABLE_PREFIX + service, msgspec.json.encode(stored)
+        )
+        async with self.lock:
+            await self._append(record)
+        self.stored[service] = stored
+
     async def clear_predecessors(self) -> None:
         """Remove the predecessors from the stored record of the term.
 
@@ -348,6 +366,7 @@
             try:
                 assignments[service] = decode_assignment(record.value)
             except errors.DecodeError as error:
+                self.unreadable.add(service)
                 logs.warning(
                     'table_unreadable', key=record.key, reason=str(error)
                 )
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -77,6 +77,9 @@
     checkpoint : coordinator_store.Checkpoint or None
         Assignments of the current term, which ends because the store came back
         from a copy.
+    handover : coordinator_store.Checkpoint or None
+        Assignments of the last term, which ended because the store came back
+        from a copy, for the next coordinator.
     """
 
     def __init__(
@@ -97,6 +100,7 @@
         self.coordinator: coordinator_module.Coordinator | None = None
         self.task: asyncio.Task[None] | None = None
         self.checkpoint: coordinator_store.Checkpoint | None = None
+        self.handover: coordinator_store.Checkpoint | None = None
         settings = state.settings
         self.member = coordinator_link.member_id(settings)
         min_timeout_s = settings.least_membership_s
@@ -273,6 +277,12 @@
         if self.coordinator is not None and self._is_restored():
             if self.checkpoint is None:
                 self.checkpoint = self.coordinator.checkpoint()
+            self._keep_handover(self.coordinator, self.client.era)
+
+    def _keep_handover(
+        self, current: coordinator_module.Coordinator, era: int
+    ) -> None:
+        self.handover = current.handover(era) or self.handover
 
     def _start(
         self,
@@ -281,6 +291,7 @@
         load: load_module.Load | None = None,
     ) -> None:
         checkpoint, self.checkpoint = self.checkpoint, None
+        self.handover = None
         self.coordinator = coordinator_module.Coordinator(
             self.client,
             self.order_client,
@@ -289,6 +300,7 @@
             checkpoint,
             links,
             load,
+            self.link.former_coordinator,
         )
         self.task = asyncio.create_task(self.coordinator.run())
 
@@ -307,12 +319,32 @@
         elif error is not None:
             logs.warning('tenure_failed', reason=tasks.describe(error))
 
-    async def step_down(self, epoch: int) -> None:
-        """End the current term if its epoch is lower."""
+    async def step_down(
+        self, epoch: int, era: int
+    ) -> coordinator_store.Checkpoint | None:
+        """End the current term if its epoch is lower.
+
+        Parameters
+        ----------
+        epoch, era : int
+            Number of the new term, and era of the store in which it began.
+
+        Returns
+        -------
+        coordinator_store.Checkpoint or None
+            The assignments that were in force when that era began; None if
+            somebody else may have changed them.
+        """
         current = self.coordinator
         if current is not None and current.store.epoch < epoch:
             logs.info('tenure_yielded', epoch=current.store.epoch, to=epoch)
             await self._stop()
+            # A move may have ended until now.
+            if self.coordinator is None:
+                self._keep_handover(current, era)
+        if self.coordinator is not None or self.handover is None:
+            return None
+        return self.handover if self.handover.era == era else None
 
     async def hand_over(self, until: float) -> None:
         """Prepare the end of the current term, while the membership goes on.
--- a/packages/knapweedhall-router/src/knapweedhall_router/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/messages.py
@@ -61,10 +61,13 @@
         Number of the new term; all earlier terms are to end.
     coordinator : str
         Member ID of the new coordinator.
+    era : int
+        Era of the store in which the new term began; -1 if it is not stated.
     """
 
     epoch: int
     coordinator: str = ''
+    era: int = -1
 
 
 class Redirect(msgspec.Struct, tag='redirect', array_like=True):
@@ -86,9 +89,13 @@
     ----------
     epoch : int
         Number of the new term, as in the `Takeover`.
+    assignments : dict of str to bytes
+        By service, the assignment in force when the store was restored, in
+        its form for the store; empty unless nobody else can have changed it.
     """
 
     epoch: int
+    assignments: dict[str, bytes] = {}
 
 
 class OverviewRequest(msgspec.Struct, tag='inspect', array_like=True):
--- a/packages/knapweedhall-router/src/knapweedhall_router/peer_listener.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/peer_listener.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import msgspec
+
 from knapweedhall_router import coordinator_link
 from knapweedhall_router import logs
 from knapweedhall_router import membership
@@ -66,11 +68,18 @@
     async def _step_down(
         self, request: messages.Takeover, writer: asyncio.StreamWriter
     ) -> None:
-        await self.membership.step_down(request.epoch)
+        kept = await self.membership.step_down(request.epoch, request.era)
         self.link.known_coordinator = (
             request.coordinator or self.link.known_coordinator
         )
-        await self._respond(messages.SteppedDown(request.epoch), writer)
+        assignments = {}
+        if kept is not None:
+            assignments = {
+                service: msgspec.json.encode(stored)
+                for service, stored in kept.assignments.items()
+            }
+        response = messages.SteppedDown(request.epoch, assignments)
+        await self._respond(response, writer)
 
     async def _respond(
         self, message: messages.Message, writer: asyncio.StreamWriter
--- a/packages/knapweedhall-router/src/knapweedhall_router/service_state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/service_state.py
@@ -52,6 +52,11 @@
             self.holdings.service, epoch, self.number, owned_ranges
         )
 
+    def new_table(self, epoch: int) -> messages.Table:
+        """Count a change of all ranges and return the message about it."""
+        self.number += 1
+        return self.table(epoch)
+
     def change(
         self, epoch: int, changed: typing.Iterable[holdings.Holding]
     ) -> messages.TableChange:
--- a/packages/knapweedhall-router/src/knapweedhall_router/takeover.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/takeover.py
@@ -100,8 +100,16 @@
     return list(last_by_address.values())
 
 
-async def request_step_down(address: str, request: messages.Takeover) -> bool:
-    """Request a coordinator to step down; return whether it confirmed."""
+async def request_step_down(
+    address: str, request: messages.Takeover
+) -> messages.SteppedDown | None:
+    """Request a coordinator to step down.
+
+    Returns
+    -------
+    messages.SteppedDown or None
+        Its confirmation; None if it did not confirm.
+    """
     try:
         host, port = model.parse_address(address)
         async with asyncio.timeout(REQUEST_TIMEOUT_S):
@@ -115,14 +123,13 @@
         logs.info(
             'predecessor_silent', address=address, reason=type(error).__name__
         )
-        return False
+        return None
     except errors.DecodeError as error:
         logs.warning('predecessor_odd', address=address, reason=str(error))
-        return False
-    return (
-        isinstance(response, messages.SteppedDown)
-        and response.epoch == request.epoch
-    )
+        return None
+    if not isinstance(response, messages.SteppedDown):
+        return None
+    return response if response.epoch == request.epoch else None
 
 
 async def end_predecessors(
@@ -196,7 +203,7 @@
 async def _request_until_confirmed(
     address: str, request: messages.Takeover
 ) -> None:
-    confirmed = False
-    while not confirmed:
+    confirmed = None
+    while confirmed is None:
         await asyncio.sleep(REQUEST_RETRY_S)
         confirmed = await request_step_down(address, request)
--- a/packages/knapweedhall-router/tests/test_checkpoints.py
+++ b/packages/knapweedhall-router/tests/test_checkpoints.py
@@ -85,6 +85,39 @@
         await self.begin(None)
         self.assertEqual('', self.owner())
 
+    async def test_assignment_of_the_former_coordinator(self) -> None:
+        """Guards against keys that wait again in the next term."""
+        self.restore()
+        begun = await self.begin(None)
+        self.assertEqual('', self.owner())
+        await begun.adopt(SERVICE, self.checkpoint.assignments[SERVICE])
+        await self.begin(None)
+        self.assertEqual('up-2', self.owner())
+
+    async def test_former_assignment_after_another_term(self) -> None:
+        """Guards against owners that another coordinator may have changed.
+
+        Two coordinators get the assignments of the one before the restore.
+        """
+        self.restore()
+        begun = await self.begin(None)
+        later = await self.begin(None)
+        handed_over = self.checkpoint.assignments[SERVICE]
+        with self.assertRaises(coordinator_store.DeposedError):
+            await begun.adopt(SERVICE, handed_over)
+        await later.adopt(SERVICE, handed_over)
+        await self.write(later, 'up-3')
+        await self.begin(None)
+        self.assertEqual('up-3', self.owner())
+
+    async def test_unreadable_assignment_of_the_present_era(self) -> None:
+        """Guards against owners that changed after the restore."""
+        self.restore()
+        key = coordinator_store.TABLE_PREFIX + SERVICE
+        self.assertEqual(set(), (await self.begin(None)).unreadable)
+        self.store.put(coordinator_store.TOPIC, key, 'junk')
+        self.assertEqual({SERVICE}, (await self.begin(None)).unreadable)
+
     async def test_another_term_began_first(self) -> None:
         """Guards against owners that another coordinator may have changed."""
         self.restore()
--- a/packages/knapweedhall-router/tests/test_coordinator.py
+++ b/packages/knapweedhall-router/tests/test_coordinator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import types
 import typing
 import unittest
 
@@ -175,6 +176,139 @@
         self.assertEqual([], self.plan(self.now + 2.0))
 
 
+class HandoverTest(unittest.TestCase):
+    """What a coordinator hands over after the store was restored."""
+
+    def setUp(self) -> None:
+        """Let a coordinator with a lease know an assignment."""
+        self.coordinator = coordinator.Coordinator(
+            typing.cast(typing.Any, types.SimpleNamespace(era=0)),
+            typing.cast(typing.Any, None),
+            state_module.State(fleet.Fleet().new_settings()),
+            clock.now() + 60.0,
+        )
+        self.coordinator.store.epoch, self.coordinator.store.era = 7, 0
+        self.stored = [holdings.StoredRange(0, 65535, 'u', '10.0.0.1', 80, 1)]
+        self.coordinator.store.stored['s'] = self.stored
+
+    def test_sole_coordinator(self) -> None:
+        """Guards against keys without an owner for 9 s."""
+        self.assertEqual(
+            coordinator_store.Checkpoint(7, 1, {'s': self.stored}),
+            self.coordinator.handover(1),
+        )
+
+    def test_expired_lease(self) -> None:
+        """Guards against owners that a later coordinator has changed.
+
+        The coordinator was paused or cut off from the store, or the store was
+        away. It does not know whether another one began a term before the
+        restore, and the store has lost its record.
+        """
+        self.coordinator.lease.expires_at = clock.now() - 0.01
+        self.assertIsNone(self.coordinator.handover(1))
+
+    def test_replaced_coordinator(self) -> None:
+        """Guards against owners that a later coordinator has changed."""
+        for name in ('deposed', 'fenced'):
+            with self.subTest(name):
+                self.setUp()
+                if name == 'deposed':
+                    self.coordinator.store.deposed = True
+                else:
+                    self.coordinator.sender.fenced = True
+                self.assertIsNone(self.coordinator.handover(1))
+
+    def test_term_of_the_same_era(self) -> None:
+        """Guards against assignments that the store has in a newer form."""
+        for era in (-1, 0):
+            self.assertIsNone(self.coordinator.handover(era))
+
+    def test_term_that_has_not_begun(self) -> None:
+        """Guards against assignments of a term that read none."""
+        self.coordinator.store.epoch = -1
+        self.assertIsNone(self.coordinator.handover(1))
+
+
+class AdoptTest(unittest.IsolatedAsyncioTestCase):
+    """Assignments of the coordinator before the store was restored."""
+
+    RAW = b'[[0,65535,"u","10.0.0.1",80,1]]'
+
+    def setUp(self) -> None:
+        """Let a coordinator wait, as it does not know the holder."""
+        self.coordinator = coordinator.Coordinator(
+            typing.cast(typing.Any, types.SimpleNamespace(era=1)),
+            typing.cast(typing.Any, None),
+            state_module.State(fleet.Fleet().new_settings()),
+            clock.now() + 60.0,
+        )
+        self.holdings = holdings.Holdings('s')
+        self.holdings.restore_unreadable(clock.now())
+        service = service_state.ServiceState('s')
+        service.holdings = self.holdings
+        self.coordinator.services['s'] = service
+        self.written: list[str] = []
+        self.coordinator.store.adopt = (  # type: ignore[method-assign]
+            self.write
+        )
+
+    async def write(
+        self, service: str, stored: list[holdings.StoredRange]
+    ) -> None:
+        """Record that an assignment is written."""
+        self.written.append(service)
+
+    async def adopt(self, raw: bytes = RAW) -> str:
+        """Get an assignment; return the holder of the first range."""
+        await self.coordinator._adopt({'s': raw, 'unknown': self.RAW})
+        return self.holdings.items[0].upstream
+
+    async def test_unknown_holder(self) -> None:
+        """Guards against keys without an owner for 9 s."""
+        number = self.coordinator.tables()[0].number
+        self.assertEqual('u', await self.adopt())
+        self.assertEqual(['s'], self.written)
+        self.assertTrue(self.holdings.items[0].inherited)
+        # Instances ignore tables whose number they know.
+        self.assertGreater(self.coordinator.tables()[0].number, number)
+
+    async def test_assignment_of_the_present_era(self) -> None:
+        """Guards against owners that changed after the restore."""
+        self.coordinator.store.unreadable.add('s')
+        self.assertEqual(holdings.UNKNOWN_HOLDER, await self.adopt())
+        self.assertEqual([], self.written)
+
+    async def test_keys_that_are_being_assigned(self) -> None:
+        """Guards against two owners, as a move goes on with its range."""
+        self.holdings.split(0, 3).moving = True
+        self.assertEqual(holdings.UNKNOWN_HOLDER, await self.adopt())
+        self.assertEqual([], self.written)
+
+    async def test_keys_that_are_free(self) -> None:
+        """Guards against two owners, as the keys are assigned now."""
+        for holding in self.holdings.items:
+            holding.held_until = holding.unanswered_until = clock.now()
+        self.assertEqual(holdings.UNKNOWN_HOLDER, await self.adopt())
+
+    async def test_assignment_that_began_during_the_write(self) -> None:
+        """Guards against two owners after a slow write."""
+
+        async def write(
+            service: str, stored: list[holdings.StoredRange]
+        ) -> None:
+            self.holdings.split(0, 3).moving = True
+
+        self.coordinator.store.adopt = write  # type: ignore[method-assign]
+        self.assertEqual(holdings.UNKNOWN_HOLDER, await self.adopt())
+
+    async def test_malformed_assignment(self) -> None:
+        """Guards against a message that ends the term."""
+        for raw in (b'', b'junk', b'[[0,65536,"u","10.0.0.1",80,1]]'):
+            self.assertEqual(holdings.UNKNOWN_HOLDER, await self.adopt(raw))
+        self.assertEqual([], self.written)
+
+
 class NewTermTest(unittest.TestCase):
     """Plans before the load was measured in the current term."""
 
--- a/packages/knapweedhall-router/tests/test_coordinator_link.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_link.py
@@ -53,7 +53,7 @@
         )
         self.member = ''
 
-    async def _step_down(self, epoch: int) -> None:
+    async def _step_down(self, epoch: int, era: int) -> None:
         self.membership.coordinator = None
 
     async def listen(self) -> asyncio.Server:
--- a/packages/knapweedhall-router/tests/test_membership.py
+++ b/packages/knapweedhall-router/tests/test_membership.py
@@ -12,6 +12,7 @@
 from knapweedhall_router import clock
 from knapweedhall_router import coordinator
 from knapweedhall_router import coordinator_link
+from knapweedhall_router import coordinator_store
 from knapweedhall_router import lease
 from knapweedhall_router import membership
 from knapweedhall_router import state as state_module
@@ -42,6 +43,7 @@
         checkpoint: object,
         links: object = None,
         load: object = None,
+        former: str = '',
     ) -> None:
         self.lease = lease.Lease(state, lease_expires_at)
         self.initial_checkpoint = checkpoint
@@ -57,6 +59,12 @@
         """Return whether no more orders may be sent."""
         return False
 
+    def handover(self, era: int) -> coordinator_store.Checkpoint | None:
+        """Return what a coordinator in a later era gets."""
+        if era <= self.store.era:
+            return None
+        return coordinator_store.Checkpoint(self.store.epoch, era, {})
+
     def checkpoint(self) -> str:
         """Return what is known without the store."""
         return f'term {self.store.epoch}'
@@ -162,6 +170,41 @@
         begun = typing.cast(_Coordinator, self.membership.coordinator)
         self.assertIsNone(begun.initial_checkpoint)
 
+    async def test_handover_after_the_term_has_ended(self) -> None:
+        """Guards against assignments that are lost with their term.
+
+        The former coordinator may learn from the store that it is replaced,
+        before its successor asks. The first answer may be lost.
+        """
+        await self.restore()
+        self.store.outcome = outcomes.Joined(1, False)
+        await self.membership._join(clock.now())
+        self.assertIsNone(self.membership.coordinator)
+        kept = coordinator_store.Checkpoint(7, 1, {})
+        for _ in range(2):
+            self.assertEqual(kept, await self.membership.step_down(9, 1))
+        # A coordinator in the era between them may have changed owners.
+        self.assertIsNone(await self.membership.step_down(12, 2))
+        self.assertIsNone(await self.membership.step_down(12, -1))
+
+    async def test_handover_before_the_restore_is_known(self) -> None:
+        """Guards against a term that ends for a successor in vain."""
+        kept = coordinator_store.Checkpoint(7, 1, {})
+        self.assertEqual(kept, await self.membership.step_down(9, 1))
+        self.assertIsNone(self.membership.coordinator)
+
+    async def test_no_handover_within_an_era(self) -> None:
+        """Guards against assignments that the store has in a newer form."""
+        self.assertIsNone(await self.membership.step_down(9, 0))
+        self.assertIsNone(self.membership.coordinator)
+
+    async def test_no_handover_after_a_term_of_the_era(self) -> None:
+        """Guards against assignments that the own next term changed."""
+        await self.restore()
+        await self.membership._join(clock.now())
+        self.assertIsNotNone(self.membership.coordinator)
+        self.assertIsNone(await self.membership.step_down(9, 1))
+
     async def test_cancelled_while_the_next_term_takes_the_links(self) -> None:
         """Guards against instances that stay connected to a stopped one."""
         former = typing.cast(_Coordinator, self.coordinator)
--- a/packages/knapweedhall-router/tests/test_properties.py
+++ b/packages/knapweedhall-router/tests/test_properties.py
@@ -39,9 +39,10 @@
 
 MESSAGES: tuple[messages.Message, ...] = (
     messages.Hello('a', ['t'], '10.0.0.1:7540', True),
-    messages.Takeover(3, 'a@10.0.0.1:7540'),
+    messages.Takeover(3, 'a@10.0.0.1:7540', 1),
     messages.Redirect('a@10.0.0.1:7540'),
     messages.SteppedDown(3),
+    messages.SteppedDown(3, {'s': b'[[0,9,"u","10.0.0.1",80,1]]'}),
     messages.Report({'s': {1: 2}}, {'u': (1, 0.1)}, 1, 0.1, 3),
     messages.Report({}, {}, 1, 0.1, 3, recent=[(0.3, {'s': {1: 2}})]),
     messages.Table('s', 1, 2, [(0, 9, 'u', '10.0.0.1', 80)]),
--- a/packages/knapweedhall-router/tests/test_restored_store.py
+++ b/packages/knapweedhall-router/tests/test_restored_store.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import typing
 from unittest import mock
 
 from knapweedhall_adapter import positions
 from knapweedhall_router import coordinator
+from knapweedhall_router import coordinator_link
 from knapweedhall_router import membership
 from knapweedhall_routing import model
 from knapweedhall_standins import upstream
@@ -23,6 +25,8 @@
 # Time after which keys have owners again if nobody knows those before: the
 # last possible grant, 9 s, and a takeover.
 KEYS_REASSIGNED_S = 11.0
+# Ample time for a third coordinator to ask the first one.
+REPLACED_S = 4.0
 STOP_COUNT, STOP_PERIOD_S = 2, 3.0
 KEYS = range(0, model.KEY_COUNT, 8000)
 
@@ -248,6 +252,67 @@
         served = await self.ask_for_keys()
         self.assertEqual(dict.fromkeys(KEYS, {200}), served)
 
+    async def test_keys_under_another_coordinator(self) -> None:
+        """Guards against keys without an owner for 9 s.
+
+        The group in the copy names another member, and the copy's owner of
+        some keys has released them since.
+        """
+        await asyncio.sleep(0.5)
+        copied_at = time.monotonic()
+        left = self.upstreams('views')[0]
+        left.drain()
+        await self.fleet.wait_until(lambda: self.have_no_keys(1), 10.0)
+        former = self.coordinator()
+        group = self.fleet.store.groups[coordinator_link.COORDINATOR_GROUP]
+        self.restore(time.monotonic() - copied_at)
+        group.reassign()
+        group.holder = group.assignee
+        await self.check_keys()
+        self.assertIsNot(former, self.coordinator())
+        self.assertIn(former, self.fleet.routers)
+
+    async def test_former_coordinator_that_was_replaced(self) -> None:
+        """Guards against two owners, by assignments that are out of date.
+
+        A coordinator without connection to the store does not hear that it
+        was replaced. The next one moves keys and ends, the store comes back
+        from a copy from before its term, and a third one asks the first.
+        """
+        await asyncio.sleep(0.5)
+        first = self.coordinator()
+        assert first.member is not None
+        copied_at = time.monotonic()
+        address = fleet.source_address(first.settings)
+        self.fleet.store.faults.refused = [address]
+        with mock.patch.object(
+            first.member, 'step_down', side_effect=ConnectionResetError
+        ):
+            await self.fleet.wait_until(lambda: self.coordinator() != first)
+            second = self.coordinator()
+            left = self.upstreams('views')[0]
+            left.drain()
+            table = second.state.owner_table('views')
+            await self.fleet.wait_until(
+                lambda: {owned.upstream for owned in table.owned_ranges}
+                <= {each.name for each in self.fleet.upstreams} - {left.name}
+            )
+            self.assertIsNotNone(first.member.coordinator)
+        group = self.fleet.store.groups[coordinator_link.COORDINATOR_GROUP]
+        (third,) = set(self.fleet.routers) - {first, second}
+        self.restore(time.monotonic() - copied_at)
+        await self.fleet.kill(second)
+        member = coordinator_link.member_id(third.settings)
+        group.holder = group.assignee = member
+        loop = asyncio.get_running_loop()
+        until = loop.time() + REPLACED_S
+        while loop.time() < until:
+            self.assert_one_owner()
+            await asyncio.sleep(0.02)
+        # It was asked.
+        self.assertIsNone(first.member.coordinator)
+        self.assertIsNone(first.member.handover)
+
     async def test_stops_in_series_after_a_restore(self) -> None:
         """Guards against keys that nobody owns while coordinators stop.
 
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
@@ -222,6 +222,22 @@
             )
         ]
 
+    def has_unknown_holder(self, now: float) -> bool:
+        """Return whether keys wait as their holder is not known."""
+        return any(
+            holding.upstream == UNKNOWN_HOLDER and not holding.is_free(now)
+            for holding in self.items
+        )
+
+    def is_unknown(self, now: float) -> bool:
+        """Return whether all keys wait, and none is being assigned."""
+        return all(
+            holding.upstream == UNKNOWN_HOLDER
+            and not holding.moving
+            and not holding.is_free(now)
+            for holding in self.items
+        )
+
     def record_predecessors_ended(self, now: float) -> None:
         """Record that no earlier coordinator sends grants any more.
 
