--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -6,6 +6,7 @@
 import functools
 import typing
 
+from knapweedhall_adapter import errors
 from knapweedhall_adapter import orders as order_client
 from knapweedhall_adapter import store
 from knapweedhall_router import clock
@@ -24,15 +25,17 @@
 from knapweedhall_router import takeover
 from knapweedhall_router import tasks
 from knapweedhall_routing import holdings
+from knapweedhall_routing import load as load_module
 from knapweedhall_routing import planning
 from knapweedhall_routing import quorum
-from knapweedhall_routing import rates
 
 RENEWAL_CHECK_PERIOD_S = 0.1
 # Longer than the check period, as a plan sums the rates of all keys.
 PLAN_PERIOD_S = 0.25
 # Share of the cold budget of an upstream that its keys may use.
 COLD_BUDGET_SHARE = 0.8
+# Period of requests for assignments that the store has lost.
+ASSIGNMENT_RETRY_S = 0.3
 # Time for which the set of connected instances must not change before it is
 # stored, so that a restart of all instances makes only a few records.
 FLEET_STABLE_S = 0.5
@@ -56,8 +59,8 @@
         Sends grants and releases.
     services : dict of str to service_state.ServiceState
         Divided services, by name.
-    service_times : rates.ServiceTimes
-        Service times of the upstreams.
+    load : load.Load
+        Load of the services and service times of the upstreams.
     pauses : dict of str to float
         Until when upstreams want no requests, by name, seconds.
     links : instance_links.InstanceLinks
@@ -71,6 +74,8 @@
         Executes moves.
     renewer : renewals.Renewer
         Renews grants.
+    load_was_known : bool
+        Whether the load was known in the last plan.
     has_begun : bool
         Whether the assignments were read.
     hand_over_at : float or None
@@ -78,6 +83,9 @@
     initial_checkpoint : coordinator_store.Checkpoint or None
         Assignments of this instance's last term, which ended with the store's
         era.
+    former : str
+        Member ID of the last coordinator that this instance was connected to;
+        '' if there was none.
     """
 
     def __init__(
@@ -88,8 +96,11 @@
         lease_expires_at: float,
         checkpoint: coordinator_store.Checkpoint | None = None,
         links: instance_links.InstanceLinks | None = None,
+        load: load_module.Load | None = None,
+        former: str = '',
     ) -> None:
         self.initial_checkpoint = checkpoint
+        self.former = former
         self.store = coordinator_store.CoordinatorStore(client, state.settings)
         self.state = state
         self.lease = lease_module.Lease(state, lease_expires_at)
@@ -97,7 +108,6 @@
             order_client, holdings.FencingTokens(0)
         )
         self.services: dict[str, service_state.ServiceState] = {}
-        self.service_times = rates.ServiceTimes()
         self.pauses: dict[str, float] = {}
         self.keeps_links = False
         self.has_begun = False
@@ -113,6 +123,8 @@
             # Nobody reads again what is not relayed over these connections.
             state.feed.relay = self.relay_records
         self.links = links
+        self.load = load or load_module.Load(len(state.instances), clock.now())
+        self.load_was_known = False
         self.tasks: set[asyncio.Task[None]] = set()
         self.mover = moves.Mover(
             self.store, self.sender, self.state, self.lease
@@ -153,6 +165,20 @@
             return None
         return self.store.checkpoint()
 
+    def handover(self, era: int) -> coordinator_store.Checkpoint | None:
+        """Return the assignments for a coordinator in a later era.
+
+        With a lease of its own era, this was the only coordinator when the
+        store was restored, and the store does not name the assignments that
+        it had confirmed since its copy. Reports of an outage are no evidence
+        here, as they are up to a second old.
+        """
+        if not 0 <= self.store.era < era or self.store.epoch < 0:
+            return None
+        if self.store.deposed or self.sender.fenced or self.lease.is_expired():
+            return None
+        return self.store.checkpoint()._replace(era=era)
+
     async def run(self) -> None:
         """Begin the term and coordinate until cancelled or deposed."""
         try:
@@ -161,6 +187,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.links.run())
                 group.create_task(self._end_predecessors())
+                group.create_task(self._request_assignments())
                 group.create_task(self._update_fleet())
                 group.create_task(self._renew())
                 group.create_task(self._plan())
@@ -212,9 +239,7 @@
         }
 
     async def _end_predecessors(self) -> None:
-        request = messages.Takeover(
-            self.store.epoch, coordinator_link.member_id(self.state.settings)
-        )
+        request = self._takeover()
         await takeover.end_predecessors(
             self.store.predecessors, request, self.links.connected_at
         )
@@ -224,6 +249,64 @@
                 service.holdings.record_predecessors_ended(now)
         await self._write_term(self.store.clear_predecessors())
 
+    def _takeover(self) -> messages.Takeover:
+        return messages.Takeover(
+            self.store.epoch,
+            coordinator_link.member_id(self.state.settings),
+            self.store.era,
+        )
+
+    async def _request_assignments(self) -> None:
+        """Get the assignments that the restored store lacks.
+
+        The coordinator at the time of the restore may know them. Otherwise
+        the keys wait until no grant can be left.
+        """
+        addresses = {
+            predecessor.address for predecessor in self.store.predecessors
+        }
+        address = coordinator_link.member_address(self.former)
+        if address is not None:
+            addresses.add(str(address))
+        while any(
+            service.holdings.has_unknown_holder(clock.now())
+            for service in self.services.values()
+        ):
+            for confirmed in await asyncio.gather(
+                *(
+                    takeover.request_step_down(each, self._takeover())
+                    for each in addresses
+                )
+            ):
+                if confirmed is not None:
+                    await self._write_term(self._adopt(confirmed.assignments))
+            if self.must_stop():
+                return
+            await asyncio.sleep(ASSIGNMENT_RETRY_S)
+
+    async def _adopt(self, assignments: dict[str, bytes]) -> None:
+        """Begin with assignments of the coordinator before the restore."""
+        for name, raw in assignments.items():
+            service = self.services.get(name)
+            if service is None or not service.holdings.is_unknown(clock.now()):
+                continue
+            if name in self.store.unreadable:
+                # Its owners may have changed after the restore.
+                continue
+            try:
+                stored = coordinator_store.decode_assignment(raw)
+            except errors.DecodeError as error:
+                logs.warning(
+                    'predecessor_odd', address=self.former, reason=str(error)
+                )
+                continue
+            await self.store.adopt(name, stored)
+            now = clock.now()
+            if service.holdings.is_unknown(now):
+                service.holdings.restore(stored, now)
+                self.links.send(service.new_table(self.store.epoch))
+                logs.info('assignments_adopted', service=name)
+
     async def _update_fleet(self) -> None:
         """Keep the connected instances in the record of the term.
 
@@ -323,13 +406,19 @@
         epoch = self.store.epoch
         return [service.table(epoch) for service in self.services.values()]
 
-    def record_report(self, report: messages.Report) -> None:
+    def record_report(self, instance: str, report: messages.Report) -> None:
         """Add the measurements of an instance."""
-        for name, counts in report.keys.items():
-            if name in self.services:
-                self.services[name].rates.add(counts)
-        for upstream, (count, service_s) in report.times.items():
-            self.service_times.add(upstream, count, service_s)
+        self.load.add_report(
+            instance,
+            self._only_known(report.keys),
+            report.times,
+            report.recent
+            and [
+                (age_s, self._only_known(counts))
+                for age_s, counts in report.recent
+            ],
+            clock.now(),
+        )
         for upstream, born_ms in report.leaving:
             self.state.record_leaving(upstream, 'report', born_ms)
         now = clock.now()
@@ -337,6 +426,14 @@
             until = now + left_s
             self.pauses[upstream] = max(until, self.pauses.get(upstream, 0.0))
 
+    def _only_known(self, counts: load_module.Counts) -> load_module.Counts:
+        """Return the requests for services that have owners of keys.
+
+        Instances may connect before the assignments are read.
+        """
+        known = {*self.services, *self.state.divided_services()}
+        return {name: counts[name] for name in counts if name in known}
+
     def _announce(
         self,
         service: service_state.ServiceState,
@@ -419,14 +516,27 @@
             if not self.state.upstreams_listed:
                 continue
             now = clock.now()
-            self.service_times.keep_only(self.state.directory.entries)
+            self.load.service_times.keep_only(self.state.directory.entries)
             self.pauses = {
                 name: until
                 for name, until in self.pauses.items()
                 if until > now
             }
+            self._log_known_load(now)
             self._plan_all(now)
 
+    def _log_known_load(self, now: float) -> None:
+        if self.load_was_known or not self.load.is_known(now):
+            return
+        self.load_was_known = True
+        logs.info(
+            'load_known',
+            epoch=self.store.epoch,
+            informed=len(self.load.informed),
+            instances=self.load.instances,
+            after_s=round(now - self.load.begun_at, 3),
+        )
+
     def _plan_all(self, now: float) -> None:
         """Plan each service; a failure leaves the others alone."""
         for name in self.state.divided_services():
@@ -444,7 +554,7 @@
     def _plan_service(
         self, service: service_state.ServiceState, now: float
     ) -> None:
-        service.rates.decay(now)
+        self.load.rates_of(service.holdings.service).decay(now)
         items = service.holdings.items
         inputs = self._plan_inputs(service, now)
         if not service.is_assignable(len(inputs.capacity), now):
@@ -461,7 +571,8 @@
             )
         ]
         planned_moves = planning.place_orphans(items, inputs, orphans)
-        if not planned_moves:
+        # The assignment that the term found was planned by the load.
+        if not planned_moves and self.load.is_known(now):
             planned_moves = planning.rebalance(items, inputs, now)
         for move in planned_moves:
             self._start_move(service, move, now)
@@ -492,7 +603,7 @@
         warm = [upstream for upstream in usable if upstream.cold_until <= now]
         cold_per_s = self.state.service(name).cold_per_s
         capacity = {
-            upstream.name: self.service_times.capacity(upstream)
+            upstream.name: self.load.service_times.capacity(upstream)
             for upstream in warm
         }
         if not warm:
@@ -501,7 +612,9 @@
                 for upstream in usable
             }
         inputs = planning.Inputs(
-            capacity, service.rates, self.state.movement_rules_for(name)
+            capacity,
+            self.load.rates_of(name),
+            self.state.movement_rules_for(name),
         )
         pauses = {
             upstream: until - now for upstream, until in self.pauses.items()
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -13,6 +13,8 @@
 from knapweedhall_router import settings as settings_module
 from knapweedhall_router import state as state_module
 from knapweedhall_router import tasks
+from knapweedhall_routing import announced
+from knapweedhall_routing import load
 from knapweedhall_routing import model
 
 COORDINATOR_GROUP = 'knapweedhall'
@@ -69,12 +71,18 @@
         Whether the coordinator's lease has expired.
     heartbeat : int
         Number of the last heartbeat; -1 before the first.
+    announced : announced.AnnouncedMembers
+        Members that the coordinators announced.
     members : set of str
         Member IDs of all instances that are connected to the coordinator.
     coordinator : str
         Member ID of the coordinator of the last connection.
+    former_coordinator : str
+        Member ID of the last other instance that was the coordinator.
     known_coordinator : str
         Member ID to connect to while the store names no coordinator.
+    found : asyncio.Event
+        Set with the first heartbeat of the current connection.
     pause_s : float
         Upper bound of the random pause before the next search.
     """
@@ -89,9 +97,12 @@
         self.last_received_at = 0.0
         self.lease_expired = False
         self.heartbeat = -1
+        self.announced = announced.AnnouncedMembers()
         self.members: set[str] = set()
         self.coordinator = ''
+        self.former_coordinator = ''
         self.known_coordinator = ''
+        self.found = asyncio.Event()
         self.pause_s = INITIAL_PAUSE_S
 
     async def run(self) -> None:
@@ -181,6 +192,7 @@
             self.heartbeat = -1
             feed.record_connected(now)
             self.coordinator = member
+            self.found = asyncio.Event()
             async with asyncio.TaskGroup() as group:
                 reporting = group.create_task(self._send_reports(writer))
                 checking = group.create_task(
@@ -223,33 +235,44 @@
                 raise ConnectionError('replaced')
 
     async def _send_reports(self, writer: asyncio.StreamWriter) -> None:
+        # A term may end before it has measured the load. An instance that
+        # does not coordinate sends no heartbeat, and could not answer an
+        # unread report with the coordinator's name.
+        await self.found.wait()
+        now = clock.now()
+        recent, times = self.state.measurements.take_recent(now)
+        report = self._report({}, times, now)
+        report.recent = recent
         while True:
-            await asyncio.sleep(REPORT_PERIOD_S)
-            keys, self.state.key_counts = self.state.key_counts, {}
-            times, self.state.service_times = self.state.service_times, {}
-            means = {
-                name: (int(count), total / count)
-                for name, (count, total) in times.items()
-            }
-            store_answer_age_s = clock.now() - self.state.store_answered_at
-            report = messages.Report(
-                keys,
-                means,
-                self.heartbeat,
-                store_answer_age_s,
-                self.state.configuration_version(),
-                self.state.directory.unlisted_leaving(),
-                self.state.pauses(),
-            )
             writer.write(messages.encode(report))
+            await asyncio.sleep(REPORT_PERIOD_S)
+            now = clock.now()
+            keys, times = self.state.measurements.take(now)
+            report = self._report(keys, times, now)
+
+    def _report(
+        self, keys: load.Counts, times: load.Times, now: float
+    ) -> messages.Report:
+        return messages.Report(
+            keys,
+            times,
+            self.heartbeat,
+            now - self.state.store_answered_at,
+            self.state.configuration_version(),
+            self.state.directory.unlisted_leaving(),
+            self.state.pauses(),
+        )
 
     def _apply_heartbeat(self, message: messages.Heartbeat) -> None:
         now = clock.now()
         if not self.connected:
-            self.members = set()
+            self.announced.begin(now)
             logs.info('coordinator_found', coordinator=self.coordinator)
         self.connected = True
+        self.found.set()
         self.known_coordinator = self.coordinator
+        if self.coordinator != member_id(self.state.settings):
+            self.former_coordinator = self.coordinator
         if message.lease_expired and not self.lease_expired:
             self.status_changed.notify()
         self.lease_expired = message.lease_expired
@@ -258,10 +281,11 @@
         self.state.feed.coordinator_outage_at = now - message.outage_age_s
         for name, born_ms in message.leaving:
             self.state.record_leaving(name, 'heartbeat', born_ms)
-        self.members |= set(message.joined)
-        self.members -= set(message.left)
-        if self.members:
-            names = {member.rpartition('@')[0] for member in self.members}
+        self.announced.update(message.joined, message.left)
+        self.members = set(self.announced.current)
+        alive = self.announced.members(now)
+        if alive:
+            names = {member.rpartition('@')[0] for member in alive}
             self.state.instances = tuple(sorted(names))
 
     def apply(self, message: messages.Message) -> None:
--- a/packages/knapweedhall-router/src/knapweedhall_router/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/messages.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from knapweedhall_adapter import errors
+from knapweedhall_routing import load
 from knapweedhall_routing import model
 from knapweedhall_routing import ranges
 
@@ -60,10 +61,13 @@
         Number of the new term; all earlier terms are to end.
     coordinator : str
         Member ID of the new coordinator.
+    era : int
+        Era of the store in which the new term began; -1 if it is not stated.
     """
 
     epoch: int
     coordinator: str = ''
+    era: int = -1
 
 
 class Redirect(msgspec.Struct, tag='redirect', array_like=True):
@@ -85,9 +89,13 @@
     ----------
     epoch : int
         Number of the new term, as in the `Takeover`.
+    assignments : dict of str to bytes
+        By service, the assignment in force when the store was restored, in
+        its form for the store; empty unless nobody else can have changed it.
     """
 
     epoch: int
+    assignments: dict[str, bytes] = {}
 
 
 class OverviewRequest(msgspec.Struct, tag='inspect', array_like=True):
@@ -140,6 +148,10 @@
         and that the store does not list as draining.
     pauses : dict of str to float
         Time left for which upstreams want no requests, by name, seconds.
+    recent : list of tuple of float and dict, or None
+        Requests of the last seconds by service and bucket, with the time
+        since the begin of the period in which they were counted; only in the
+        first report of a connection, whose `keys` are empty.
     """
 
     keys: dict[str, dict[int, int]]
@@ -149,6 +161,7 @@
     version: int
     leaving: list[tuple[str, int]] = []
     pauses: dict[str, float] = {}
+    recent: load.RecentCounts | None = None
 
 
 class Table(msgspec.Struct, tag='table', array_like=True):
--- a/packages/knapweedhall-router/tests/test_coordinator_link.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_link.py
@@ -48,7 +48,7 @@
         self.state = state_module.State(instance_settings)
         self.link = coordinator_link.CoordinatorLink(client, self.state)
         self.links = instance_links.InstanceLinks(
-            lambda topics: [], lambda report: None, _heartbeat
+            lambda topics: [], lambda instance, report: None, _heartbeat
         )
         coordinator = types.SimpleNamespace(links=self.links)
         self.membership = types.SimpleNamespace(
@@ -60,7 +60,7 @@
         )
         self.member = ''
 
-    async def _step_down(self, epoch: int) -> None:
+    async def _step_down(self, epoch: int, era: int) -> None:
         self.membership.coordinator = None
 
     async def listen(self) -> asyncio.Server:
@@ -193,3 +193,25 @@
         self.connecting.cancel()
         done, _ = await asyncio.wait([self.connecting], timeout=1.0)
         self.assertEqual({self.connecting}, done)
+
+
+class AnnouncedInstancesTest(unittest.TestCase):
+    """The number of instances that divide budgets."""
+
+    def test_change_of_the_coordinator(self) -> None:
+        """Guards against budgets that a few instances divide among them.
+
+        The first instance that connected to the next coordinator counted as
+        the only one, so that all of them together exceeded the budgets.
+        """
+        instance = _Instance(False)
+        members = [f'router-{n}@{HOST}:{n}' for n in range(1, 91)]
+        instance.link.apply(_heartbeat(1, members, []))
+        # The connection ends.
+        instance.link.connected = False
+        instance.link.apply(_heartbeat(1, members[:1], []))
+        budget = instance.state.retry_budget('s')
+        self.assertEqual(90, budget.instances)
+        self.assertEqual(set(members[:1]), instance.link.members)
+        instance.link.apply(_heartbeat(2, [], members[:1]))
+        self.assertEqual(89, instance.state.retry_budget('s').instances)
