Count each connection of a small instance to a coordinator

Its own calls to the store then timed out, its term ended, and five more terms of small instances followed, each of 0.6 to 2.2 s; 1,421 of 4,392 requests of the last 4 s were refused.

Cause, by the log: the instance had lost its last coordinator 1.6 s before, while such instances wait for 4 s. The membership noted that it was connected once per call to the store, so that a call which takes 0.6 s over a full link hid a connection of 0.53 s, and the one before had ended 3.7 s earlier. That the poll missed it is inferred from these times, not logged.

Change: the link itself records when its last connection ended.

Result: test_connection_that_ends_between_two_polls failed before and passes; test_membership, test_coordinator_link and SmallInstanceTest pass (19 tests).

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
@@ -63,6 +63,8 @@
     ----------
     connected : bool
         Whether there is a connection on which a heartbeat was received.
+    disconnected_at : float
+        When the last such connection ended, or the process began, seconds.
     status_changed : state.Signal
         Notified when the connection ends or the coordinator's lease expires.
     last_received_at : float
@@ -93,6 +95,7 @@
         self.client = client
         self.state = state
         self.connected = False
+        self.disconnected_at = clock.now()
         self.status_changed = state_module.Signal()
         self.last_received_at = 0.0
         self.lease_expired = False
@@ -137,6 +140,8 @@
                     raise asyncio.CancelledError from error
             if not self.connected and self.known_coordinator == member:
                 self.known_coordinator = ''
+            if self.connected:
+                self.disconnected_at = clock.now()
             self.connected = False
             self.status_changed.notify()
             lasted_s = clock.now() - connected_at
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/membership.py
@@ -72,8 +72,6 @@
     is_small : bool
         Whether the instance has too few resources to coordinate unless no
         other instance does.
-    last_connected_at : float
-        When the instance was last connected to a coordinator, seconds.
     checkpoint : coordinator_store.Checkpoint or None
         Assignments of the current term, which ends because the store came back
         from a copy.
@@ -108,7 +106,6 @@
             settings.cpu_share * settings.cores < MIN_CORES
             or settings.link_mbps < MIN_LINK_MBPS
         )
-        self.last_connected_at = clock.now()
         client.on_restored = self._join_after_restore
         self.coordinator_timeout_s = max(COORDINATOR_TIMEOUT_S, min_timeout_s)
         self.candidate_timeout_s = max(CANDIDATE_TIMEOUT_S, min_timeout_s)
@@ -144,16 +141,15 @@
             return False
         if self.link.lease_expired or not self.link.members:
             return False
-        self.last_connected_at = clock.now()
         return self.member not in candidacy.candidates(self.link.members)
 
     def _is_candidate(self, now: float) -> bool:
         """Return whether this instance may coordinate now."""
-        if self.link.connected:
-            self.last_connected_at = now
         if not self.is_small or self.coordinator is not None:
             return True
-        return now - self.last_connected_at > SMALL_INSTANCE_DELAY_S
+        if self.link.connected:
+            return False
+        return now - self.link.disconnected_at > SMALL_INSTANCE_DELAY_S
 
     async def _probe_store(self, sent_at: float) -> None:
         """Call the store to see whether it answers."""
--- a/packages/knapweedhall-router/tests/test_membership.py
+++ b/packages/knapweedhall-router/tests/test_membership.py
@@ -18,6 +18,9 @@
 from knapweedhall_router import state as state_module
 from tests import fleet
 
+# How long an instance is connected to a coordinator.
+CONNECTION_S = 0.5
+
 
 class _Store:
     """Test double of the store client; all joins have one outcome."""
@@ -77,6 +80,50 @@
             await self.may_end.wait()
 
 
+class SmallInstanceTest(unittest.IsolatedAsyncioTestCase):
+    """An instance with few resources, which coordinates only alone."""
+
+    async def test_connection_that_ends_between_two_polls(self) -> None:
+        """Guards against small coordinators though a larger one was there.
+
+        The membership looked at the connection once per call to the store,
+        which takes long over a full link, and missed one of half a second.
+        """
+        state = state_module.State(fleet.Fleet().new_settings())
+        client = typing.cast(typing.Any, _Store())
+        link = coordinator_link.CoordinatorLink(client, state)
+        member = membership.Membership(
+            client, typing.cast(typing.Any, None), state, link
+        )
+        member.is_small = True
+        begun_at = clock.now()
+        ended = asyncio.Event()
+
+        async def run_connection(*arguments: object) -> None:
+            link.connected = True
+            await asyncio.sleep(CONNECTION_S)
+            ended.set()
+            raise ConnectionError
+
+        with (
+            mock.patch.object(link, '_find_coordinator', self.find),
+            mock.patch.object(link, '_run_connection', run_connection),
+        ):
+            running = asyncio.create_task(link.run())
+            self.addCleanup(running.cancel)
+            await ended.wait()
+            await asyncio.sleep(0)
+        delay_s = membership.SMALL_INSTANCE_DELAY_S
+        self.assertFalse(member._is_candidate(begun_at + delay_s + 0.1))
+        self.assertTrue(
+            member._is_candidate(begun_at + CONNECTION_S + delay_s + 0.1)
+        )
+
+    async def find(self) -> str:
+        """Return the member ID of a coordinator."""
+        return 'large@127.0.0.1:1'
+
+
 class TermTest(unittest.IsolatedAsyncioTestCase):
     """The store assigns the partition to this instance in each join."""
 
