Revert "Keep trailers of a request out of the next request"

It divided what callers send into heads and bodies before the library's parser, with a reading of chunks of its own. A review by somebody else with random streams found requests that it lost: those after an upgrade in a pipeline, which the code before answered, and 0.2 s of processor time for a read of blank lines.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -11,7 +11,6 @@
 import termios
 import typing
 
-from aiohttp import http
 from aiohttp import streams
 from aiohttp import web
 from aiohttp import web_protocol
@@ -28,11 +27,6 @@
 # body.
 MAX_PREAMBLE_BYTES = 1024 * 1024
 END_OF_HEAD = b'\r\n\r\n'
-# Begin of the line of the last chunk of a body.
-LAST_CHUNK = b'\n0'
-# Digits of a length that are converted; the parser admits more zeros than
-# Python does.
-MAX_DIGITS = 18
 # Time after the set-up of a connection in which its first request may still be
 # on its way: a round trip, and what waits in front of it on a busy link.
 FIRST_REQUEST_S = 0.3
@@ -52,19 +46,6 @@
         Whether the end of a head is among them.
     last_bytes : bytes
         Last bytes received, which may be the beginning of the end of a head.
-    parsed_bytes : bytes
-        The same of the bytes that were parsed.
-    unparsed : bytes
-        Received bytes that are parsed once reading is resumed.
-    invalid : bool
-        Whether bytes were parsed that are no request; nothing is parsed after
-        them.
-    body : aiohttp.streams.StreamReader
-        Body of the last request that was parsed.
-    body_length : int or None
-        Its length in bytes; None if it is chunked.
-    last_chunk : bool
-        Whether the last of its chunks may have begun.
     running : bool
         Whether a request is in progress.
     request_at : float
@@ -86,12 +67,6 @@
         'head_bytes',
         'head_complete',
         'last_bytes',
-        'parsed_bytes',
-        'unparsed',
-        'invalid',
-        'body',
-        'body_length',
-        'last_chunk',
         'running',
         'request_at',
         'content',
@@ -111,12 +86,6 @@
         self.head_bytes = 0
         self.head_complete = False
         self.last_bytes = b''
-        self.parsed_bytes = b''
-        self.unparsed = b''
-        self.invalid = False
-        self.body: streams.StreamReader = streams.EMPTY_PAYLOAD
-        self.body_length: int | None = 0
-        self.last_chunk = False
         self.running = False
         self.request_at = -math.inf
         self.content: streams.StreamReader | None = None
@@ -282,99 +251,9 @@
                 self.force_close()
                 return
         if data:
-            self.last_bytes = _last_bytes(self.last_bytes, data)
-        self._parse(data)
-        self._end_malformed_body()
-
-    def _parse(self, data: bytes) -> None:
-        """Parse heads and bodies one by one, until reading is paused.
-
-        The parser adds the last trailer field of a chunked body to the head
-        that follows, so that a new parser begins there.
-        """
-        if not data:
-            # The parser continues with bytes that it has received before.
-            self._parse_part(data)
-        data, self.unparsed = self.unparsed + data, b''
-        begin = 0
-        while begin < len(data) and not self.invalid:
-            is_full = len(self._messages) >= self._max_msg_queue_size
-            if is_full or self._reading_paused:
-                self.unparsed = data[begin:]
-                return
-            end = self._end_of_part(data, begin)
-            self._parse_part(data[begin:end])
-            begin = end
-
-    def _end_of_part(self, data: bytes, begin: int) -> int:
-        """Return the end of a head, or of a body, which may come later.
-
-        A chunked body ends like a head, after a line of zeros.
-        """
-        if not self.body.is_eof():
-            if self.body_length is not None:
-                missing = self.body_length - self.body.total_bytes
-                return begin + max(1, missing)
-            if not self.last_chunk:
-                return self._end_of_chunks(data, begin)
-        overlap = len(END_OF_HEAD) - 1
-        if not begin:
-            end = (self.parsed_bytes + data[:overlap]).find(END_OF_HEAD)
-            if end >= 0:
-                self.last_chunk = False
-                return end + len(END_OF_HEAD) - len(self.parsed_bytes)
-        end = data.find(END_OF_HEAD, max(0, begin - overlap))
-        if end < 0:
-            return len(data)
-        self.last_chunk = False
-        return end + len(END_OF_HEAD)
-
-    def _end_of_chunks(self, data: bytes, begin: int) -> int:
-        if not begin and self.parsed_bytes[-1:] + data[:1] == LAST_CHUNK:
-            start = 0
-        else:
-            start = data.find(LAST_CHUNK, max(0, begin - 1))
-        if start < 0:
-            return len(data)
-        end = data.find(END_OF_HEAD, start)
-        if end < 0:
-            self.last_chunk = True
-            return len(data)
-        return end + len(END_OF_HEAD)
-
-    def _parse_part(self, data: bytes) -> None:
-        count = self._request_count
+            self.last_bytes = data[1 - len(END_OF_HEAD) :]
         super().data_received(data)
-        self.parsed_bytes = _last_bytes(self.parsed_bytes, data)
-        if self._request_count > count:
-            message, self.body = self._messages[-1]
-            if not isinstance(message, http.RawRequestMessage):
-                self.invalid = True
-                return
-            length = message.headers.get('Content-Length', '').lstrip('0')
-            self.body_length = int(length[:MAX_DIGITS] or '0')
-            if message.chunked:
-                self.body_length = None
-                self.last_chunk = True
-        if self.body_length is None and self.body.is_eof():
-            self.body_length = 0
-            self._parser = http.HttpRequestParser(
-                self,
-                self._loop,
-                self._read_bufsize,
-                max_line_size=self.max_line_size,
-                max_field_size=self.max_field_size,
-                max_headers=self.max_headers,
-                payload_exception=web.RequestPayloadError,
-                auto_decompress=False,
-                max_msg_queue_size=self._max_msg_queue_size,
-            )
-
-
-def _last_bytes(before: bytes, data: bytes) -> bytes:
-    """Return the last bytes received, which may begin the end of a head."""
-    size = len(END_OF_HEAD) - 1
-    return (before + data[-size:])[-size:]
+        self._end_malformed_body()
 
 
 class CallerServer(web.Server):
