Begin with a new parser after a chunked request

A trailer field of a caller's request became the first field of the next request on the connection: the next one was sent on with a foreign X-Attempt-Id and got no answer, was refused for a foreign X-Deadline-Ms, or got 400 for a second Host.

Cause: the library's parser keeps the last trailer field and adds it to the next head that it parses.

Change: once a chunked body has ended with the last byte received, and nothing else waits in the parser, the connection gets a new one. Heads that arrive a byte at a time are now seen to end (the last bytes were those of the last read only), so that their bodies do not count as heads.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -11,6 +11,7 @@
 import termios
 import typing
 
+from aiohttp import http
 from aiohttp import streams
 from aiohttp import web
 from aiohttp import web_protocol
@@ -46,6 +47,9 @@
         Whether the end of a head is among them.
     last_bytes : bytes
         Last bytes received, which may be the beginning of the end of a head.
+    chunked_body : aiohttp.streams.StreamReader or None
+        Body of the last request that was parsed, if it is chunked and not
+        complete.
     running : bool
         Whether a request is in progress.
     request_at : float
@@ -67,6 +71,7 @@
         'head_bytes',
         'head_complete',
         'last_bytes',
+        'chunked_body',
         'running',
         'request_at',
         'content',
@@ -86,6 +91,7 @@
         self.head_bytes = 0
         self.head_complete = False
         self.last_bytes = b''
+        self.chunked_body: streams.StreamReader | None = None
         self.running = False
         self.request_at = -math.inf
         self.content: streams.StreamReader | None = None
@@ -251,10 +257,46 @@
                 self.force_close()
                 return
         if data:
-            self.last_bytes = data[1 - len(END_OF_HEAD) :]
-        super().data_received(data)
+            kept = 1 - len(END_OF_HEAD)
+            self.last_bytes = (self.last_bytes + data[kept:])[kept:]
+        self._parse(data)
         self._end_malformed_body()
 
+    def _parse(self, data: bytes) -> None:
+        count = self._request_count
+        super().data_received(data)
+        if self._request_count > count:
+            message, body = self._messages[-1]
+            is_chunked = isinstance(message, http.RawRequestMessage) and (
+                message.chunked
+            )
+            self.chunked_body = body if is_chunked else None
+        if self.chunked_body is not None and self.chunked_body.is_eof():
+            self.chunked_body = None
+            self._renew_parser()
+
+    def _renew_parser(self) -> None:
+        """Begin with a new parser, unless the last one has more to parse.
+
+        A parser adds the last trailer field of a chunked body to the head
+        that follows.
+        """
+        if self._reading_paused or self._upgraded or len(self._messages) > 1:
+            return
+        if not END_OF_HEAD.endswith(self.last_bytes):
+            return
+        self._parser = http.HttpRequestParser(
+            self,
+            self._loop,
+            self._read_bufsize,
+            max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size,
+            max_headers=self.max_headers,
+            payload_exception=web.RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=self._max_msg_queue_size,
+        )
+
 
 class CallerServer(web.Server):
     """HTTP server for callers.
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -6,6 +6,7 @@
 import contextlib
 import enum
 import itertools
+import re
 import select
 import socket
 import struct
@@ -102,6 +103,8 @@
         Whether the last request came over a connection that was used before.
     open : int
         Number of open connections.
+    heads : list of str
+        Heads of the requests.
     """
 
     def __init__(self, registry: upstream.Registry) -> None:
@@ -109,6 +112,7 @@
         self.script: Script | None = None
         self.kept = False
         self.open = 0
+        self.heads: list[str] = []
         self.tasks: set[asyncio.Task[None]] = set()
         self.listener = socket.socket()
 
@@ -195,6 +199,7 @@
         loop = asyncio.get_running_loop()
         script, self.script = self.script or Script(SOUND), None
         head, _, body = received.partition(b'\r\n\r\n')
+        self.heads.append(head.decode())
         fields = dict(
             line.lower().split(': ', 1)
             for line in head.decode().split('\r\n')[1:]
@@ -1084,3 +1089,81 @@
         self.router.kill()
         with self.assertRaises((asyncio.IncompleteReadError, OSError)):
             await reader.readexactly(size)
+
+
+class TrailerTest(InvalidResponseTest):
+    """Trailers in the requests of a caller."""
+
+    def request(self, number: int, *fields: str, body: bytes) -> bytes:
+        """Return the bytes of a request."""
+        lines = (
+            f'POST /order/{number} HTTP/1.1',
+            f'Host: {fleet.HOST}',
+            f'X-Attempt-Id: t{number}',
+            f'X-Deadline-Ms: {TIME_LIMIT_MS}',
+            *fields,
+        )
+        return ('\r\n'.join(lines) + '\r\n\r\n').encode() + body
+
+    def with_trailer(self, number: int, field: str, chunks: bytes) -> bytes:
+        """Return the bytes of a request with a trailer field."""
+        end = f'0\r\nX: y\r\n{field}\r\n\r\n'.encode()
+        return self.request(
+            number, 'Transfer-Encoding: chunked', body=chunks + end
+        )
+
+    async def read_status(self, reader: asyncio.StreamReader) -> str:
+        """Return the status of the next answer."""
+        async with asyncio.timeout(MAX_WAIT_S):
+            head = (await reader.readuntil(b'\r\n\r\n')).decode()
+            _, _, length = head.lower().partition('content-length: ')
+            await reader.readexactly(int(length.split()[0]))
+        return head.split()[1]
+
+    def assert_unchanged(self, numbers: typing.Sequence[int]) -> None:
+        """Check that each request had its own ID only."""
+        ids = [
+            re.findall(r'(?i)x-attempt-id: (\w+)', head)
+            for head in self.upstream.heads
+        ]
+        self.assertEqual([[f't{number}'] for number in numbers], ids)
+
+    async def test_trailers_of_an_earlier_request(self) -> None:
+        """Guards against a request with the fields of another one.
+
+        A trailer field counted as a field of the next request on the
+        connection, such as its ID or its time limit.
+        """
+        long = b'7fff\r\n' + bytes(0x7FFF) + b'\r\n'
+        for field, chunks, cut in itertools.product(
+            ('X-Attempt-Id: other', 'X-Deadline-Ms: 1', 'Host: other'),
+            (b'6\r\na\r\n\r\nb\r\n', long * 40),
+            (1, 2, 4, 30),
+        ):
+            first = self.with_trailer(1, field, chunks)
+            second = self.request(2, 'Content-Length: 4', body=b'\r\n\r\n')
+            self.upstream.heads.clear()
+            reader, writer = await asyncio.open_connection(
+                self.host, self.ports[0]
+            )
+            with self.subTest(field=field, size=len(first), cut=cut):
+                for whole in (first, second, first, second):
+                    writer.write(whole[:-cut])
+                    await asyncio.sleep(0.03)
+                    writer.write(whole[-cut:])
+                    self.assertEqual('200', await self.read_status(reader))
+                self.assert_unchanged((1, 2, 1, 2))
+            writer.transport.abort()
+
+    async def test_trailers_of_a_pipelined_request(self) -> None:
+        """Guards against the same if the requests are sent together."""
+        first = self.with_trailer(1, 'X-Attempt-Id: other', b'1\r\na\r\n')
+        second = self.request(2, 'Content-Length: 4', body=b'work')
+        reader, writer = await asyncio.open_connection(
+            self.host, self.ports[0]
+        )
+        self.addCleanup(writer.transport.abort)
+        writer.write(first + second)
+        for _ in range(2):
+            self.assertEqual('200', await self.read_status(reader))
+        self.assert_unchanged((1, 2))
