Find the end of a head that arrives in single bytes

A caller whose upload was complete lost it with its connection, without an answer, at any time: if the last bytes of the head came in reads of one or two bytes and the body with the last one, the body counted as a head that is too large.

Cause: the end of the head was searched for in the last read and the bytes kept of the one before, which were at most its own. That the kept bytes were those of one read was taken for the last three of the connection.

Change: three bytes are kept over all reads, as for responses.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -251,7 +251,8 @@
                 self.force_close()
                 return
         if data:
-            self.last_bytes = data[1 - len(END_OF_HEAD) :]
+            overlap = 1 - len(END_OF_HEAD)
+            self.last_bytes = (self.last_bytes + data[overlap:])[overlap:]
         super().data_received(data)
         self._end_malformed_body()
 
--- a/packages/knapweedhall-router/tests/test_request_ends.py
+++ b/packages/knapweedhall-router/tests/test_request_ends.py
@@ -415,6 +415,19 @@
 class HeadTest(test_planned_stop.StopCase):
     """Heads that are still arriving when their connection may be closed."""
 
+    async def test_end_of_a_head_in_single_bytes(self) -> None:
+        """Guards against an upload that counts as a head that is too large.
+
+        Of a short read, only its own bytes were kept to find the end.
+        """
+        caller = await self.connect()
+        head = encode_head('bytes', f'Content-Length: {UPLOAD_BYTES}')
+        for part in (head[:-2], head[-2:-1], head[-1:] + bytes(UPLOAD_BYTES)):
+            caller.writer.write(part)
+            await asyncio.sleep(0.1)
+        self.assertEqual(200, (await caller.read_answer()).status)
+        self.assertEqual(1, self.run_count('bytes'))
+
     async def test_standstill_while_a_head_arrives(self) -> None:
         """Guards against a head that counts as slow though it has arrived.
 
