--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -257,8 +257,8 @@
                 self.force_close()
                 return
         if data:
-            kept = 1 - len(END_OF_HEAD)
-            self.last_bytes = (self.last_bytes + data[kept:])[kept:]
+            overlap = 1 - len(END_OF_HEAD)
+            self.last_bytes = (self.last_bytes + data[overlap:])[overlap:]
         self._parse(data)
         self._end_malformed_body()
 
