--- a/packages/knapweedhall-bench/src/knapweedhall_bench/children.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/children.py
@@ -38,6 +38,8 @@
     ----------
     started_at : float
         When the process was started, seconds of the monotonic clock.
+    output_bytes : int
+        Size of the output file when the process was started.
     sent : set of signal.Signals
         Signals that were sent to the process.
     paused : bool
@@ -52,6 +54,7 @@
         self.output = output
         self.process: subprocess.Popen[bytes] | None = None
         self.started_at = 0.0
+        self.output_bytes = 0
         self.sent: set[signal.Signals] = set()
         self.paused = False
 
@@ -60,6 +63,7 @@
         self.started_at = time.monotonic()
         self.sent = set()
         with self.output.open('ab') as output:
+            self.output_bytes = output.tell()
             self.process = subprocess.Popen(
                 [sys.executable, '-m', *self.arguments],
                 stdin=subprocess.DEVNULL,
@@ -77,6 +81,10 @@
         """Return whether the process has been started and has not ended."""
         return self.process is not None and self.process.poll() is None
 
+    def has_written(self) -> bool:
+        """Return whether the process has written its first line."""
+        return self.output.stat().st_size > self.output_bytes
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal if the process is running."""
         if self.process is not None and self.is_running():
--- a/packages/knapweedhall-bench/tests/test_soak.py
+++ b/packages/knapweedhall-bench/tests/test_soak.py
@@ -61,6 +61,33 @@
                     child.process.wait(10)
                     self.assertEqual(expected, child.has_ended_by_itself())
 
+    def test_start_that_takes_long(self) -> None:
+        """Guards against signals to an interpreter that has not begun.
+
+        In seed 990050 a stop signal ended a router's process 1.5 s after its
+        start, before its first line.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'ending.py'
+            path.write_text('print(1, flush=True); import time; time.sleep(9)')
+            log = pathlib.Path(folder) / 'log'
+            log.write_text('line of the process before')
+            child = children.Child('x', ['ending'], log)
+            with mock.patch.dict(os.environ, PYTHONPATH=folder):
+                child.start()
+            self.addCleanup(child.kill)
+            child.pause()
+            child.started_at -= soak.MIN_SIGNAL_AGE_S
+            if not child.has_written():
+                self.assertFalse(soak._can_be_signalled(child))
+            child.resume()
+            deadline = time.monotonic() + 10.0
+            while not child.has_written() and time.monotonic() < deadline:
+                time.sleep(0.01)
+            self.assertTrue(soak._can_be_signalled(child))
+            child.started_at = time.monotonic()
+            self.assertFalse(soak._can_be_signalled(child))
+
 
 class SoakTest(unittest.TestCase):
     """Runs of the real programs as separate processes."""
