--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -733,7 +733,10 @@
 ) -> list[checker.Violation]:
     """Run one seed; the folder of an earlier run is deleted first."""
     shutil.rmtree(folder, ignore_errors=True)
-    return asyncio.run(Soak(plan, seed, folder).run())
+    violations = asyncio.run(Soak(plan, seed, folder).run())
+    with (folder / 'violations.log').open('w') as log:
+        log.writelines(f'{each}\n' for each in violations)
+    return violations
 
 
 def regression_seeds() -> list[int]:
