Close a connection on which a further response has begun

A request was sent over a connection on which the begin of a surplus response had arrived with the previous one. Its rest would have preceded the response to the request, which then ended with 502 though it had run.

Cause: bytes of a head that is not complete were dropped with the parser of the previous exchange.

Change: such a connection is closed.

Measured: test_begin_of_a_further_response failed before the change in its 3 cases (the connection was used again) and passes with it; test_invalid_responses and test_connections passed once.

--- a/packages/knapweedhall-router/src/knapweedhall_router/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/connections.py
@@ -577,8 +577,16 @@
         return connection
 
     def put_back(self, connection: Connection) -> None:
-        """Return a connection to the pool after its exchange has ended."""
-        if connection.should_close or not connection.is_connected():
+        """Return a connection to the pool after its exchange has ended.
+
+        It is closed if the begin of a further response has arrived, as the
+        rest would precede the next response.
+        """
+        if (
+            connection.should_close
+            or connection.head_begin
+            or not connection.is_connected()
+        ):
             connection.close()
             return
         now = clock.now()
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -815,6 +815,22 @@
                 sound = await self.ask('POST', 4)
                 self.assertEqual((200, b'sound'), sound[:2])
 
+    async def test_begin_of_a_further_response(self) -> None:
+        """Guards against a request whose response follows a part of another.
+
+        The upstream sends the rest once it has received the next request.
+        """
+        whole = response('Content-Length: 16', body=PART)
+        for begin in (b'H', b'HTTP/1.1 20', b'HTTP/1.1 200 OK\r\nX-A'):
+            with self.subTest(begin=begin):
+                answer = await self.play(
+                    Script(whole + begin), 'POST', 4, True
+                )
+                self.assertEqual((200, PART), answer[:2])
+                sound = await self.ask('POST', 4)
+                self.assertEqual((200, b'sound'), sound[:2])
+                self.assertFalse(self.upstream.kept)
+
     async def test_bytes_after_a_response_that_follows_a_late_one(
         self,
     ) -> None:
