Count no time without a processor in the tests of a restored store

All routers and the store of these tests share one process.

Change: as in test_endless, that time does not count; the 2 s stay, and on an idle machine nothing changes.

--- a/packages/knapweedhall-router/tests/test_restored_store.py
+++ b/packages/knapweedhall-router/tests/test_restored_store.py
@@ -12,6 +12,7 @@
 from knapweedhall_router import coordinator_link
 from knapweedhall_router import membership
 from knapweedhall_routing import model
+from knapweedhall_standins import processor
 from knapweedhall_standins import upstream
 from tests import fleet
 from tests import fleet_case
@@ -335,15 +336,19 @@
         self.assertEqual(dict.fromkeys(KEYS, {200}), served)
 
     async def check_keys(self) -> None:
-        """Check that all keys have one owner, and are served in time."""
+        """Check that all keys have one owner, and are served in time.
+
+        Time without a processor does not count: all routers and the store
+        share this process.
+        """
         loop = asyncio.get_running_loop()
-        began_at = loop.time()
-        served_at = dict.fromkeys(KEYS, began_at)
+        until = loop.time() + 6.0
+        served_at = dict.fromkeys(KEYS, loop.time() - processor.wait_s())
         longest_s = dict.fromkeys(KEYS, 0.0)
-        while loop.time() < began_at + 6.0:
+        while loop.time() < until:
             self.assert_one_owner()
             served = await self.ask_for_keys()
-            now = loop.time()
+            now = loop.time() - processor.wait_s()
             for key in KEYS:
                 longest_s[key] = max(longest_s[key], now - served_at[key])
                 if served[key] == {200}:
