Relay what the coordinator reads while its term begins

The first heartbeat names the offsets up to which router-1 has read. router-3 itself reads the record of one service at 482.133. router-1 reads that of the other at 482.171, and begins its term at 482.172. Until then it relays nothing. From then on router-3 relies on the relay: it has read after it connected, and up to the offsets of the first heartbeat. It never reads the second record; 404 no-route until 502.

Change: the coordinator relays from the moment at which instances can connect. The beginning of a term takes two calls of the store, and longer if it is slow; the configuration, evacuations and leaving upstreams go the same way.

Result: the test, in which the store does not answer the beginning of a term, failed before and passes.

--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
@@ -155,9 +155,10 @@
 
     async def run(self) -> None:
         """Begin the term and coordinate until cancelled or deposed."""
+        # Instances connect while the term begins, and rely on the relay.
+        self.state.feed.relay = self.relay_records
         try:
             await self._begin_term()
-            self.state.feed.relay = self.relay_records
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.links.run())
                 group.create_task(self._end_predecessors())
--- a/packages/knapweedhall-router/tests/test_coordinator.py
+++ b/packages/knapweedhall-router/tests/test_coordinator.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import typing
 import unittest
+from unittest import mock
 
 import msgspec
 
 from knapweedhall_adapter import errors
+from knapweedhall_adapter import outcomes
 from knapweedhall_router import clock
 from knapweedhall_router import coordinator
 from knapweedhall_router import coordinator_store
@@ -53,6 +56,40 @@
         self.assertFalse(holding.is_free(now))
 
 
+class BeginningTermTest(unittest.IsolatedAsyncioTestCase):
+    """A term that still waits for the store."""
+
+    async def test_changes_for_instances_that_have_connected(self) -> None:
+        """Guards against changes that an instance never learns.
+
+        In the soak (seed 990086) an instance connected while a term began. A
+        record that the coordinator read then was not relayed, and the instance
+        relied on the relay from the first heartbeat on: 404 until the end.
+        """
+        state = state_module.State(fleet.Fleet().new_settings())
+        term = coordinator.Coordinator(
+            typing.cast(typing.Any, None),
+            typing.cast(typing.Any, None),
+            state,
+            clock.now() + 1.0,
+        )
+
+        async def wait(*arguments: object) -> None:
+            await asyncio.Event().wait()
+
+        with mock.patch.object(term.store, 'begin', wait):
+            task = asyncio.create_task(term.run())
+            await asyncio.sleep(0)
+            link = mock.Mock(encode=messages.encode)
+            term.links.active.add(link)
+            state.feed.relay_changes('t', [outcomes.Record(7, 'k', b'v')])
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        expected = messages.Records('t', False, [(7, 'k', b'v')])
+        link.send.assert_called_once_with(messages.encode(expected))
+        self.assertIsNone(state.feed.relay)
+
+
 class StoredRecordsTest(unittest.TestCase):
     """The coordinator's records, as another writer may have left them."""
 
