Print standstills of the event loop in the tests of whole routers

A failure of these tests beside load could not be told from a fault of the router: 3 of 12 plays of test_fleet, test_fleet_store and test_fleet_keys failed at the same time beside other work, and only debug lines of asyncio showed that single steps had taken 1.7 s to 2.8 s, where grants last 2.5 s. No test is skipped or relaxed; each standstill of over 0.5 s is printed, with the part of it that the process had no processor, so that the output of a failure says which.

--- a/packages/knapweedhall-router/tests/fleet_case.py
+++ b/packages/knapweedhall-router/tests/fleet_case.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import time
 import unittest
 
 from knapweedhall_router import application
+from knapweedhall_standins import processor
 from tests import fleet
 
+WATCH_PERIOD_S = 0.05
+# Grants last 2.5 s and calls time out after 0.3 s to 0.6 s, so a standstill of
+# the event loop of this length may be why a test failed.
+MIN_STANDSTILL_S = 0.5
+
 
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Starts a fleet before each test and stops it afterwards."""
@@ -16,10 +24,26 @@
 
     async def asyncSetUp(self) -> None:
         """Start a fleet."""
+        watching = asyncio.create_task(self._print_standstills())
+        self.addCleanup(watching.cancel)
         self.fleet = fleet.Fleet()
         self.addAsyncCleanup(self.fleet.stop)
         await self.fleet.start(self.routers)
 
+    async def _print_standstills(self) -> None:
+        """Print when the event loop stood still, until cancelled."""
+        while True:
+            begun_at, waited_s = time.monotonic(), processor.wait_s()
+            await asyncio.sleep(WATCH_PERIOD_S)
+            length_s = time.monotonic() - begun_at
+            waited_s = processor.wait_s() - waited_s
+            if length_s > MIN_STANDSTILL_S:
+                print(
+                    f'{self.id()}: stood still for {length_s:.2f} s, '
+                    f'{waited_s:.2f} s of it without a processor',
+                    flush=True,
+                )
+
     def statuses(self, responses: list[fleet.Response]) -> dict[int, int]:
         """Return the number of responses by status."""
         counts: dict[int, int] = {}
