Do not take a standstill of a stopping process for calm

Cause: ended the wait for connections 0.6 s after the last time at which one was open. That time was noted before a pause of 0.05 s. If the process stood still for 0.6 s in it, as on a busy machine, the wait was over, though connections were open.

Change: the wait ends only in a check that finds no connection.

--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -341,10 +341,12 @@
         await asyncio.sleep(accept_until - clock.now())
         await open_listeners.close_one(FRONT)
         quiet_until = clock.now() + KERNEL_SEND_S
-        while clock.now() < min(quiet_until, end_at):
+        while clock.now() < end_at:
             if caller_server.connections:
                 caller_server.close_idle()
                 quiet_until = clock.now() + KERNEL_SEND_S
+            elif clock.now() >= quiet_until:
+                break
             await asyncio.sleep(DRAIN_CHECK_S)
 
     async def _housekeeping(
--- a/packages/knapweedhall-router/tests/test_planned_stop.py
+++ b/packages/knapweedhall-router/tests/test_planned_stop.py
@@ -345,6 +345,22 @@
         self.assertEqual(200, (await caller.read_answer()).status)
         await self.assert_ended(stopped_at)
 
+    async def test_standstill_while_a_request_runs(self) -> None:
+        """Guards against a process that takes its own standstill for calm.
+
+        In the soak (seed 990095) it ended with running requests.
+        """
+        self.upstream.work_s = LAST_WORK_S
+        stopped_at = self.request_stop()
+        await asyncio.sleep(application.ACCEPT_AFTER_STOP_S - 0.2)
+        answer = asyncio.create_task(self.ask(self.first_caller, 'running'))
+        await asyncio.sleep(0.4)
+        self.router.send(signal.SIGSTOP)
+        await asyncio.sleep(application.KERNEL_SEND_S + 0.2)
+        self.router.send(signal.SIGCONT)
+        self.assertEqual(200, (await answer).status)
+        await self.assert_ended(stopped_at)
+
     async def test_stop_while_the_store_does_not_answer(self) -> None:
         """Guards against a stop that is delayed by calls to the store."""
         await self.fleet.store.stop()
