--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -349,11 +349,13 @@
         await asyncio.sleep(accept_until - clock.now())
         await open_listeners.close_one(FRONT)
         # A connection that was accepted before may still be set up.
-        sent_at = clock.now() + KERNEL_SEND_S
-        while clock.now() < min(sent_at, end_at):
+        quiet_until = clock.now() + KERNEL_SEND_S
+        while clock.now() < end_at:
             if caller_server.is_sending():
-                sent_at = clock.now() + KERNEL_SEND_S
                 caller_server.close_idle()
+                quiet_until = clock.now() + KERNEL_SEND_S
+            elif clock.now() >= quiet_until:
+                break
             await asyncio.sleep(DRAIN_CHECK_S)
 
     async def _housekeeping(
