Log a closed connection whose caller has reset it

Cause: the error of a socket that is kept in a stop was dropped without a log line, against the house rules.

--- a/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/caller_connections.py
@@ -329,8 +329,9 @@
             return
         try:
             kept.shutdown(socket.SHUT_WR)
-        except OSError:
-            # The caller has left.
+        except OSError as error:
+            # The caller has reset the connection.
+            logs.warning('caller_fault', reason=tasks.describe(error))
             kept.close()
             return
         self.closed.append(kept)
