Move the modules of the router into folders by their job

Those that serve requests are now in serving/, those of the coordinator, the membership and the store in control/, and messages, connections between instances and listeners in links/.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/costs.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/costs.py
@@ -8,8 +8,8 @@
 import typing
 from unittest import mock
 
+from knapweedhall_router.links import messages
 from knapweedhall_router import logs
-from knapweedhall_router import messages
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
 from knapweedhall_routing import planning
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
@@ -18,7 +18,7 @@
 from knapweedhall_ctl import draft
 from knapweedhall_ctl import exit_codes
 from knapweedhall_ctl import publish
-from knapweedhall_router import coordinator_link
+from knapweedhall_router.links import coordinator_link
 
 # Names of the service whose keys have owners, and of the one without keys.
 DIVIDED_SERVICE = 'ledger'
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/sabotage.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/sabotage.py
@@ -9,12 +9,12 @@
 from knapweedhall_adapter import outcomes
 from knapweedhall_records import bodies
 from knapweedhall_records import codec
-from knapweedhall_router import exchange
-from knapweedhall_router import feed
-from knapweedhall_router import followers
-from knapweedhall_router import frontend
+from knapweedhall_router.control import feed
+from knapweedhall_router.control import followers
+from knapweedhall_router.control import order_sender
 from knapweedhall_router import main
-from knapweedhall_router import order_sender
+from knapweedhall_router.serving import exchange
+from knapweedhall_router.serving import frontend
 from knapweedhall_router import state
 from knapweedhall_routing import directory
 from knapweedhall_routing import health
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/connection.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/connection.py
@@ -13,8 +13,8 @@
 from knapweedhall_adapter import errors
 from knapweedhall_adapter import outcomes
 from knapweedhall_adapter import store
-from knapweedhall_router import coordinator_link
-from knapweedhall_router import messages
+from knapweedhall_router.links import coordinator_link
+from knapweedhall_router.links import messages
 from knapweedhall_routing import model
 
 DEFAULT_STORE = '127.0.0.1:7000'
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/owners.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/owners.py
@@ -12,7 +12,7 @@
 from knapweedhall_ctl import exit_codes
 from knapweedhall_ctl import report
 from knapweedhall_records import errors
-from knapweedhall_router import coordinator_store
+from knapweedhall_router.control import coordinator_store
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
 
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/record_log.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/record_log.py
@@ -12,8 +12,8 @@
 from knapweedhall_records import bodies
 from knapweedhall_records import codec
 from knapweedhall_records import errors
-from knapweedhall_router import appender
-from knapweedhall_router import operator_records
+from knapweedhall_router.control import appender
+from knapweedhall_router.control import operator_records
 
 # Keeps retries during an outage from using up the platform's call budget.
 RETRY_PAUSE_S = 0.5
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/show.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/show.py
@@ -12,7 +12,7 @@
 from knapweedhall_records import bodies
 from knapweedhall_records import codec
 from knapweedhall_records import errors
-from knapweedhall_router import operator_records
+from knapweedhall_router.control import operator_records
 
 EXAMPLE = """example:
   knapweedhallctl show service ledger"""
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/status.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/status.py
@@ -8,7 +8,7 @@
 from knapweedhall_ctl import connection
 from knapweedhall_ctl import exit_codes
 from knapweedhall_ctl import report
-from knapweedhall_router import messages
+from knapweedhall_router.links import messages
 
 EXAMPLE = """example:
   knapweedhallctl status --store 10.200.1.7:8541"""
--- a/packages/knapweedhall-ctl/tests/test_publish.py
+++ b/packages/knapweedhall-ctl/tests/test_publish.py
@@ -23,8 +23,8 @@
 from knapweedhall_ctl import record_log
 from knapweedhall_ctl import report
 from knapweedhall_ctl import show
-from knapweedhall_router import coordinator_store
-from knapweedhall_router import operator_records
+from knapweedhall_router.control import coordinator_store
+from knapweedhall_router.control import operator_records
 from knapweedhall_standins import store
 
 MARK = {
--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -13,17 +13,17 @@
 
 from knapweedhall_adapter import orders
 from knapweedhall_adapter import store
-from knapweedhall_router import caller_connections
 from knapweedhall_router import clock
-from knapweedhall_router import coordinator_link
-from knapweedhall_router import dispatch
-from knapweedhall_router import followers
-from knapweedhall_router import frontend
-from knapweedhall_router import listeners
+from knapweedhall_router.control import followers
+from knapweedhall_router.control import membership
+from knapweedhall_router.links import coordinator_link
+from knapweedhall_router.links import listeners
+from knapweedhall_router.links import peer_listener
 from knapweedhall_router import logs
-from knapweedhall_router import membership
 from knapweedhall_router import metrics
-from knapweedhall_router import peer_listener
+from knapweedhall_router.serving import caller_connections
+from knapweedhall_router.serving import dispatch
+from knapweedhall_router.serving import frontend
 from knapweedhall_router import settings as settings_module
 from knapweedhall_router import startup
 from knapweedhall_router import state as state_module
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/__init__.py
@@ -0,0 +1,1 @@
+"""Assignment of keys, membership and what is read from the store."""
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
@@ -10,19 +10,19 @@
 from knapweedhall_adapter import orders as order_client
 from knapweedhall_adapter import store
 from knapweedhall_router import clock
-from knapweedhall_router import coordinator_link
-from knapweedhall_router import coordinator_store
-from knapweedhall_router import feed
-from knapweedhall_router import instance_links
-from knapweedhall_router import lease as lease_module
+from knapweedhall_router.control import coordinator_store
+from knapweedhall_router.control import feed
+from knapweedhall_router.control import lease as lease_module
+from knapweedhall_router.control import moves
+from knapweedhall_router.control import order_sender
+from knapweedhall_router.control import renewals
+from knapweedhall_router.control import service_state
+from knapweedhall_router.control import takeover
+from knapweedhall_router.links import coordinator_link
+from knapweedhall_router.links import instance_links
+from knapweedhall_router.links import messages
 from knapweedhall_router import logs
-from knapweedhall_router import messages
-from knapweedhall_router import moves
-from knapweedhall_router import order_sender
-from knapweedhall_router import renewals
-from knapweedhall_router import service_state
 from knapweedhall_router import state as state_module
-from knapweedhall_router import takeover
 from knapweedhall_router import tasks
 from knapweedhall_routing import holdings
 from knapweedhall_routing import load as load_module
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_store.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator_store.py
@@ -11,10 +11,10 @@
 from knapweedhall_adapter import outcomes
 from knapweedhall_adapter import positions
 from knapweedhall_adapter import store
-from knapweedhall_router import appender
+from knapweedhall_router.control import appender
+from knapweedhall_router.control import takeover
 from knapweedhall_router import logs
 from knapweedhall_router import settings as settings_module
-from knapweedhall_router import takeover
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/followers.py
@@ -14,8 +14,8 @@
 from knapweedhall_records import codec
 from knapweedhall_records import errors
 from knapweedhall_router import clock
+from knapweedhall_router.control import operator_records
 from knapweedhall_router import logs
-from knapweedhall_router import operator_records
 from knapweedhall_router import state as state_module
 from knapweedhall_router import tasks
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/membership.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/membership.py
@@ -15,10 +15,10 @@
 from knapweedhall_adapter import outcomes
 from knapweedhall_adapter import store
 from knapweedhall_router import clock
-from knapweedhall_router import coordinator as coordinator_module
-from knapweedhall_router import coordinator_link
-from knapweedhall_router import coordinator_store
-from knapweedhall_router import instance_links
+from knapweedhall_router.control import coordinator as coordinator_module
+from knapweedhall_router.control import coordinator_store
+from knapweedhall_router.links import coordinator_link
+from knapweedhall_router.links import instance_links
 from knapweedhall_router import logs
 from knapweedhall_router import state as state_module
 from knapweedhall_router import tasks
--- a/packages/knapweedhall-router/src/knapweedhall_router/moves.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/moves.py
@@ -7,10 +7,10 @@
 
 from knapweedhall_adapter import outcomes
 from knapweedhall_router import clock
-from knapweedhall_router import coordinator_store
-from knapweedhall_router import lease as lease_module
+from knapweedhall_router.control import coordinator_store
+from knapweedhall_router.control import lease as lease_module
+from knapweedhall_router.control import order_sender
 from knapweedhall_router import logs
-from knapweedhall_router import order_sender
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
--- a/packages/knapweedhall-router/src/knapweedhall_router/renewals.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/renewals.py
@@ -4,8 +4,8 @@
 
 import typing
 
-from knapweedhall_router import lease as lease_module
-from knapweedhall_router import order_sender
+from knapweedhall_router.control import lease as lease_module
+from knapweedhall_router.control import order_sender
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import holdings
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/service_state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/service_state.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from knapweedhall_router import messages
+from knapweedhall_router.links import messages
 from knapweedhall_routing import holdings
 
 # Time for which the number of usable upstreams must be unchanged before the
--- a/packages/knapweedhall-router/src/knapweedhall_router/takeover.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/takeover.py
@@ -9,8 +9,8 @@
 
 from knapweedhall_adapter import errors
 from knapweedhall_router import clock
+from knapweedhall_router.links import messages
 from knapweedhall_router import logs
-from knapweedhall_router import messages
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
 from knapweedhall_routing import quorum
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and connections between instances, and the listeners."""
--- a/packages/knapweedhall-router/src/knapweedhall_router/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/coordinator_link.py
@@ -8,8 +8,8 @@
 from knapweedhall_adapter import outcomes
 from knapweedhall_adapter import store
 from knapweedhall_router import clock
+from knapweedhall_router.links import messages
 from knapweedhall_router import logs
-from knapweedhall_router import messages
 from knapweedhall_router import settings as settings_module
 from knapweedhall_router import state as state_module
 from knapweedhall_router import tasks
--- a/packages/knapweedhall-router/src/knapweedhall_router/instance_links.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/instance_links.py
@@ -7,8 +7,8 @@
 
 from knapweedhall_adapter import errors
 from knapweedhall_router import clock
+from knapweedhall_router.links import messages
 from knapweedhall_router import logs
-from knapweedhall_router import messages
 from knapweedhall_routing import quorum
 
 # Heartbeats tell instances when the coordinator last read the store. They rely
--- a/packages/knapweedhall-router/src/knapweedhall_router/peer_listener.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/peer_listener.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from knapweedhall_router import coordinator_link
+from knapweedhall_router.control import membership
+from knapweedhall_router.links import coordinator_link
+from knapweedhall_router.links import messages
 from knapweedhall_router import logs
-from knapweedhall_router import membership
-from knapweedhall_router import messages
 from knapweedhall_router import tasks
 
 FIRST_MESSAGE_TIMEOUT_S = 1.0
--- /dev/null
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers, and the connections that carry them."""
--- a/packages/knapweedhall-router/src/knapweedhall_router/calls.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/calls.py
@@ -10,7 +10,7 @@
 from knapweedhall_adapter import decoding
 from knapweedhall_adapter import names
 from knapweedhall_router import clock
-from knapweedhall_router import exchange
+from knapweedhall_router.serving import exchange
 from knapweedhall_routing import model
 
 _numbers = itertools.count(1)
--- a/packages/knapweedhall-router/src/knapweedhall_router/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
@@ -10,13 +10,13 @@
 
 from knapweedhall_adapter import decoding
 from knapweedhall_adapter import names
-from knapweedhall_router import calls
 from knapweedhall_router import clock
-from knapweedhall_router import connections
-from knapweedhall_router import exchange
 from knapweedhall_router import logs
-from knapweedhall_router import response_buffers
-from knapweedhall_router import selection
+from knapweedhall_router.serving import calls
+from knapweedhall_router.serving import connections
+from knapweedhall_router.serving import exchange
+from knapweedhall_router.serving import response_buffers
+from knapweedhall_router.serving import selection
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import admission
 from knapweedhall_routing import buffer_budget
--- a/packages/knapweedhall-router/src/knapweedhall_router/exchange.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/exchange.py
@@ -13,8 +13,8 @@
 import multidict
 
 from knapweedhall_adapter import names
-from knapweedhall_router import connections
-from knapweedhall_router import response_buffers
+from knapweedhall_router.serving import connections
+from knapweedhall_router.serving import response_buffers
 
 # Valid statuses (RFC 9110, 15); the parser lets all of three digits pass.
 VALID_STATUSES = range(100, 600)
--- a/packages/knapweedhall-router/src/knapweedhall_router/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
@@ -16,14 +16,14 @@
 
 from knapweedhall_adapter import decoding
 from knapweedhall_adapter import names
-from knapweedhall_router import caller_connections
-from knapweedhall_router import calls
 from knapweedhall_router import clock
-from knapweedhall_router import dispatch
-from knapweedhall_router import exchange
 from knapweedhall_router import logs
 from knapweedhall_router import metrics
-from knapweedhall_router import selection
+from knapweedhall_router.serving import caller_connections
+from knapweedhall_router.serving import calls
+from knapweedhall_router.serving import dispatch
+from knapweedhall_router.serving import exchange
+from knapweedhall_router.serving import selection
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import body_budget
 from knapweedhall_routing import model
--- a/packages/knapweedhall-router/src/knapweedhall_router/response_buffers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/response_buffers.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from knapweedhall_router import connections
 from knapweedhall_router import logs
+from knapweedhall_router.serving import connections
 from knapweedhall_routing import buffer_budget
 
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/selection.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/selection.py
@@ -6,9 +6,9 @@
 import dataclasses
 import math
 
-from knapweedhall_router import calls
 from knapweedhall_router import clock
-from knapweedhall_router import connections
+from knapweedhall_router.serving import calls
+from knapweedhall_router.serving import connections
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import admission
 from knapweedhall_routing import choice
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -7,7 +7,7 @@
 import random
 
 from knapweedhall_router import clock
-from knapweedhall_router import feed
+from knapweedhall_router.control import feed
 from knapweedhall_router import logs
 from knapweedhall_router import settings as settings_module
 from knapweedhall_routing import budgets
--- a/packages/knapweedhall-router/tests/test_caller_connections.py
+++ b/packages/knapweedhall-router/tests/test_caller_connections.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from knapweedhall_router import caller_connections
+from knapweedhall_router.serving import caller_connections
 
 HOST = '127.0.9.250'
 HEAD = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n'
--- a/packages/knapweedhall-router/tests/test_checkpoints.py
+++ b/packages/knapweedhall-router/tests/test_checkpoints.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from knapweedhall_adapter import store as store_client
-from knapweedhall_router import coordinator_store
+from knapweedhall_router.control import coordinator_store
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
 from knapweedhall_standins import store
--- a/packages/knapweedhall-router/tests/test_connections.py
+++ b/packages/knapweedhall-router/tests/test_connections.py
@@ -8,7 +8,7 @@
 import unittest
 
 from knapweedhall_router import clock
-from knapweedhall_router import connections
+from knapweedhall_router.serving import connections
 from knapweedhall_routing import body_budget
 from knapweedhall_routing import model
 
--- a/packages/knapweedhall-router/tests/test_coordinator.py
+++ b/packages/knapweedhall-router/tests/test_coordinator.py
@@ -14,10 +14,10 @@
 from knapweedhall_adapter import errors
 from knapweedhall_adapter import outcomes
 from knapweedhall_router import clock
-from knapweedhall_router import coordinator
-from knapweedhall_router import coordinator_store
-from knapweedhall_router import messages
-from knapweedhall_router import service_state
+from knapweedhall_router.control import coordinator
+from knapweedhall_router.control import coordinator_store
+from knapweedhall_router.control import service_state
+from knapweedhall_router.links import messages
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
--- a/packages/knapweedhall-router/tests/test_coordinator_link.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_link.py
@@ -9,10 +9,10 @@
 import unittest
 
 from knapweedhall_adapter import outcomes
-from knapweedhall_router import coordinator_link
-from knapweedhall_router import instance_links
-from knapweedhall_router import messages
-from knapweedhall_router import peer_listener
+from knapweedhall_router.links import coordinator_link
+from knapweedhall_router.links import instance_links
+from knapweedhall_router.links import messages
+from knapweedhall_router.links import peer_listener
 from knapweedhall_router import state as state_module
 from tests import fleet
 from tests import test_planned_stop
--- a/packages/knapweedhall-router/tests/test_coordinator_stops.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_stops.py
@@ -9,8 +9,8 @@
 
 from knapweedhall_router import application
 from knapweedhall_router import clock
-from knapweedhall_router import coordinator_link
-from knapweedhall_router import membership
+from knapweedhall_router.control import membership
+from knapweedhall_router.links import coordinator_link
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
 from knapweedhall_routing import rates
--- a/packages/knapweedhall-router/tests/test_feed.py
+++ b/packages/knapweedhall-router/tests/test_feed.py
@@ -5,7 +5,7 @@
 import unittest
 
 from knapweedhall_adapter import outcomes
-from knapweedhall_router import feed
+from knapweedhall_router.control import feed
 
 TOPIC = 'topic'
 
--- a/packages/knapweedhall-router/tests/test_followers.py
+++ b/packages/knapweedhall-router/tests/test_followers.py
@@ -10,9 +10,9 @@
 from knapweedhall_adapter import names
 from knapweedhall_adapter import outcomes
 from knapweedhall_router import clock
-from knapweedhall_router import coordinator_link
-from knapweedhall_router import followers
-from knapweedhall_router import messages
+from knapweedhall_router.control import followers
+from knapweedhall_router.links import coordinator_link
+from knapweedhall_router.links import messages
 from knapweedhall_router import state as state_module
 from tests import fleet
 
--- a/packages/knapweedhall-router/tests/test_invalid_responses.py
+++ b/packages/knapweedhall-router/tests/test_invalid_responses.py
@@ -16,7 +16,7 @@
 
 from knapweedhall_adapter import orders
 from knapweedhall_adapter import outcomes
-from knapweedhall_router import connections
+from knapweedhall_router.serving import connections
 from knapweedhall_routing import model
 from knapweedhall_standins import upstream
 from tests import fleet
--- a/packages/knapweedhall-router/tests/test_membership.py
+++ b/packages/knapweedhall-router/tests/test_membership.py
@@ -10,11 +10,11 @@
 from knapweedhall_adapter import outcomes
 from knapweedhall_adapter import store
 from knapweedhall_router import clock
-from knapweedhall_router import coordinator
-from knapweedhall_router import coordinator_link
-from knapweedhall_router import coordinator_store
-from knapweedhall_router import lease
-from knapweedhall_router import membership
+from knapweedhall_router.control import coordinator
+from knapweedhall_router.control import coordinator_store
+from knapweedhall_router.control import lease
+from knapweedhall_router.control import membership
+from knapweedhall_router.links import coordinator_link
 from knapweedhall_router import state as state_module
 from tests import fleet
 
--- a/packages/knapweedhall-router/tests/test_messages.py
+++ b/packages/knapweedhall-router/tests/test_messages.py
@@ -13,9 +13,9 @@
 import msgspec
 
 from knapweedhall_adapter import errors
-from knapweedhall_router import coordinator_link
-from knapweedhall_router import instance_links
-from knapweedhall_router import messages
+from knapweedhall_router.links import coordinator_link
+from knapweedhall_router.links import instance_links
+from knapweedhall_router.links import messages
 
 
 def configuration(routes: int) -> bytes:
--- a/packages/knapweedhall-router/tests/test_moves.py
+++ b/packages/knapweedhall-router/tests/test_moves.py
@@ -7,9 +7,9 @@
 
 from knapweedhall_adapter import outcomes
 from knapweedhall_router import clock
-from knapweedhall_router import lease
-from knapweedhall_router import moves
-from knapweedhall_router import order_sender
+from knapweedhall_router.control import lease
+from knapweedhall_router.control import moves
+from knapweedhall_router.control import order_sender
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
--- a/packages/knapweedhall-router/tests/test_operator_stories.py
+++ b/packages/knapweedhall-router/tests/test_operator_stories.py
@@ -19,15 +19,15 @@
 from aiohttp import web
 
 from knapweedhall_router import application
-from knapweedhall_router import connections
-from knapweedhall_router import coordinator
-from knapweedhall_router import coordinator_store
-from knapweedhall_router import dispatch
-from knapweedhall_router import exchange
-from knapweedhall_router import feed
-from knapweedhall_router import followers
-from knapweedhall_router import moves
-from knapweedhall_router import selection
+from knapweedhall_router.control import coordinator
+from knapweedhall_router.control import coordinator_store
+from knapweedhall_router.control import feed
+from knapweedhall_router.control import followers
+from knapweedhall_router.control import moves
+from knapweedhall_router.serving import connections
+from knapweedhall_router.serving import dispatch
+from knapweedhall_router.serving import exchange
+from knapweedhall_router.serving import selection
 from knapweedhall_router import settings
 from knapweedhall_routing import holdings
 from knapweedhall_standins import upstream
--- a/packages/knapweedhall-router/tests/test_order_sender.py
+++ b/packages/knapweedhall-router/tests/test_order_sender.py
@@ -7,8 +7,8 @@
 
 from knapweedhall_adapter import outcomes
 from knapweedhall_router import clock
-from knapweedhall_router import moves
-from knapweedhall_router import order_sender
+from knapweedhall_router.control import moves
+from knapweedhall_router.control import order_sender
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
 
--- a/packages/knapweedhall-router/tests/test_properties.py
+++ b/packages/knapweedhall-router/tests/test_properties.py
@@ -19,9 +19,9 @@
 import msgspec
 
 from knapweedhall_adapter import errors
-from knapweedhall_router import coordinator_link
-from knapweedhall_router import coordinator_store
-from knapweedhall_router import messages
+from knapweedhall_router.control import coordinator_store
+from knapweedhall_router.links import coordinator_link
+from knapweedhall_router.links import messages
 from knapweedhall_router import settings
 from tests import test_settings
 
--- a/packages/knapweedhall-router/tests/test_restored_store.py
+++ b/packages/knapweedhall-router/tests/test_restored_store.py
@@ -8,9 +8,9 @@
 from unittest import mock
 
 from knapweedhall_adapter import positions
-from knapweedhall_router import coordinator
-from knapweedhall_router import coordinator_link
-from knapweedhall_router import membership
+from knapweedhall_router.control import coordinator
+from knapweedhall_router.control import membership
+from knapweedhall_router.links import coordinator_link
 from knapweedhall_routing import model
 from knapweedhall_standins import processor
 from knapweedhall_standins import upstream
--- a/packages/knapweedhall-router/tests/test_takeover.py
+++ b/packages/knapweedhall-router/tests/test_takeover.py
@@ -6,8 +6,8 @@
 import unittest
 
 from knapweedhall_router import clock
-from knapweedhall_router import messages
-from knapweedhall_router import takeover
+from knapweedhall_router.control import takeover
+from knapweedhall_router.links import messages
 from knapweedhall_routing import holdings
 from knapweedhall_routing import quorum
 
--- a/packages/knapweedhall-router/tests/test_tasks.py
+++ b/packages/knapweedhall-router/tests/test_tasks.py
@@ -8,8 +8,8 @@
 from unittest import mock
 
 from knapweedhall_adapter import decoding
-from knapweedhall_router import coordinator_link
-from knapweedhall_router import messages
+from knapweedhall_router.links import coordinator_link
+from knapweedhall_router.links import messages
 from knapweedhall_router import tasks
 from knapweedhall_routing import model
 from tests import fleet_case
