--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -11,6 +11,7 @@
 from knapweedhall_router import logs
 from knapweedhall_router import settings as settings_module
 from knapweedhall_routing import budgets
+from knapweedhall_routing import conditions
 from knapweedhall_routing import directory
 from knapweedhall_routing import health
 from knapweedhall_routing import idle_limits
@@ -105,6 +106,8 @@
         Whether the listener for callers is open.
     measurements : load.Measurements
         Requests and service times for the reports to the coordinator.
+    conditions : conditions.Conditions
+        Load and limits of upstreams over all instances.
     """
 
     def __init__(self, settings: settings_module.Settings) -> None:
@@ -125,6 +128,7 @@
         self.cold_budgets: dict[str, budgets.ColdBudget] = {}
         self.idle_limits: dict[str, idle_limits.IdleLimit] = {}
         self.measurements = load.Measurements()
+        self.conditions = conditions.Conditions()
         self.movement_rules: dict[str, planning.Rules] = {}
         self.owners_changed = Signal()
         self.out_of_service = False
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/model.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/model.py
@@ -98,6 +98,8 @@
     idempotent_methods : tuple of str
         HTTP methods whose requests may run more than once even if
         `idempotent` is false.
+    public : bool
+        Whether its requests are served without a caller's key.
     """
 
     name: str
@@ -110,6 +112,7 @@
     max_attempts: int
     priority: int
     idempotent_methods: tuple[str, ...] = ()
+    public: bool = False
 
     def is_idempotent(self, method: str) -> bool:
         """Return whether a request with this method may run more than once."""
@@ -138,13 +141,52 @@
     cold_per_s: float
 
 
+class Workspace(typing.NamedTuple):
+    """A tenant of the deployment, with the keys of its callers.
+
+    Attributes
+    ----------
+    name : str
+        Unique name.
+    keys : tuple of str
+        Keys that identify its callers.
+    priority : int or None
+        Priority of its requests, which takes precedence over that of the
+        route; None to use the route's.
+    rate_per_s, burst : float
+        Quota of all instances together: requests per second, and requests
+        beyond that at once. A rate of 0 means no limit.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class Configuration(typing.NamedTuple):
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    Attributes
+    ----------
+    version : int
+        A configuration replaces those with lower versions.
+    routes : tuple of Route
+        Routes of all services.
+    services : dict of str to Service
+        Services by name.
+    limits : Limits
+        Limits on what a caller may send.
+    workspaces : tuple of Workspace or None
+        Workspaces whose callers are served; None if callers need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits
+    workspaces: tuple[Workspace, ...] | None = None
 
 
 class Upstream(typing.NamedTuple):
