Keep requests in their failure domain while it has a free slot

Requests that any upstream of a service can run were sent to all failure domains at a cost factor of 1.1. With 72 instances in three of them, two thirds of these requests and responses crossed failure domains, which costs more than any other use of resources there.

A request now stays in the failure domain of its instance while an upstream there has a free slot and is expected to respond in time. Costs that differ by less than 5% count as equal, as instances of one failure domain share a few candidates. test_request_stays_local_while_there_is_a_free_slot fails without it.

--- a/packages/knapweedhall-routing/src/knapweedhall_routing/choice.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/choice.py
@@ -21,12 +21,16 @@
 # failure domains is paid for.
 REMOTE_COST_FACTOR = 1.1
 # Request bodies of at least this size stay in the failure domain if the
-# response is still expected in time.
+# response is still expected in time, others if an upstream has a free slot.
 LARGE_BODY_BYTES = 16384
 # Share of the time left to the latency objective within which a local
 # upstream must be expected to respond; the rest allows for the variation of
 # service times.
 LOCAL_TIME_SHARE = 0.6
+# Costs that differ by less count as equal, as the measurements are less exact.
+# Among a few local upstreams, the best one would otherwise get all requests
+# until its next load report.
+EQUAL_COST_FACTOR = 1.05
 # Weight of the share of failed requests in the cost: the caller has to retry a
 # request that fails.
 FAILURE_WEIGHT = 6.0
@@ -89,8 +93,9 @@
     """Return the best of a few random candidates; None if there are none.
 
     Candidates to which no connection could be made recently are used only if
-    there are no others. A large body stays in the instance's failure domain
-    if an upstream there is expected to respond in time.
+    there are no others. A request stays in the instance's failure domain if an
+    upstream there has a free slot and is expected to respond in time; one with
+    a large body also if it has to wait for a slot.
     """
     reachable = [
         candidate
@@ -98,24 +103,31 @@
         if candidate.health.connect_blocked_until <= now
     ]
     pool = reachable or list(candidates)
-    if preference.body_bytes >= LARGE_BODY_BYTES:
-        pool = _local_in_time(pool, now, preference) or pool
+    local = _local_in_time(pool, now, preference)
+    if preference.body_bytes < LARGE_BODY_BYTES:
+        local = [each for each in local if each.health.has_free_slot(now)]
+    pool = local or pool
     if not pool:
         return None
-    compared = _sample(pool, rng)
+    size = SAMPLE_SIZE
+    if local:
+        # All instances of the failure domain have the same few candidates.
+        size = min(size, (len(local) + 1) // 2)
+    compared = _sample(pool, size, rng)
     compared += _sample(
-        [candidate for candidate in pool if candidate.connected], rng
+        [candidate for candidate in pool if candidate.connected], size, rng
     )
-    return min(
-        compared,
-        key=lambda candidate: score(candidate, now, preference.failure_domain),
+    costs = [score(each, now, preference.failure_domain) for each in compared]
+    limit = min(costs) * EQUAL_COST_FACTOR
+    return rng.choice(
+        [each for each, cost in zip(compared, costs) if cost <= limit]
     )
 
 
 def _sample(
-    pool: typing.Sequence[Candidate], rng: random.Random
+    pool: typing.Sequence[Candidate], size: int, rng: random.Random
 ) -> list[Candidate]:
-    return rng.sample(pool, min(SAMPLE_SIZE, len(pool)))
+    return rng.sample(pool, min(size, len(pool)))
 
 
 def _local_in_time(
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
@@ -219,6 +219,10 @@
         # the load that they caused before.
         return self.outstanding + self.other_load * max(freshness, 0.5)
 
+    def has_free_slot(self, now: float) -> bool:
+        """Return whether a new request is expected to run at once."""
+        return self.load(now) + 1 <= self.slots
+
     def expected_latency_s(self, now: float) -> float:
         """Return the expected time until the response to a new request."""
         queued = max(0.0, self.load(now) + 1 - self.slots)
--- a/packages/knapweedhall-routing/tests/test_choice.py
+++ b/packages/knapweedhall-routing/tests/test_choice.py
@@ -98,6 +98,25 @@
         )
         self.assertEqual(300, remote)
 
+    def test_request_stays_local_while_there_is_a_free_slot(self) -> None:
+        """Guards against responses that cross failure domains without need.
+
+        In a fleet of 72 instances, requests without keys caused two thirds of
+        the traffic between failure domains.
+        """
+        self.assertEqual({'a0', 'a1', 'a2'}, set(self.picks()))
+        for local in self.pool[:2]:
+            for number in range(SLOTS):
+                local.health.record_sent(number, 1.0)
+        self.assertEqual({'a2'}, set(self.picks()))
+
+    def test_request_goes_remote_if_no_local_slot_is_free(self) -> None:
+        """Guards against queueing while remote upstreams are idle."""
+        for local in self.pool[:3]:
+            for number in range(SLOTS):
+                local.health.record_sent(number, 1.0)
+        self.assertLessEqual(set(self.picks()), {'b0', 'b1', 'b2'})
+
     def test_all_upstreams_failed_to_connect(self) -> None:
         """Guards against refusing while a connection might be possible."""
         for unreachable in self.pool:
