--- a/packages/knapweedhall-routing/src/knapweedhall_routing/model.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import math
 import typing
 
 # Keys of a divided service range from 0 to KEY_COUNT - 1.
@@ -165,6 +166,44 @@
     burst: float = 0.0
 
 
+def check_workspaces(workspaces: typing.Iterable[Workspace]) -> None:
+    """Check that each key belongs to one workspace that can be named.
+
+    The error does not contain a key, as it is logged.
+
+    Raises
+    ------
+    ValueError
+        If a name is missing, used twice or can't be sent in a header, if a
+        key is empty or belongs to two workspaces, or if a quota is below 0
+        or not finite.
+    """
+    name_by_key: dict[str, str] = {}
+    names: set[str] = set()
+    for workspace in workspaces:
+        name = workspace.name
+        if not name.strip():
+            raise ValueError('a workspace has no name')
+        if name != name.strip() or not name.isprintable():
+            raise ValueError(
+                f'workspace {name!r}: the name is no header value'
+            )
+        if name in names:
+            raise ValueError(f'two workspaces have the name {name!r}')
+        names.add(name)
+        for key in workspace.keys:
+            if not key.strip():
+                raise ValueError(f'workspace {name!r} has an empty key')
+            holder = name_by_key.setdefault(key, name)
+            if holder != name:
+                raise ValueError(
+                    f'workspaces {holder!r} and {name!r} have the same key'
+                )
+        for value in (workspace.rate_per_s, workspace.burst):
+            if not 0 <= value < math.inf:
+                raise ValueError(f'workspace {name!r}: quota {value}')
+
+
 class Configuration(typing.NamedTuple):
     """One version of the operators' configuration.
 
