Serve callers by the keys of their workspaces

With workspaces in the configuration, a request needs the key of one unless its route is public. Its key is looked up after its route is found and before its body is read (401), and again in the step in which it is sent, as it may have waited while a new version removed the key. Upstreams get the name of the workspace and not the key; both headers of the caller are dropped, also with an underscore in their name. Events of requests name the workspace, and knapweedhall_workspace_requests_total counts their outcomes.

caller_fault logged the message of the HTTP parser, which quotes the line that was received, so a malformed Authorization header was in the log with its key; only the kind of error is logged now.

--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -86,10 +86,11 @@
     _Group(
         2100,
         """
-configuration_in_force | INFO | version routes services | A new configuration \
-came into force; `routes` and `services` are counts.
+configuration_in_force | INFO | version routes services workspaces | A new \
+configuration came into force; the others are counts, `workspaces` is null if \
+callers need no key.
 configuration_unreadable | WARNING | offset reason | A configuration cannot \
-be decoded; the previous one stays in force.
+be decoded or is not valid; the previous one stays in force.
 record_in_force | INFO | kind name version writer | A new version of an \
 operator's record came into force.
 record_skipped | WARNING | key reason | A record is invalid or was stored \
@@ -197,12 +198,12 @@
     _Group(
         2500,
         """
-request_answered | INFO | request route service key upstreams status \
-waited_ms configuration | An upstream answered a request; only a sample of \
-these events is written.
-request_failed | INFO | request route service key status reason sends \
-upstreams waited_ms configuration owner_version owner_age_s | The router \
-answered a request with an error response of its own.
+request_answered | INFO | request workspace route service key upstreams \
+status waited_ms configuration | An upstream answered a request; only a \
+sample of these events is written.
+request_failed | INFO | request workspace route service key status reason \
+sends upstreams waited_ms configuration owner_version owner_age_s | The \
+router answered a request with an error response of its own.
 request_refused_by_upstream | INFO | request upstream status key | An \
 upstream reported that it did not run a request.
 request_repeated | INFO | request upstream reason sends | A request is sent \
@@ -213,8 +214,8 @@
 arrived from an upstream; if `sent` is true, it may have run the request.
 connection_failed | INFO | request upstream reason | A connection to an \
 upstream could not be established.
-caller_left | INFO | request service key upstreams waited_ms | The caller \
-closed its connection before the response.
+caller_left | INFO | request workspace service key upstreams waited_ms | The \
+caller closed its connection before the response.
 request_fault | WARNING | request reason | An internal error of the router \
 ended a request.
 idle_connection_forgotten | INFO | request upstream idle_s after_s | An \
--- a/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
@@ -35,11 +35,14 @@
     ----------
     outcome_counts : dict of str to int
         Number of finished requests by outcome.
+    workspace_counts : dict of tuple of str and str to int
+        Number of ended requests by workspace and outcome.
     registry : aioprometheus.Registry
         Metrics of the process.
     """
 
     outcome_counts: dict[str, int]
+    workspace_counts: dict[tuple[str, str], int]
     registry: aioprometheus.Registry
 
     @property
@@ -54,6 +57,8 @@
     ----------
     requests : aioprometheus.Counter
         Finished requests by outcome.
+    workspace_requests : aioprometheus.Counter
+        Ended requests by workspace and outcome.
     gauges : aioprometheus.Gauge
         State of the instance by name.
     """
@@ -67,6 +72,11 @@
             'Requests by outcome',
             registry=self.registry,
         )
+        self.workspace_requests = aioprometheus.Counter(
+            'knapweedhall_workspace_requests_total',
+            'Requests by workspace and outcome',
+            registry=self.registry,
+        )
         self.gauges = aioprometheus.Gauge(
             'knapweedhall_state',
             'State of the instance by name',
@@ -77,6 +87,10 @@
         """Return all metrics in a format that the request accepts."""
         for outcome, count in self.traffic.outcome_counts.items():
             self.requests.set({'outcome': outcome}, count)
+        counts = self.traffic.workspace_counts
+        for (workspace, outcome), count in counts.items():
+            labels = {'workspace': workspace, 'outcome': outcome}
+            self.workspace_requests.set(labels, count)
         for name, value in self.read_gauges().items():
             self.gauges.set({'name': name}, value)
         content, headers = renderer.render(
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/caller_connections.py
@@ -128,6 +128,9 @@
         reason = str(arguments[0]) if arguments else ''
         if isinstance(error, BaseException):
             reason = tasks.describe(error)
+        if isinstance(error, http.HttpProcessingError):
+            # The message contains what was received, such as a caller's key.
+            reason = type(error).__name__
         logs.warning('caller_fault', reason=reason)
 
     def record_request(self, content: streams.StreamReader) -> None:
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/calls.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/calls.py
@@ -12,8 +12,22 @@
 from knapweedhall_router import clock
 from knapweedhall_router.serving import exchange
 from knapweedhall_routing import model
+from knapweedhall_routing import workspaces
 
 _numbers = itertools.count(1)
+# Headers of requests that the router sets itself, in lower case.
+OWN_HEADERS = frozenset(
+    (
+        names.TIME_LEFT_MS_HEADER.lower(),
+        names.EXPECTED_UPSTREAM_HEADER.lower(),
+    )
+)
+# Headers that are not forwarded where callers need a key, in lower case. Some
+# servers take an underscore in a name for a hyphen, so a caller could name
+# another workspace with it.
+WORKSPACE_HEADERS = frozenset(
+    (names.CALLER_KEY_HEADER.lower(), names.WORKSPACE_HEADER.lower())
+)
 
 
 def time_limit_s(request: web.BaseRequest, route: model.Route) -> float:
@@ -37,6 +51,15 @@
         timeout.reschedule(new_end_at)
 
 
+def caller_key(request: web.BaseRequest) -> str | None:
+    """Return the key with which the caller identifies itself, or None.
+
+    If there are several, it is not clear who the caller is.
+    """
+    values = request.headers.getall(names.CALLER_KEY_HEADER, [])
+    return decoding.parse_caller_key(values[0]) if len(values) == 1 else None
+
+
 class Call:
     """A caller's request, with its whole body, and the state of its attempts.
 
@@ -54,6 +77,15 @@
         Whether it may run more than once.
     key : int or None
         Key that selects the owner in a divided service.
+    caller_key : str or None
+        Key with which the caller identifies itself; never logged.
+    identified_by : workspaces.Directory or None
+        Workspaces among which the caller was looked up last; None if callers
+        needed no key then.
+    workspace : str
+        Name of the caller's workspace; '' if none.
+    priority : int
+        Priority of the workspace, or else of the route; 0 is the most urgent.
     arrived_at : float
         When the request arrived, on `clock.now`.
     deadline : float
@@ -82,6 +114,10 @@
         'idempotent',
         'service',
         'key',
+        'caller_key',
+        'identified_by',
+        'workspace',
+        'priority',
         'arrived_at',
         'deadline',
         'objective_at',
@@ -107,14 +143,17 @@
         self.headers = [
             (name, value)
             for name, value in exchange.end_to_end_headers(received)
-            if name
-            not in (names.TIME_LEFT_MS_HEADER, names.EXPECTED_UPSTREAM_HEADER)
+            if name.lower() not in OWN_HEADERS
         ]
         self.body = body
         self.route = route
         self.idempotent = route.is_idempotent(request.method)
         self.service = service
         self.key = decoding.parse_key(received.get(names.KEY_HEADER))
+        self.caller_key = caller_key(request)
+        self.identified_by: workspaces.Directory | None = None
+        self.workspace = ''
+        self.priority = route.priority
         self.arrived_at = now
         self.deadline = now + time_limit_s(request, route)
         self.objective_at = now + route.objective_s
@@ -123,6 +162,38 @@
         self.last_upstream = ''
         self.excluded_at: dict[str, float] = {}
 
+    def identify(self, directory: workspaces.Directory | None) -> bool:
+        """Look up the caller's workspace; return whether it may be served.
+
+        Called before each send, as a new configuration may have removed the
+        key or given it to another workspace.
+
+        Parameters
+        ----------
+        directory : workspaces.Directory or None
+            Workspaces of the configuration in force; None if callers need no
+            key.
+        """
+        if directory is self.identified_by:
+            return True
+        if directory is None:
+            # What was removed from its headers stays removed.
+            return True
+        if not directory.admits(self.caller_key, self.route):
+            return False
+        workspace = directory.identify(self.caller_key)
+        self.identified_by = directory
+        self.workspace = workspace.name if workspace else ''
+        self.priority = workspaces.priority(workspace, self.route)
+        self.headers = [
+            (name, value)
+            for name, value in self.headers
+            if name.lower().replace('_', '-') not in WORKSPACE_HEADERS
+        ]
+        if workspace is not None:
+            self.headers.append((names.WORKSPACE_HEADER, workspace.name))
+        return True
+
     def exclude(self, upstream_name: str, now: float) -> None:
         """Exclude an upstream from the further attempts.
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
@@ -25,6 +25,9 @@
 # Limit of sends of one request, and of excluded upstreams before its first
 # send. Several are allowed, as refusals cost an upstream next to nothing.
 MAX_SENDS = 4
+UNKNOWN_CALLER = selection.Failure(
+    names.UNKNOWN_CALLER_STATUS, 'unknown-caller-key'
+)
 
 Result = exchange.Response | selection.Failure
 
@@ -199,6 +202,10 @@
         pool: connections.Pool,
         connection: connections.Connection,
     ) -> Result | Retry:
+        if not call.identify(self.state.workspaces):
+            # A new configuration removed the key while the request waited.
+            pool.put_back(connection)
+            return self._final_failure(call, UNKNOWN_CALLER)
         health = self.state.health(upstream)
         sent_at = clock.now()
         call.send_count += 1
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
@@ -124,6 +124,9 @@
         Time limits of the bodies that are being received.
     outcome_counts : dict of str to int
         Number of finished requests by outcome.
+    workspace_counts : dict of tuple of str and str to int
+        Number of ended requests by workspace and outcome; the workspace is ''
+        for requests without a key to public routes.
     registry : aioprometheus.Registry
         Metrics of the process.
     request_seconds : aioprometheus.Histogram
@@ -139,6 +142,7 @@
         self.bodies = body_budget.BodyBudget()
         self.receiving: set[asyncio.Timeout] = set()
         self.outcome_counts: dict[str, int] = {}
+        self.workspace_counts: dict[tuple[str, str], int] = {}
         self.registry = aioprometheus.Registry()
         self.request_seconds = metrics.create_latency_histogram(self.registry)
 
@@ -187,6 +191,37 @@
         route = self.state.routes.find(request.host, request.path)
         if route is None:
             return self._refuse_unread(request, 404, 'no-route', None)
+        directory = self.state.workspaces
+        if directory is None:
+            return await self._serve(request, route, memory, now)
+        caller_key = calls.caller_key(request)
+        if not directory.admits(caller_key, route):
+            reason = 'unknown' if caller_key else 'no'
+            return self._refuse_unread(
+                request,
+                names.UNKNOWN_CALLER_STATUS,
+                f'{reason}-caller-key',
+                None,
+            )
+        workspace = directory.identify(caller_key)
+        outcome = 'caller-left'
+        try:
+            response = await self._serve(request, route, memory, now)
+            outcome = str(response.status)
+            if isinstance(response, ForwardedResponse):
+                outcome = 'answered'
+            return response
+        finally:
+            self._count_for_workspace(workspace, outcome)
+
+    async def _serve(
+        self,
+        request: web.BaseRequest,
+        route: model.Route,
+        memory: body_budget.Reservation,
+        now: float,
+    ) -> web.StreamResponse:
+        """Return the response to a request whose caller is identified."""
         try:
             # A body that is not complete by then could not be answered.
             limit_at = now + calls.time_limit_s(request, route)
@@ -207,11 +242,15 @@
         service = self.state.splitter.choose(route)
         call = calls.Call(request, route, service, body, now)
         try:
-            result = await self.dispatcher.run(call)
+            if call.identify(self.state.workspaces):
+                result = await self.dispatcher.run(call)
+            else:
+                result = dispatch.UNKNOWN_CALLER
         except asyncio.CancelledError:
             logs.info(
                 'caller_left',
                 request=call.request_id,
+                workspace=call.workspace,
                 service=call.service,
                 key=call.key,
                 upstreams=sorted(call.possible_runs),
@@ -371,6 +410,8 @@
             response.headers[names.REQUEST_ID_HEADER] = request_id
         if retry_after_s is not None and response.status == 503:
             response.headers[names.RETRY_AFTER_HEADER] = f'{retry_after_s:.3f}'
+        if response.status == names.UNKNOWN_CALLER_STATUS:
+            response.headers[names.CHALLENGE_HEADER] = names.CHALLENGE
         return response
 
     def _forward_response(
@@ -393,6 +434,12 @@
     def _count(self, outcome: str) -> None:
         self.outcome_counts[outcome] = self.outcome_counts.get(outcome, 0) + 1
 
+    def _count_for_workspace(
+        self, workspace: model.Workspace | None, outcome: str
+    ) -> None:
+        label = (workspace.name if workspace else '', outcome)
+        self.workspace_counts[label] = self.workspace_counts.get(label, 0) + 1
+
     def _record_failure(
         self, call: calls.Call, failure: selection.Failure
     ) -> None:
@@ -406,6 +453,7 @@
         logs.info(
             'request_failed',
             request=call.request_id,
+            workspace=call.workspace,
             route=call.route.name,
             service=call.service,
             key=call.key,
@@ -433,6 +481,7 @@
         logs.info(
             'request_answered',
             request=call.request_id,
+            workspace=call.workspace,
             route=call.route.name,
             service=call.service,
             key=call.key,
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -20,6 +20,7 @@
 from knapweedhall_routing import planning
 from knapweedhall_routing import ranges
 from knapweedhall_routing import routes
+from knapweedhall_routing import workspaces
 
 TIMER_SLACK_S = 0.005
 
@@ -60,6 +61,8 @@
         before the first.
     routes : routes.RouteTable or None
         Routes of the configuration in force.
+    workspaces : workspaces.Directory or None
+        Workspaces of the configuration in force; None if callers need no key.
     splitter : routes.Splitter
         Splits the requests of a route among its services.
     directory : directory.Directory
@@ -114,6 +117,7 @@
         self.settings = settings
         self.configuration: model.Configuration | None = None
         self.routes: routes.RouteTable | None = None
+        self.workspaces: workspaces.Directory | None = None
         self.splitter = routes.Splitter()
         self.directory = directory.Directory()
         self.upstreams_listed = False
@@ -150,13 +154,18 @@
             return False
         # First, so that a fault leaves the configuration in force.
         table = routes.RouteTable(new)
+        directory_of_workspaces = workspaces.from_configuration(new)
         self.configuration, self.routes = new, table
+        self.workspaces = directory_of_workspaces
         self.splitter.keep_only([route.name for route in new.routes])
         logs.info(
             'configuration_in_force',
             version=new.version,
             routes=len(new.routes),
             services=len(new.services),
+            workspaces=(
+                None if new.workspaces is None else len(new.workspaces)
+            ),
         )
         return True
 
