Add workspaces to the product's own records

Routers reject the configuration as a whole if records contradict each other. A configuration that is rejected is logged once, not with each listing.

Names of records were accepted with a line break at their end, because of `$` in the pattern; such a name of a workspace would have ended a header.

--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/publish.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/publish.py
@@ -93,6 +93,8 @@
     result = await record_log.append(client, record, state, deadline)
     if isinstance(result, record_log.Unavailable):
         return _unavailable(result)
+    if isinstance(result, errors.Refusal):
+        return report.rejected(result)
     if isinstance(result, record_log.Conflict):
         return _conflict(record, result.in_force)
     return report.Report(
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/record_log.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/record_log.py
@@ -29,10 +29,13 @@
         Version of the record in force, 0 for none.
     next_offset : int
         Offset at which the next record is appended.
+    others : tuple of bodies.Record
+        Records of other keys in force.
     """
 
     version: int
     next_offset: int
+    others: tuple[bodies.Record, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,7 +74,7 @@
     sent: bool
 
 
-AppendOutcome = Accepted | Conflict | Unavailable
+AppendOutcome = Accepted | Conflict | Unavailable | errors.Refusal
 
 
 async def read_state(
@@ -96,17 +99,44 @@
                 return Unavailable(str(error), sent=False)
             await asyncio.sleep(RETRY_PAUSE_S)
             continue
-        return LogState(_version(page, key), page.next_offset)
+        return _state(page, key)
 
 
-def _version(page: outcomes.Page, key: str) -> int:
+def _state(page: outcomes.Page, key: str) -> LogState:
+    version = 0
+    others = []
     for stored in page.records:
-        if stored.key != key or not stored.value:
+        if not stored.value:
             continue
         record = codec.decode(stored.value)
-        if not isinstance(record, errors.Refusal):
-            return record.version
-    return 0
+        if isinstance(record, errors.Refusal):
+            continue
+        if stored.key == key:
+            version = record.version
+        elif stored.key == record.key:
+            others.append(record)
+    return LogState(version, page.next_offset, tuple(others))
+
+
+def contradiction(
+    record: bodies.Record, state: LogState
+) -> errors.Refusal | None:
+    """Return why a record contradicts the others in force, or None.
+
+    Routers would reject the whole configuration. The refusal does not contain
+    a caller's key, as it is printed.
+    """
+    if not isinstance(record.body, bodies.Workspace):
+        return None
+    keys = set(record.body.keys)
+    for other in state.others:
+        if isinstance(other.body, bodies.Workspace):
+            if keys & set(other.body.keys):
+                return errors.InvalidField(
+                    f'workspace {other.name!r} has one of the keys',
+                    'remove the key there first, or use another one',
+                )
+    return None
 
 
 async def append(
@@ -137,6 +167,9 @@
     )
     sent = False
     while True:
+        refusal = contradiction(record, state)
+        if refusal is not None:
+            return refusal
         outcome = await log_appender.append(encoded)
         if isinstance(outcome, appender.Written):
             return Accepted(positions.offset(outcome.offset))
@@ -151,4 +184,5 @@
             return Unavailable(current.reason, sent)
         if current.version != record.replaces:
             return Conflict(current.version)
+        state = current
         log_appender.next_offset = current.next_offset
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/show.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/show.py
@@ -56,7 +56,11 @@
 
 
 def _row(record: bodies.Record) -> tuple[object, ...]:
-    body = ' '.join(f'{name}={value}' for name, value in _body(record).items())
+    fields = _body(record)
+    if isinstance(record.body, bodies.Workspace):
+        # What terminals print is often kept.
+        fields['keys'] = f'({len(record.body.keys)}, see --json)'
+    body = ' '.join(f'{name}={value}' for name, value in fields.items())
     return (
         record.kind,
         record.name,
--- a/packages/knapweedhall-ctl/tests/test_publish.py
+++ b/packages/knapweedhall-ctl/tests/test_publish.py
@@ -200,6 +200,53 @@
         self.assertEqual(exit_codes.OUTCOME_UNKNOWN, result.exit_code)
 
 
+class WorkspaceTest(StoreTest):
+    """Records of workspaces."""
+
+    async def publish_workspace(self, name: str, *keys: str) -> report.Report:
+        """Publish a workspace with these keys."""
+        body = {'keys': list(keys), 'rate_per_s': 51}
+        return await self.publish(kind='workspace', name=name, body=body)
+
+    async def test_key_of_another_workspace(self) -> None:
+        """Guards against a record with which routers reject all others."""
+        await self.publish_workspace('acme', 'secret-1')
+        result = await self.publish_workspace('other', 'secret-1')
+        self.assertEqual(exit_codes.INVALID_INPUT, result.exit_code)
+        self.assertIn("'acme'", result.text)
+        self.assertNotIn('secret', result.text)
+        for name, keys in (('acme', ()), ('other', ('secret-1',))):
+            result = await self.publish_workspace(name, *keys)
+            self.assertEqual(exit_codes.OK, result.exit_code)
+
+    async def test_key_that_is_published_at_the_same_time(self) -> None:
+        """Guards against two operators who use one key at the same time."""
+        read_state = record_log.read_state
+
+        async def read_then_race(*args: typing.Any) -> typing.Any:
+            state = await read_state(*args)
+            with unittest.mock.patch.object(
+                record_log, 'read_state', read_state
+            ):
+                await self.publish_workspace('acme', 'secret-1')
+            return state
+
+        with unittest.mock.patch.object(
+            record_log, 'read_state', read_then_race
+        ):
+            result = await self.publish_workspace('other', 'secret-1')
+        self.assertEqual(exit_codes.INVALID_INPUT, result.exit_code)
+
+    async def test_show_prints_no_keys(self) -> None:
+        """Guards against keys in what a terminal keeps."""
+        await self.publish_workspace('acme', 'secret-1')
+        arguments = self.arguments(kind='workspace', name=None)
+        result = await asyncio.to_thread(show.run, arguments)
+        self.assertNotIn('secret', result.text)
+        (record,) = result.fields['records']
+        self.assertEqual(('secret-1',), record['body']['keys'])
+
+
 class ShowTest(StoreTest):
     """Commands that print the state of the fleet."""
 
--- a/packages/knapweedhall-records/src/knapweedhall_records/bodies.py
+++ b/packages/knapweedhall-records/src/knapweedhall_records/bodies.py
@@ -43,6 +43,8 @@
         Maximum number of upstreams that one request may run on.
     priority : int
         Priority of the service's requests; 0 is the highest.
+    public : bool
+        Whether its requests are served without a caller's key.
     """
 
     mode: str
@@ -53,6 +55,7 @@
     objective_ms: int = 1000
     max_attempts: int = 2
     priority: int = 1
+    public: bool = False
 
 
 class Movement(typing.NamedTuple):
@@ -91,7 +94,27 @@
     state: str
 
 
-Body = Service | Movement | Mark
+class Workspace(typing.NamedTuple):
+    """A tenant of the deployment; its name is that of the record.
+
+    Attributes
+    ----------
+    keys : tuple of str
+        Keys that identify its callers.
+    priority : int or None
+        Priority of its requests; None to use that of the service.
+    rate_per_s, burst : float
+        Quota of all instances together: requests per second, and requests
+        beyond that at once. A rate of 0 means no limit.
+    """
+
+    keys: tuple[str, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+Body = Service | Movement | Mark | Workspace
 
 
 class Record(typing.NamedTuple):
--- a/packages/knapweedhall-records/src/knapweedhall_records/codec.py
+++ b/packages/knapweedhall-records/src/knapweedhall_records/codec.py
@@ -41,6 +41,11 @@
     return service._replace(objective_ms=objective_ms)
 
 
+def _workspace(fields: Fields) -> bodies.Workspace:
+    rest = dict(fields)
+    return bodies.Workspace(tuple(rest.pop('keys', ())), **rest)
+
+
 class _BodyFormat(typing.NamedTuple):
     """JSON fields of a body, and the function that builds it from them."""
 
@@ -62,9 +67,10 @@
     2: {
         **_COMMON_FORMATS,
         'service': _BodyFormat(wire.ServiceFieldsV2, _service_v2),
+        'workspace': _BodyFormat(wire.WorkspaceFields, _workspace),
     },
 }
-KINDS = tuple(sorted(_FORMATS[1]))
+KINDS = tuple(sorted(_FORMATS[2]))
 
 
 def decode(data: bytes | str) -> bodies.Record | errors.Refusal:
@@ -109,7 +115,8 @@
     body_format = _FORMATS[schema].get(kind)
     if body_format is None:
         return errors.UnknownKind(
-            f'kind {kind!r} is not known', f'use one of {", ".join(KINDS)}'
+            f'kind {kind!r} is not known in schema version {schema}',
+            f'use one of {", ".join(sorted(_FORMATS[schema]))}',
         )
     raw_body = remove_retired(kind, envelope['body'])
     unknown = _unknown_fields(raw_body, body_format.fields)
@@ -214,6 +221,9 @@
 ) -> dict[str, typing.Any]:
     fields = dict(body._asdict())
     limits = fields.pop('limits')
+    if not body.public:
+        # Earlier releases reject a record with this field.
+        del fields['public']
     if schema == 1:
         return {**fields, 'connections': limits.connections}
     return {**fields, 'limits': limits._asdict()}
--- a/packages/knapweedhall-records/src/knapweedhall_records/wire.py
+++ b/packages/knapweedhall-records/src/knapweedhall_records/wire.py
@@ -8,12 +8,16 @@
 
 Name = typing.Annotated[
     str,
-    msgspec.Meta(min_length=1, max_length=200, pattern=r'^[\w.:/@-]+$'),
+    msgspec.Meta(min_length=1, max_length=200, pattern=r'^[\w.:/@-]+\Z'),
 ]
 # Instances report the sum of all versions in 64 bits.
 Positive = typing.Annotated[int, msgspec.Meta(ge=1, le=2**53)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Rate = typing.Annotated[float, msgspec.Meta(ge=0)]
+# Callers send it in a header, in which spaces separate it from the scheme.
+CallerKey = typing.Annotated[
+    str, msgspec.Meta(min_length=1, max_length=4096, pattern=r'^[!-~]+\Z')
+]
 Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 # Fields of earlier releases that no longer have an effect. Records that have
@@ -70,6 +74,7 @@
     objective_ms: typing.NotRequired[Positive]
     max_attempts: typing.NotRequired[Positive]
     priority: typing.NotRequired[Count]
+    public: typing.NotRequired[bool]
 
 
 class ServiceFieldsV1(ServiceFields):
@@ -97,3 +102,12 @@
     """Mark of a failure domain or instance as in or out of service."""
 
     state: typing.Literal['in', 'out']
+
+
+class WorkspaceFields(typing.TypedDict, total=False):
+    """Keys and quota of a workspace."""
+
+    keys: list[CallerKey]
+    priority: Count | None
+    rate_per_s: Rate
+    burst: Rate
--- a/packages/knapweedhall-records/tests/test_codec.py
+++ b/packages/knapweedhall-records/tests/test_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import random
 import typing
 import unittest
@@ -36,6 +37,11 @@
     return codec.decode(json.dumps(record_fields(**changes)))
 
 
+def workspace(**body: typing.Any) -> dict[str, typing.Any]:
+    """Return the fields of a workspace's record that differ."""
+    return {'kind': 'workspace', 'name': 'acme', 'body': body}
+
+
 class DecodeTest(unittest.TestCase):
     """Decoding and encoding of valid and invalid records."""
 
@@ -86,6 +92,15 @@
                 {'kind': 'movement', 'body': {'min_gain': 1.5}},
             ),
             (errors.UnknownKind, {'kind': 'electors', 'body': {}}),
+            (errors.UnknownKind, {'kind': 'workspace', 'schema': 1}),
+            (errors.InvalidField, workspace(keys=[''])),
+            (errors.InvalidField, workspace(keys=['a b'])),
+            (errors.InvalidField, workspace(rate_per_s=-1)),
+            (errors.InvalidField, workspace(burst=-0.5)),
+            (errors.MalformedRecord, workspace(rate_per_s=math.inf)),
+            (errors.InvalidField, workspace(priority=-1)),
+            (errors.InvalidField, workspace(apiKeys=['a'])),
+            (errors.MalformedRecord, {**workspace(), 'name': 'acme\n'}),
         ]
         for expected, changes in cases:
             with self.subTest(changes=changes):
@@ -172,6 +187,7 @@
             'service': bodies.Service('divided', limits, ('a', 'b'), ('GET',)),
             'movement': bodies.Movement(),
             'mark': bodies.Mark('out'),
+            'workspace': bodies.Workspace(('k1', 'k+/=2'), 0, 51.5, 9.0),
         }
         self.assertEqual(set(codec.KINDS), set(examples))
         for kind, body in examples.items():
@@ -181,6 +197,17 @@
                 )
                 self.assertEqual(record, codec.decode(codec.encode(record)))
 
+    def test_record_of_earlier_releases(self) -> None:
+        """Guards against records that instances of the last release skip.
+
+        They reject a service with the field that this release has added.
+        """
+        for schema in codec.SCHEMAS:
+            service = bodies.Service('choice', bodies.Limits(110))
+            self.assertNotIn('public', codec.body_fields(service, schema))
+            service = service._replace(public=True)
+            self.assertTrue(codec.body_fields(service, schema)['public'])
+
     def test_retired_fields_are_ignored(self) -> None:
         """Guards against a new release that rejects records in force."""
         old = decode(
--- a/packages/knapweedhall-router/src/knapweedhall_router/control/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/followers.py
@@ -234,10 +234,23 @@
 
 
 class PlatformFollower(Follower):
-    """Follows the configuration and evacuations of the platform."""
+    """Follows the configuration and evacuations of the platform.
+
+    Attributes
+    ----------
+    rejected_offset : int
+        Offset of the last configuration that was rejected; -1 before the
+        first. Each listing contains it again.
+    """
 
     topic = names.OPERATOR_TOPIC
 
+    def __init__(
+        self, client: store.StoreClient, state: state_module.State
+    ) -> None:
+        super().__init__(client, state)
+        self.rejected_offset = -1
+
     def max_wait_ms(self, now: float) -> int:
         """Return the maximum time that the store may hold a read."""
         if self.state.feed.relay is not None:
@@ -276,9 +289,12 @@
         return list(records)
 
     def _apply_configuration(self, record: outcomes.Record) -> None:
+        if record.offset == self.rejected_offset:
+            return
         try:
             self.state.configure(decoding.decode_configuration(record.value))
         except adapter_errors.DecodeError as error:
+            self.rejected_offset = record.offset
             logs.warning(
                 'configuration_unreadable',
                 offset=record.offset,
@@ -324,7 +340,7 @@
             except Exception as error:
                 self.log_fault(record, error)
         state = self.state
-        state.configure(operator_records.to_configuration(self.records))
+        self._configure(records)
         state.movement_rules = operator_records.to_movement_rules(self.records)
         names_out = operator_records.names_out_of_service(
             self.records, operator_records.DOMAIN_PREFIX
@@ -340,6 +356,19 @@
             logs.info('instance_marked', out=is_out)
         return list(records)
 
+    def _configure(self, records: typing.Sequence[outcomes.Record]) -> None:
+        try:
+            new = operator_records.to_configuration(self.records)
+        except ValueError as error:
+            if records:
+                logs.warning(
+                    'configuration_unreadable',
+                    offset=max(record.offset for record in records),
+                    reason=str(error),
+                )
+            return
+        self.state.configure(new)
+
     def _apply_record(self, record: outcomes.Record) -> None:
         decoded = codec.decode(record.value)
         if isinstance(decoded, errors.Refusal):
--- a/packages/knapweedhall-router/src/knapweedhall_router/control/operator_records.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/operator_records.py
@@ -21,6 +21,11 @@
     Its version is the sum of the records' versions. These only increase, so
     the sum increases with each change and is the same on all instances that
     have the same records.
+
+    Raises
+    ------
+    ValueError
+        If the records contradict each other: two workspaces have the same key.
     """
     services = [
         (record.name, record.body)
@@ -44,7 +49,25 @@
             for name, body in services
         },
         model.Limits(),
+        _workspaces(records),
+    )
+
+
+def _workspaces(records: Records) -> tuple[model.Workspace, ...] | None:
+    """Return the workspaces; None if there is no record of one.
+
+    Raises
+    ------
+    ValueError
+        If the records contradict each other.
+    """
+    workspaces = tuple(
+        model.Workspace(record.name, *record.body)
+        for _, record in sorted(records.items())
+        if isinstance(record.body, bodies.Workspace)
     )
+    model.check_workspaces(workspaces)
+    return workspaces or None
 
 
 def _route(name: str, host: str, body: bodies.Service) -> model.Route:
@@ -59,6 +82,7 @@
         max_attempts=body.max_attempts,
         priority=body.priority,
         idempotent_methods=body.idempotent_methods,
+        public=body.public,
     )
 
 
--- a/packages/knapweedhall-router/tests/fleet.py
+++ b/packages/knapweedhall-router/tests/fleet.py
@@ -31,7 +31,9 @@
     'weightedClusters',
     'maxAttempts',
     'service',
+    'public',
 ]
+WORKSPACE_COLUMNS = ['name', 'apiKeys', 'priority', 'ratePerS', 'burst']
 START_TIMEOUT_S = 8.0
 _ids = itertools.count(1)
 
@@ -120,9 +122,18 @@
         return fake_upstream
 
     def configure(
-        self, routes: typing.Sequence[list[typing.Any]] | None = None
+        self,
+        routes: typing.Sequence[list[typing.Any]] | None = None,
+        workspaces: typing.Sequence[list[typing.Any]] | None = None,
     ) -> None:
-        """Write a new version of the configuration."""
+        """Write a new version of the configuration.
+
+        Parameters
+        ----------
+        routes, workspaces : sequence of list or None
+            Rows of their tables. None for the default routes, or if callers
+            need no key.
+        """
         self.version += 2
         if routes is None:
             routes = [
@@ -148,6 +159,14 @@
                     ],
                 },
                 'limits': {},
+                'tenants': (
+                    None
+                    if workspaces is None
+                    else {
+                        'columns': WORKSPACE_COLUMNS,
+                        'rows': list(workspaces),
+                    }
+                ),
             },
         )
 
@@ -266,12 +285,30 @@
         key: int | None = None,
         body: bytes | None = None,
         timeout_ms: int = 1000,
+        fields: typing.Mapping[str, str] | None = None,
     ) -> Response:
-        """Send a request as a caller and return the response."""
+        """Send a request as a caller and return the response.
+
+        Parameters
+        ----------
+        router : application.Application
+            Router that gets it.
+        path : str
+            Path and query.
+        key : int or None
+            Key, for a divided service.
+        body : bytes or None
+            Body of a POST request; None for a GET request.
+        timeout_ms : int
+            Time limit that the caller states.
+        fields : mapping of str to str or None
+            Further header fields.
+        """
         headers = {
             'Host': HOST,
             'X-Attempt-Id': f'q{next(_ids)}',
             'X-Deadline-Ms': str(timeout_ms),
+            **(fields or {}),
         }
         if key is not None:
             headers['X-Shard-Key'] = str(key)
