Find the configuration in force if the newest one is invalid

A listing contains only the newest record of the configuration. An instance that started while that one was invalid had no configuration, answered 503 and was not ready until the next valid version, though the other instances served by the version in force.

Such an instance now reads up to 64 records before the invalid one and uses the highest valid version among them. test_start_after_an_invalid_configuration failed before (not ready within 8 s) and passes; lint, test_workspaces and test_followers pass (24 tests).

--- a/packages/knapweedhall-router/src/knapweedhall_router/control/followers.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/followers.py
@@ -9,6 +9,7 @@
 from knapweedhall_adapter import errors as adapter_errors
 from knapweedhall_adapter import names
 from knapweedhall_adapter import outcomes
+from knapweedhall_adapter import positions
 from knapweedhall_adapter import store
 from knapweedhall_records import bodies
 from knapweedhall_records import codec
@@ -18,6 +19,7 @@
 from knapweedhall_router import logs
 from knapweedhall_router import state as state_module
 from knapweedhall_router import tasks
+from knapweedhall_routing import model
 
 # Maximum time that the store may hold a read until the next change. The store
 # once did not wake a read that began just before a change, so this is less
@@ -46,6 +48,10 @@
 INITIAL_WAIT_S = 0.4
 # Period of checks whether the relayed records are still relied on.
 RELAY_CHECK_S = 0.25
+# Number of records before an invalid configuration among which the one in
+# force is searched. The topic has one record per change of the configuration
+# or of an evacuation.
+HISTORY_RECORDS = 64
 # Minimum shift of the end of a cold start that is relayed; every heartbeat of
 # an upstream shifts it by the time of its transfer.
 MIN_COLD_SHIFT_S = 0.3
@@ -81,6 +87,7 @@
         await self._wait_for_listing()
         feed = self.state.feed
         while True:
+            await self.recover()
             now = clock.now()
             valid_s = feed.relay_valid_until(self.topic) - now
             if feed.take_rewritten(self.topic, now):
@@ -125,6 +132,9 @@
     def housekeeping(self) -> None:
         """Do periodic work, after each read or check of the relay."""
 
+    async def recover(self) -> None:
+        """Read what the newest records don't contain, if needed."""
+
     def _retry_s(self, now: float) -> float:
         feed = self.state.feed
         connected = now - feed.heartbeat_at < RELAYED_RETRY_S
@@ -241,6 +251,8 @@
     rejected_offset : int
         Offset of the last configuration that was rejected; -1 before the
         first. Each listing contains it again.
+    searched_offset : int
+        The same at the last search for an earlier configuration.
     """
 
     topic = names.OPERATOR_TOPIC
@@ -250,6 +262,7 @@
     ) -> None:
         super().__init__(client, state)
         self.rejected_offset = -1
+        self.searched_offset = -1
 
     def max_wait_ms(self, now: float) -> int:
         """Return the maximum time that the store may hold a read."""
@@ -303,6 +316,54 @@
         except Exception as error:
             self.log_fault(record, error)
 
+    async def recover(self) -> None:
+        """Find the configuration in force if the newest one was rejected.
+
+        Without it, an instance that starts then could not serve until the
+        next valid one.
+        """
+        rejected = self.rejected_offset
+        if self.state.configuration is not None:
+            return
+        if rejected == self.searched_offset:
+            return
+        first = max(0, positions.offset(rejected) - HISTORY_RECORDS)
+        next_offset = positions.encode(positions.era(rejected), first)
+        found: list[model.Configuration] = []
+        while next_offset < rejected:
+            deadline = asyncio.get_running_loop().time() + CALL_TIMEOUT_S
+            outcome = await self.client.read(
+                self.topic, next_offset, 0, deadline
+            )
+            if isinstance(outcome, outcomes.Unavailable):
+                # Tried again by the next call.
+                return
+            if isinstance(outcome, outcomes.OffsetExpired):
+                break
+            if not outcome.records:
+                break
+            next_offset = outcome.next_offset
+            found += _valid_configurations(outcome.records, rejected)
+        self.searched_offset = rejected
+        if found:
+            self.state.configure(max(found, key=lambda each: each.version))
+
+
+def _valid_configurations(
+    records: typing.Iterable[outcomes.Record], end: int
+) -> list[model.Configuration]:
+    """Return the valid configurations among records before an offset."""
+    valid = []
+    for record in records:
+        if record.key != names.CONFIGURATION_KEY or record.offset >= end:
+            continue
+        try:
+            valid.append(decoding.decode_configuration(record.value))
+        except adapter_errors.DecodeError:
+            # Those that were in force have no error.
+            continue
+    return valid
+
 
 class RecordFollower(Follower):
     """Follows the records that operators publish with knapweedhallctl.
--- a/packages/knapweedhall-router/tests/test_workspaces.py
+++ b/packages/knapweedhall-router/tests/test_workspaces.py
@@ -350,6 +350,18 @@
             self.assertEqual(401, response.status)
         self.assert_no_key_in_the_log()
 
+    async def test_start_after_an_invalid_configuration(self) -> None:
+        """Guards against an instance that can't serve after a restart."""
+        running = self.fleet
+        version = running.version
+        for _ in range(2):
+            running.configure([], [['', ['secret-1']]])
+        router = running.add_router()
+        await running.wait_until(router.state.is_ready)
+        self.assertEqual(version, router.state.configuration_version())
+        response = await self.send('/order/1', bearer('secret-3'), router)
+        self.assertEqual(200, response.status)
+
     async def test_key_is_removed_while_the_body_arrives(self) -> None:
         """Guards against a request that runs with a key that was removed."""
         front = self.fleet.routers[0].settings.front
