Use workspaces in the fault soak

Nothing showed that a withdrawn key is not served while the store, the coordinator or links fail. Callers of the soak now have keys; one of two workspaces loses its key during the faults, and some requests use a key that no workspace has. New checks: no request with the withdrawn key is served 3 s after the confirmation at an instance that is in touch with the store, none with the unknown key at any time, and none with the other key gets 401.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/callers.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/callers.py
@@ -35,6 +35,10 @@
 LONG_PERIOD, MAX_WORK_S = 40, 4.0
 LARGE_PERIOD, LARGE_BYTES = 20, 360000
 LARGE_PARTS = 4
+# Key of the workspace, one that is withdrawn, and one that no workspace has;
+# shares of the requests that use the latter two.
+KEY, WITHDRAWN_KEY, UNKNOWN_KEY = 'key-1', 'key-2', 'key-0'
+WITHDRAWN_SHARE, UNKNOWN_SHARE = 0.2, 0.03
 _numbers = itertools.count(1)
 
 
@@ -113,6 +117,8 @@
         Whether the head of a response arrived.
     gave_up : bool
         Whether the caller closed the connection, as it did not wait longer.
+    caller_key : str
+        Key of the workspace that it was sent with; '' if none.
     """
 
     request: str
@@ -129,6 +135,13 @@
     signed: bool = False
     began: bool = False
     gave_up: bool = False
+    caller_key: str = ''
+
+
+def _pick_key(share: float) -> str:
+    if share < UNKNOWN_SHARE:
+        return UNKNOWN_KEY
+    return WITHDRAWN_KEY if share < UNKNOWN_SHARE + WITHDRAWN_SHARE else KEY
 
 
 class Callers:
@@ -138,6 +151,8 @@
     ----------
     results : list of Result
         Results of all requests so far.
+    have_keys : bool
+        Whether requests are sent with keys of workspaces.
     """
 
     def __init__(
@@ -152,6 +167,7 @@
         self.keyed_hosts = keyed_hosts
         self.timeout_ms = timeout_ms
         self.results: list[Result] = []
+        self.have_keys = False
 
     async def run(self, requests_per_s: float, stop: asyncio.Event) -> None:
         """Send requests until `stop` is set, then wait for their results."""
@@ -214,7 +230,14 @@
         method, body = ('GET', b'') if idempotent else ('POST', b'x' * 300)
         upload = Upload([body], 0.0)
         # Not of `rng`, whose series the seeds were recorded with.
-        share = random.Random(request).random()
+        request_rng = random.Random(request)
+        share = request_rng.random()
+        caller_key = ''
+        if self.have_keys:
+            caller_key = _pick_key(request_rng.random()) if varied else KEY
+            headers[names.CALLER_KEY_HEADER] = (
+                f'{names.CHALLENGE} {caller_key}'
+            )
         path = f'/item/{number}'
         if varied and not number % LONG_PERIOD and key is None:
             path += f'?work_s={share * MAX_WORK_S:.3f}'
@@ -269,6 +292,7 @@
             signed,
             began,
             gave_up,
+            caller_key,
         )
         self.results.append(result)
         return result
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/checker.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/checker.py
@@ -34,6 +34,9 @@
 # Time after the confirmation of a configuration from which it is in force at
 # all instances that are in touch (platform's pages, `configS`).
 IN_FORCE_S = 2.0
+# Time after the confirmation of a record without a key after which no request
+# with this key is served.
+KEY_WITHDRAWN_S = 3.0
 # Distance between the keys at which grants are compared. All moved ranges are
 # wider, except for single hot keys.
 KEY_STEP = 256
@@ -426,6 +429,47 @@
     ]
 
 
+def check_caller_keys(
+    results: typing.Sequence[callers.Result],
+    activity: UpstreamActivity,
+    withdrawn: tuple[float, float],
+    is_in_touch: typing.Callable[[str, float, float], bool],
+) -> list[Violation]:
+    """Return requests that were served without a key, or refused with one.
+
+    Parameters
+    ----------
+    results : sequence of callers.Result
+        Results of all requests.
+    activity : UpstreamActivity
+        What the upstreams did.
+    withdrawn : (float, float)
+        Time in which the store has the record that withdraws a key, seconds
+        of the monotonic clock.
+    is_in_touch : callable
+        Returns whether a router, given by its name, was in touch with the
+        store between two times.
+    """
+    ran = {run.request for run in activity.runs}
+    violations = []
+    for result in results:
+        if result.caller_key == callers.KEY:
+            if result.status == 401:
+                violations.append(Violation('known key', f'{result}'))
+        elif result.status != 200 and result.request not in ran:
+            continue
+        elif result.caller_key == callers.UNKNOWN_KEY:
+            violations.append(Violation('unknown key', f'{result}'))
+        elif (
+            result.caller_key == callers.WITHDRAWN_KEY
+            and withdrawn[0] + KEY_WITHDRAWN_S < result.sent_at
+            and result.ended_at < withdrawn[1]
+            and is_in_touch(result.router, result.sent_at, result.ended_at)
+        ):
+            violations.append(Violation('withdrawn key', f'{result}'))
+    return violations
+
+
 def check_notices(
     results: typing.Sequence[callers.Result],
     activity: UpstreamActivity,
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/environment.py
@@ -23,6 +23,9 @@
 # Names of the service whose keys have owners, and of the one without keys.
 DIVIDED_SERVICE = 'ledger'
 CHOICE_SERVICE = 'orders'
+# A workspace whose key stays valid, and one whose key is withdrawn.
+WORKSPACE = 'acme'
+WITHDRAWN_WORKSPACE = 'former'
 SERVE_TIMEOUT_S = 20.0
 PUBLISH_TIMEOUT_S = 30.0
 COORDINATOR_QUERY_TIMEOUT_S = 1.0
@@ -49,6 +52,9 @@
     confirmed : dict of str to (float, float)
         Begin and end of the time in which the store has the record of each
         added host, seconds of the monotonic clock.
+    withdrawn : (float, float)
+        Begin and end of the time in which the store has the record that
+        withdraws a key, seconds of the monotonic clock; empty before.
     """
 
     def __init__(
@@ -58,6 +64,7 @@
         self.rng = rng
         self.hosts = [DIVIDED_SERVICE, CHOICE_SERVICE]
         self.confirmed: dict[str, tuple[float, float]] = {}
+        self.withdrawn = (math.inf, math.inf)
         self.callers = callers.Callers(self.targets, rng, (DIVIDED_SERVICE,))
         self.author = draft.Author('operator', time.time_ns() // 1000)
         self.published_count = 0
@@ -117,7 +124,25 @@
         }
         if hosts:
             body['hosts'] = list(hosts)
-        fields = {'kind': 'service', 'schema': 2, 'name': name, 'body': body}
+        return await self._publish('service', name, body)
+
+    async def use_workspaces(self) -> None:
+        """Publish workspaces, and let callers use their keys."""
+        for name, key in (
+            (WORKSPACE, callers.KEY),
+            (WITHDRAWN_WORKSPACE, callers.WITHDRAWN_KEY),
+        ):
+            await self._publish('workspace', name, {'keys': [key]})
+        self.callers.have_keys = True
+
+    async def withdraw_key(self) -> None:
+        """Publish a workspace without its key."""
+        if await self._publish('workspace', WITHDRAWN_WORKSPACE, {}):
+            self.withdrawn = (time.monotonic(), math.inf)
+
+    async def _publish(self, kind: str, name: str, body: draft.Draft) -> bool:
+        """Publish a record; return whether it is known to be in force."""
+        fields = {'kind': kind, 'schema': 2, 'name': name, 'body': body}
         self.published_count += 1
         deadline = asyncio.get_running_loop().time() + PUBLISH_TIMEOUT_S
         report = await publish.publish(
@@ -148,6 +173,8 @@
         now = time.monotonic()
         for host, (begin, end) in self.confirmed.items():
             self.confirmed[host] = (begin, min(end, now))
+        begin, end = self.withdrawn
+        self.withdrawn = (begin, min(end, now))
 
     async def find_coordinator(self) -> str:
         """Return the name of the coordinator; '' if it is unknown."""
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/sabotage.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/sabotage.py
@@ -20,6 +20,7 @@
 from knapweedhall_routing import health
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
+from knapweedhall_routing import workspaces
 
 
 def without_fence() -> None:
@@ -103,6 +104,22 @@
     exchange.is_foreign = lambda headers, request_id: False
 
 
+def without_key_removal() -> None:
+    """Keep serving the keys of earlier configurations."""
+    original = workspaces.Directory.identify
+    known: dict[str | None, model.Workspace] = {}
+
+    def identify(
+        self: workspaces.Directory, key: str | None
+    ) -> model.Workspace | None:
+        found = original(self, key)
+        if found is not None:
+            known[key] = found
+        return known.get(key)
+
+    workspaces.Directory.identify = identify  # type: ignore[method-assign]
+
+
 SAFEGUARDS = {
     'fence': without_fence,
     'wait': without_wait,
@@ -112,6 +129,7 @@
     'leaving': without_leaving,
     'pauses': without_pauses,
     'response-ids': without_response_ids,
+    'key-removal': without_key_removal,
 }
 
 if __name__ == '__main__':
--- a/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/soak.py
@@ -90,6 +90,9 @@
 FULL_LINK_BURST = 8
 # Time from an upstream's notice to its end on the platform.
 SHORT_NOTICE_S = 2.0
+# When a key is withdrawn, as shares of the time of the faults, so that some of
+# them follow.
+MIN_WITHDRAWAL_SHARE, MAX_WITHDRAWAL_SHARE = 0.2, 0.6
 # An upstream forgets its idle connections once each period.
 FORGET_PERIOD_S = 0.1
 
@@ -193,6 +196,8 @@
         ) as running:
             self.deployment = running
             self.environment = environment.Environment(running, self.rng)
+            # First, so that a router that knows the services requires keys.
+            await self.environment.use_workspaces()
             await self.environment.configure()
             missing = await self.environment.wait_until_served()
             if missing:
@@ -228,7 +233,9 @@
         series += faults.generate_release(
             random.Random(f'release {self.seed}'), self.plan.duration_s
         )
+        withdrawal = asyncio.create_task(self._withdraw_key())
         await self._inject_all(sorted(series))
+        await withdrawal
         missing = await self.environment.wait_until_served(RECOVERY_TIMEOUT_S)
         stop.set()
         await traffic
@@ -243,6 +250,12 @@
         violations += checker.check_configurations(
             results, self.environment.confirmed, self._is_in_touch
         )
+        violations += checker.check_caller_keys(
+            results,
+            activity,
+            self.environment.withdrawn,
+            self._is_in_touch,
+        )
         violations += checker.check_stops(
             results, activity, self.signalled_at, self._is_undisturbed
         )
@@ -253,6 +266,15 @@
             violations.append(checker.Violation('served again', missing))
         return violations
 
+    async def _withdraw_key(self) -> None:
+        share = random.Random(f'keys {self.seed}').uniform(
+            MIN_WITHDRAWAL_SHARE, MAX_WITHDRAWAL_SHARE
+        )
+        await asyncio.sleep(share * self.plan.duration_s)
+        self._log('a key is withdrawn')
+        await self.environment.withdraw_key()
+        self._log(f'withdrawn: {self.environment.withdrawn}')
+
     async def _inject_all(self, series: typing.Sequence[faults.Fault]) -> None:
         started_at = time.monotonic()
         async with asyncio.TaskGroup() as group:
--- a/packages/knapweedhall-bench/tests/test_checker.py
+++ b/packages/knapweedhall-bench/tests/test_checker.py
@@ -38,6 +38,32 @@
         )
         return [violation.invariant for violation in violations]
 
+    def test_caller_keys(self) -> None:
+        """Guards against a withdrawn key whose use is not reported."""
+
+        def broken(key: str, in_touch: bool = True, **changes: object) -> str:
+            result = ORDER._replace(caller_key=key, **changes)
+            violations = checker.check_caller_keys(
+                [result],
+                checker.UpstreamActivity([], []),
+                (10.0, 30.0),
+                lambda *arguments: in_touch,
+            )
+            return ''.join(each.invariant for each in violations)
+
+        late = {'sent_at': 13.1, 'ended_at': 13.2}
+        withdrawn = callers.WITHDRAWN_KEY
+        self.assertEqual('withdrawn key', broken(withdrawn, **late))
+        self.assertEqual('', broken(withdrawn, False, **late))
+        self.assertEqual('', broken(withdrawn, status=401, **late))
+        self.assertEqual('', broken(withdrawn, sent_at=12.9, ended_at=13.2))
+        # The store was restored meanwhile.
+        self.assertEqual('', broken(withdrawn, sent_at=29.9, ended_at=30.1))
+        self.assertEqual('unknown key', broken(callers.UNKNOWN_KEY))
+        self.assertEqual('', broken(callers.UNKNOWN_KEY, status=503))
+        self.assertEqual('known key', broken(callers.KEY, status=401))
+        self.assertEqual('', broken(callers.KEY))
+
     def test_no_violation(self) -> None:
         """Guards against false reports of violations."""
         runs = [checker.Run(1.0, 'a', 'o1', None)]
