Divide the quotas of workspaces over all instances

Nothing limited the requests of a workspace over the sum of all instances. The coordinator now pools the shares of the connected instances in one token bucket per workspace and leases tokens to them; an instance without a coordinator uses its own share. A request over the quota gets 429.

--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -239,6 +239,10 @@
 a value that is not valid and is not forwarded.
 caller_fault | WARNING | reason | Bytes of a caller were no request, or an \
 internal error kept a response from being written.
+quota_refused | INFO | request workspace route reason retry_after_s waited_ms \
+configuration | A request was refused with 429 and has not run; the reason is \
+`quota` if its workspace used up its quota, or `quota-unknown` if this \
+instance got no answer of a coordinator and has no token of its own.
 """,
     ),
 )
--- a/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import math
 import typing
 
 from knapweedhall_adapter import errors
@@ -28,6 +29,7 @@
 from knapweedhall_routing import load as load_module
 from knapweedhall_routing import planning
 from knapweedhall_routing import quorum
+from knapweedhall_routing import quotas
 
 RENEWAL_CHECK_PERIOD_S = 0.1
 # Longer than the check period, as a plan sums the rates of all keys.
@@ -42,6 +44,9 @@
 # Time after an outage of the store for which a heartbeat is sent before each
 # relayed message of records; longer than `directory.RECENT_OUTAGE_S`.
 OUTAGE_REPORT_S = 5.0
+# Period in which the pool of the quotas follows the connected instances; they
+# wait longer before they use their own shares.
+POOL_UPDATE_S = 0.05
 
 
 class Coordinator:
@@ -74,6 +79,13 @@
         Executes moves.
     renewer : renewals.Renewer
         Renews grants.
+    pool : quotas.Pool
+        Tokens of the workspaces' quotas.
+    sharers : quotas.Sharers or None
+        Instances that divide the quotas; None before the record of the last
+        term was read.
+    pool_updated_at : float
+        When the pool last followed the connected instances, seconds.
     load_was_known : bool
         Whether the load was known in the last plan.
     has_begun : bool
@@ -122,7 +134,11 @@
             links.make_heartbeat = self.make_heartbeat
             # Nobody reads again what is not relayed over these connections.
             state.feed.relay = self.relay_records
+        links.grant_tokens = self.grant_tokens
         self.links = links
+        self.pool = quotas.Pool(clock.now())
+        self.sharers: quotas.Sharers | None = None
+        self.pool_updated_at = -math.inf
         self.load = load or load_module.Load(len(state.instances), clock.now())
         self.load_was_known = False
         self.tasks: set[asyncio.Task[None]] = set()
@@ -208,6 +224,10 @@
         assignments = await self.store.begin(self.initial_checkpoint)
         self.sender.fences = holdings.FencingTokens(self.store.epoch)
         now = clock.now()
+        # A store that lost the record knows no instance.
+        self.sharers = quotas.Sharers(
+            self.store.lost or self.state.instances, now
+        )
         for name in self._known_services() - assignments.keys():
             # The store came back from a copy that lacks the assignment.
             assignments[name] = None
@@ -319,10 +339,46 @@
             connected = self.links.instances()
             if self.store.restored:
                 return
+            lost = self._lost_instances(clock.now())
             if connected != previous or self.lease.is_expired():
                 previous = connected
-            elif connected != self.store.fleet:
-                await self._write_term(self.store.write_fleet(connected))
+            elif (connected, lost) != (self.store.fleet, self.store.lost):
+                await self._write_term(self.store.write_fleet(connected, lost))
+
+    # Quotas
+
+    def grant_tokens(
+        self, request: messages.TokenRequest
+    ) -> messages.TokenLease:
+        """Return the tokens for an instance."""
+        now = clock.now()
+        if now - self.pool_updated_at >= POOL_UPDATE_S:
+            self._update_pool(now)
+        return messages.TokenLease(
+            [self.pool.grant(ask, now) for ask in request.asks]
+        )
+
+    def _update_pool(self, now: float) -> None:
+        """Let the pool follow the configuration and the instances."""
+        self.pool_updated_at = now
+        if self.state.configuration is not None:
+            self.pool.configure(quotas.quotas(self.state.configuration), now)
+        if self.sharers is None:
+            return
+        self.sharers.update(self.links.instances(), now)
+        fresh = self.links.fresh(quotas.MAX_HEARTBEAT_AGE_S)
+        self.pool.set_share(self.sharers.pooled_share(fresh, now), now)
+
+    def _lost_instances(self, now: float) -> list[str]:
+        self._update_pool(now)
+        return sorted(self.sharers.lost) if self.sharers is not None else []
+
+    def _tell_sharers(self, now: float) -> int:
+        """Return the number of sharers for a heartbeat."""
+        self._update_pool(now)
+        if self.sharers is None:
+            return 0
+        return self.sharers.tell({*self.store.fleet, *self.store.lost}, now)
 
     async def _write_term(
         self, writing: typing.Coroutine[typing.Any, typing.Any, None]
@@ -372,6 +428,7 @@
             now - self.state.directory.last_outage_at,
             self.state.directory.unlisted_leaving(),
             self.state.feed.read_offsets,
+            self._tell_sharers(now),
         )
 
     def relay_records(self, topic: str, records: feed.Records) -> None:
--- a/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator_store.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator_store.py
@@ -118,6 +118,9 @@
         majority of them.
     next_fleet : list of str
         Instances in the record that is being written, else `fleet`.
+    lost, next_lost : list of str
+        The same for instances that are not connected and may use their own
+        shares of quotas. A term begins with all instances of the last record.
     predecessors : list of takeover.Predecessor
         Earlier coordinators that may still renew grants.
     outdated : set of str
@@ -148,6 +151,8 @@
         self.appender = appender.Appender(client, TOPIC, 0)
         self.fleet: list[str] = []
         self.next_fleet: list[str] = []
+        self.lost: list[str] = []
+        self.next_lost: list[str] = []
         self.predecessors: list[takeover.Predecessor] = []
         self.outdated: set[str] = set()
         self.unreadable: set[str] = set()
@@ -197,6 +202,7 @@
                     break
             await asyncio.sleep(STORE_RETRY_S)
         self.epoch = positions.rank(outcome.offset)
+        self.lost = self.next_lost
         self.appender.next_offset = outcome.offset + 1
         if checkpoint is not None and self._is_newer(checkpoint, before):
             await self._write_checkpoint(checkpoint)
@@ -224,6 +230,8 @@
         self.era = positions.era(start)
         self.next_epoch = positions.rank(start)
         self.predecessors = takeover.predecessors(last, self.address)
+        if last is not None:
+            self.next_lost = sorted({*last.fleet, *last.lost})
         if last is None:
             self.tables_from = 0
         elif last.era is None or last.era == self.era:
@@ -284,8 +292,8 @@
         """Return the fleets that the stored record of the term may name."""
         return [self.fleet, self.next_fleet]
 
-    async def write_fleet(self, instances: list[str]) -> None:
-        """Write the names of the connected instances to the store.
+    async def write_fleet(self, instances: list[str], lost: list[str]) -> None:
+        """Write the names of the connected and lost instances to the store.
 
         Raises
         ------
@@ -293,9 +301,9 @@
             If another coordinator wrote first.
         """
         async with self.lock:
-            self.next_fleet = instances
+            self.next_fleet, self.next_lost = instances, lost
             await self._append(self._encode_term())
-            self.fleet = instances
+            self.fleet, self.lost = instances, lost
 
     async def write_assignment(
         self, service_holdings: holdings.Holdings
@@ -333,6 +341,7 @@
             self.next_epoch,
             self.era,
             self.tables_from,
+            self.next_lost,
         )
 
     def _encode_term(self) -> bytes:
--- a/packages/knapweedhall-router/src/knapweedhall_router/control/takeover.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/takeover.py
@@ -62,6 +62,9 @@
     tables_from : int
         Position from which on the stored assignments are true; earlier ones
         are of a copy of the store and may be older than what was in force.
+    lost : list of str
+        Instances that are not connected, and may use their own shares of the
+        quotas of workspaces.
     """
 
     instance: str
@@ -71,6 +74,7 @@
     epoch: int = -1
     era: int | None = None
     tables_from: int = 0
+    lost: list[str] = []
 
 
 def predecessors(
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/coordinator_link.py
@@ -16,6 +16,7 @@
 from knapweedhall_routing import announced
 from knapweedhall_routing import load
 from knapweedhall_routing import model
+from knapweedhall_routing import quotas
 
 COORDINATOR_GROUP = 'knapweedhall'
 TERM_TOPIC = 'knapweedhall.tenure'
@@ -87,6 +88,8 @@
         Set with the first heartbeat of the current connection.
     pause_s : float
         Upper bound of the random pause before the next search.
+    writer : asyncio.StreamWriter or None
+        Writes to the coordinator; None without a connection.
     """
 
     def __init__(
@@ -107,6 +110,7 @@
         self.known_coordinator = ''
         self.found = asyncio.Event()
         self.pause_s = INITIAL_PAUSE_S
+        self.writer: asyncio.StreamWriter | None = None
 
     async def run(self) -> None:
         """Find the coordinator and connect to it, until cancelled."""
@@ -142,6 +146,7 @@
                 self.known_coordinator = ''
             if self.connected:
                 self.disconnected_at = clock.now()
+            self.state.tokens.disconnect(self.last_received_at)
             self.connected = False
             self.status_changed.notify()
             lasted_s = clock.now() - connected_at
@@ -192,6 +197,7 @@
                 packs=True,
             )
             writer.write(messages.encode(hello))
+            self.writer = writer
             self.last_received_at = now
             self.lease_expired = False
             self.heartbeat = -1
@@ -211,6 +217,7 @@
         except* CONNECTION_ERRORS as e:
             raise ConnectionError(repr(e.exceptions[0])) from e
         finally:
+            self.writer = None
             writer.transport.abort()
 
     async def _read(self, reader: asyncio.StreamReader) -> None:
@@ -292,6 +299,15 @@
         if alive:
             names = {member.rpartition('@')[0] for member in alive}
             self.state.instances = tuple(sorted(names))
+        if message.sharers >= 0:
+            leases = self.state.tokens.leases
+            if not leases.connected:
+                self.state.tokens.connect(self._ask_for_tokens)
+            leases.set_sharers(message.sharers, self.state.instances)
+
+    def _ask_for_tokens(self, asks: list[quotas.Ask]) -> None:
+        if self.writer is not None:
+            self.writer.write(messages.encode(messages.TokenRequest(asks)))
 
     def apply(self, message: messages.Message) -> None:
         """Update the state from a message of the coordinator.
@@ -307,6 +323,9 @@
         if isinstance(message, messages.Heartbeat):
             self._apply_heartbeat(message)
             return
+        if isinstance(message, messages.TokenLease):
+            self.state.tokens.receive(message.grants)
+            return
         if isinstance(message, messages.Redirect):
             self.known_coordinator = message.coordinator
             raise ConnectionError('redirected')
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/instance_links.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/instance_links.py
@@ -25,6 +25,8 @@
 # read.
 MAX_BACKLOG_BYTES = 1024 * 1024
 
+GrantTokens = typing.Callable[[messages.TokenRequest], messages.TokenLease]
+
 
 class InstanceLink:
     """Connection to one instance.
@@ -78,6 +80,9 @@
     make_heartbeat : callable
         Returns a heartbeat from its number, the members that joined, and
         those that left.
+    grant_tokens : callable or None
+        Returns the answer to a request for tokens; None if the coordinator
+        leases none.
     active : set of InstanceLink
         Open connections.
     announced : set of str
@@ -99,6 +104,7 @@
         self.initial_messages = initial_messages
         self.on_report = on_report
         self.make_heartbeat = make_heartbeat
+        self.grant_tokens: GrantTokens | None = None
         self.active: set[InstanceLink] = set()
         self.announced: set[str] = set()
         self.number = 0
@@ -158,6 +164,23 @@
         """Return when each connected instance connected, seconds."""
         return {link.instance: link.connected_at for link in self.active}
 
+    def fresh(self, max_age_s: float) -> set[str]:
+        """Return the instances that are known to be connected.
+
+        Parameters
+        ----------
+        max_age_s : float
+            Age of the heartbeat that their last report answers, or of their
+            connection, seconds.
+        """
+        since = clock.now() - max_age_s
+        return {
+            link.instance
+            for link in self.active
+            if link.connected_at >= since
+            or (link.report is not None and link.report.as_of >= since)
+        }
+
     def _record_report(
         self, link: InstanceLink, report: messages.Report
     ) -> None:
@@ -181,6 +204,8 @@
             heartbeat = self.make_heartbeat(
                 self.number, sorted(self.announced), []
             )
+            # It does not count this instance yet.
+            heartbeat.sharers = min(0, heartbeat.sharers)
             for message in (heartbeat, *self.initial_messages(hello.topics)):
                 link.send(link.encode(message))
             self.active.add(link)
@@ -204,3 +229,6 @@
                 message = await messages.read(reader)
             if isinstance(message, messages.Report):
                 self._record_report(link, message)
+            elif isinstance(message, messages.TokenRequest):
+                if self.grant_tokens is not None:
+                    link.send(messages.encode(self.grant_tokens(message)))
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
@@ -16,6 +16,7 @@
 from knapweedhall_adapter import errors
 from knapweedhall_routing import load
 from knapweedhall_routing import model
+from knapweedhall_routing import quotas
 from knapweedhall_routing import ranges
 
 _LENGTH = struct.Struct('>I')
@@ -223,6 +224,9 @@
         As in the reports, of all instances.
     offsets : dict of str to int
         Offset up to which the coordinator has read each topic.
+    sharers : int
+        Number of instances that divide the quotas of workspaces; 0 if it is
+        unchanged or not recorded yet, -1 if the coordinator leases no tokens.
     """
 
     number: int
@@ -233,6 +237,31 @@
     outage_age_s: float
     leaving: list[tuple[str, int]] = []
     offsets: dict[str, int] = {}
+    sharers: int = -1
+
+
+class TokenRequest(msgspec.Struct, tag='ask', array_like=True):
+    """Request of an instance for tokens; the next waits for the answer.
+
+    Attributes
+    ----------
+    asks : list of quotas.Ask
+        Tokens by workspace.
+    """
+
+    asks: list[quotas.Ask]
+
+
+class TokenLease(msgspec.Struct, tag='lease', array_like=True):
+    """Answer to a `TokenRequest`.
+
+    Attributes
+    ----------
+    grants : list of quotas.Grant
+        Tokens by workspace.
+    """
+
+    grants: list[quotas.Grant]
 
 
 class Records(msgspec.Struct, tag='records', array_like=True):
@@ -281,6 +310,8 @@
     | Heartbeat
     | Records
     | PackedRecords
+    | TokenRequest
+    | TokenLease
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
@@ -54,6 +54,8 @@
     ----------
     requests : aioprometheus.Counter
         Finished requests by outcome.
+    quota_refusals : aioprometheus.Counter
+        Requests without a token, by workspace.
     gauges : aioprometheus.Gauge
         State of the instance by name.
     """
@@ -67,6 +69,11 @@
             'Requests by outcome',
             registry=self.registry,
         )
+        self.quota_refusals = aioprometheus.Counter(
+            'knapweedhall_quota_refused_total',
+            'Requests refused for the quota of their workspace',
+            registry=self.registry,
+        )
         self.gauges = aioprometheus.Gauge(
             'knapweedhall_state',
             'State of the instance by name',
@@ -77,6 +84,8 @@
         """Return all metrics in a format that the request accepts."""
         for outcome, count in self.traffic.outcome_counts.items():
             self.requests.set({'outcome': outcome}, count)
+        for workspace, count in self.state.tokens.refused.items():
+            self.quota_refusals.set({'workspace': workspace}, count)
         for name, value in self.read_gauges().items():
             self.gauges.set({'name': name}, value)
         content, headers = renderer.render(
@@ -94,5 +103,8 @@
             'instances': len(state.instances),
             'ready': float(state.is_ready()),
             'coordinates': float(state.feed.relay is not None),
+            'sharers': state.tokens.leases.sharers,
+            'quota_admitted': state.tokens.admitted,
+            'quota_messages': state.tokens.asked,
             'log_lines_dropped': logs.dropped_lines(),
         }
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/calls.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/calls.py
@@ -69,6 +69,8 @@
         Upstream that it was last sent to; '' before the first send.
     excluded_at : dict of str to float
         Upstreams that failed, refused it or could not be reached, and when.
+    workspace : str
+        Workspace of the caller; '' if there is none.
     """
 
     __slots__ = (
@@ -89,6 +91,7 @@
         'possible_runs',
         'excluded_at',
         'last_upstream',
+        'workspace',
     )
 
     def __init__(
@@ -122,6 +125,7 @@
         self.possible_runs: set[str] = set()
         self.last_upstream = ''
         self.excluded_at: dict[str, float] = {}
+        self.workspace = ''
 
     def exclude(self, upstream_name: str, now: float) -> None:
         """Exclude an upstream from the further attempts.
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
@@ -27,6 +27,7 @@
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import body_budget
 from knapweedhall_routing import model
+from knapweedhall_routing import quotas
 
 # Limit of a line and of a header field in the parser; the configured limits
 # are not known when the server is created.
@@ -207,7 +208,7 @@
         service = self.state.splitter.choose(route)
         call = calls.Call(request, route, service, body, now)
         try:
-            result = await self.dispatcher.run(call)
+            result = await self._run(call)
         except asyncio.CancelledError:
             logs.info(
                 'caller_left',
@@ -237,6 +238,22 @@
         self._record_response(call, result)
         return self._forward_response(result, on_end)
 
+    async def _run(self, call: calls.Call) -> dispatch.Result:
+        """Return the result of a call if the workspace's quota admits it.
+
+        The router's own retries need no other token.
+        """
+        token = await self.state.tokens.acquire(
+            call.workspace, call.route.objective_s * quotas.WAIT_SHARE
+        )
+        if isinstance(token, quotas.Denial):
+            return selection.Failure(429, token.reason, token.retry_after_s)
+        try:
+            return await self.dispatcher.run(call)
+        finally:
+            if token is not None and not call.possible_runs:
+                self.state.tokens.give_back(call.workspace, token)
+
     def limit_work(self, work_until: float, responses_until: float) -> None:
         """Answer all requests by a time.
 
@@ -369,7 +386,7 @@
         request_id = request.headers.get(names.REQUEST_ID_HEADER)
         if request_id is not None:
             response.headers[names.REQUEST_ID_HEADER] = request_id
-        if retry_after_s is not None and response.status == 503:
+        if retry_after_s is not None and response.status in (429, 503):
             response.headers[names.RETRY_AFTER_HEADER] = f'{retry_after_s:.3f}'
         return response
 
@@ -403,6 +420,18 @@
             {'route': call.route.name, 'outcome': 'failed'},
             now - call.arrived_at,
         )
+        if failure.status == 429:
+            logs.info(
+                'quota_refused',
+                request=call.request_id,
+                workspace=call.workspace,
+                route=call.route.name,
+                reason=failure.reason,
+                retry_after_s=round(failure.retry_after_s or 0.0, 3),
+                waited_ms=round((now - call.arrived_at) * 1000, 1),
+                configuration=self.state.configuration_version(),
+            )
+            return
         logs.info(
             'request_failed',
             request=call.request_id,
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -8,6 +8,7 @@
 
 from knapweedhall_router import clock
 from knapweedhall_router.control import feed
+from knapweedhall_router.links import token_leases
 from knapweedhall_router import logs
 from knapweedhall_router import settings as settings_module
 from knapweedhall_routing import budgets
@@ -18,6 +19,7 @@
 from knapweedhall_routing import load
 from knapweedhall_routing import model
 from knapweedhall_routing import planning
+from knapweedhall_routing import quotas
 from knapweedhall_routing import ranges
 from knapweedhall_routing import routes
 
@@ -108,6 +110,8 @@
         Requests and service times for the reports to the coordinator.
     conditions : conditions.Conditions
         Load and limits of upstreams over all instances.
+    tokens : token_leases.TokenLeases
+        Tokens of the workspaces' quotas.
     """
 
     def __init__(self, settings: settings_module.Settings) -> None:
@@ -137,6 +141,7 @@
         self.responses_until = math.inf
         self.accepts_callers = False
         self.rng = random.Random(settings.name)
+        self.tokens = token_leases.TokenLeases(settings.name, self.rng)
 
     def is_work_over(self) -> bool:
         """Return whether a stopping process ends its requests now."""
@@ -152,6 +157,7 @@
         table = routes.RouteTable(new)
         self.configuration, self.routes = new, table
         self.splitter.keep_only([route.name for route in new.routes])
+        self.tokens.leases.configure(quotas.quotas(new))
         logs.info(
             'configuration_in_force',
             version=new.version,
--- a/packages/knapweedhall-router/tests/fleet.py
+++ b/packages/knapweedhall-router/tests/fleet.py
@@ -266,6 +266,7 @@
         key: int | None = None,
         body: bytes | None = None,
         timeout_ms: int = 1000,
+        authorization: str | None = None,
     ) -> Response:
         """Send a request as a caller and return the response."""
         headers = {
@@ -273,6 +274,8 @@
             'X-Attempt-Id': f'q{next(_ids)}',
             'X-Deadline-Ms': str(timeout_ms),
         }
+        if authorization is not None:
+            headers['Authorization'] = authorization
         if key is not None:
             headers['X-Shard-Key'] = str(key)
         method = 'GET' if body is None else 'POST'
