--- a/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
@@ -59,6 +59,8 @@
         Finished requests by outcome.
     workspace_requests : aioprometheus.Counter
         Ended requests by workspace and outcome.
+    quota_refusals : aioprometheus.Counter
+        Requests without a token, by workspace.
     gauges : aioprometheus.Gauge
         State of the instance by name.
     """
@@ -77,6 +79,11 @@
             'Requests by workspace and outcome',
             registry=self.registry,
         )
+        self.quota_refusals = aioprometheus.Counter(
+            'knapweedhall_quota_refused_total',
+            'Requests refused for the quota of their workspace',
+            registry=self.registry,
+        )
         self.gauges = aioprometheus.Gauge(
             'knapweedhall_state',
             'State of the instance by name',
@@ -91,6 +98,8 @@
         for (workspace, outcome), count in counts.items():
             labels = {'workspace': workspace, 'outcome': outcome}
             self.workspace_requests.set(labels, count)
+        for workspace, count in self.state.tokens.refused.items():
+            self.quota_refusals.set({'workspace': workspace}, count)
         for name, value in self.read_gauges().items():
             self.gauges.set({'name': name}, value)
         content, headers = renderer.render(
@@ -108,5 +117,8 @@
             'instances': len(state.instances),
             'ready': float(state.is_ready()),
             'coordinates': float(state.feed.relay is not None),
+            'sharers': state.tokens.leases.sharers,
+            'quota_admitted': state.tokens.admitted,
+            'quota_messages': state.tokens.asked,
             'log_lines_dropped': logs.dropped_lines(),
         }
