Add the interface of shared conditions of upstreams

Cause: the queue needs shares, pace, room, drain rate and expected latency of upstreams over all instances; the skeleton only had shares. Change: Conditions gets this interface. Shared knowledge lapses 2 s after the coordinator last confirmed it, not after the last change, as only changes are sent. Requests that an instance has sent itself count as load until the coordinator must know of them. A response to another instance shows that an upstream is not silent. Nothing fills the conditions yet.

--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -128,7 +128,7 @@
         self.cold_budgets: dict[str, budgets.ColdBudget] = {}
         self.idle_limits: dict[str, idle_limits.IdleLimit] = {}
         self.measurements = load.Measurements()
-        self.conditions = conditions.Conditions()
+        self.conditions = conditions.Conditions(self.healths)
         self.movement_rules: dict[str, planning.Rules] = {}
         self.owners_changed = Signal()
         self.out_of_service = False
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/conditions.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/conditions.py
@@ -1,13 +1,33 @@
-"""What an instance knows of upstreams from all instances together."""
+"""What an instance knows of upstreams from all instances together.
+
+It answers many instances that each send a few requests to many upstreams: one
+instance sees the load of an upstream about once in ten seconds, all together
+see it several times a second.
+"""
 
 from __future__ import annotations
 
+import collections
+import math
 import sys
 import typing
 
-# Age from which shared knowledge is not used. The coordinator sends it every
-# 0.3 s.
+from knapweedhall_routing import health as health_module
+
+# Time without a message from the coordinator after which shared knowledge is
+# not used. The coordinator sends it every 0.3 s.
 MAX_AGE_S = 2.0
+# Time over which room is used up and load above the limit is reduced. Several
+# periods of reports and heartbeats, as a shorter time makes the load
+# oscillate.
+CORRECTION_S = 1.0
+# Time after which a request that was sent is part of the load that the
+# coordinator knows: a period of reports, one of heartbeats, and a response in
+# between. An unchanged load is not sent again.
+VISIBLE_AFTER_S = 0.9
+# Least share of the drain rate at which requests are sent to an upstream that
+# is above its limit; without any there would be no new measurements.
+MIN_DRAIN_SHARE = 0.1
 
 
 class Condition(typing.NamedTuple):
@@ -37,25 +57,168 @@
 class Conditions:
     """Conditions of the upstreams that are near their limit.
 
+    Upstreams that the coordinator did not name are neither near their limit
+    nor slower than their peers.
+
     Attributes
     ----------
+    healths : mapping of str to health.Health
+        Own measurements of this instance, by upstream.
     known : dict of str to Condition
         Newest conditions by upstream.
+    heard_at : float
+        When the coordinator last confirmed them, seconds.
+    sent_at : dict of str to collections.deque of float
+        When this instance sent requests to an upstream in `known` that may
+        not be part of its load there, oldest first, seconds.
+    last_sent_at : dict of str to float
+        When this instance last sent a request to an upstream in `known`,
+        seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        healths: typing.Mapping[str, health_module.Health] | None = None,
+    ) -> None:
+        self.healths = {} if healths is None else healths
         self.known: dict[str, Condition] = {}
+        self.heard_at = -math.inf
+        self.sent_at: dict[str, collections.deque[float]] = {}
+        self.last_sent_at: dict[str, float] = {}
+
+    def update(
+        self,
+        changed: typing.Mapping[str, Condition | None],
+        is_full: bool,
+        now: float,
+    ) -> None:
+        """Apply a message of the coordinator.
+
+        Parameters
+        ----------
+        changed : mapping of str to Condition or None
+            Conditions by upstream; None for an upstream that is not near its
+            limit any more.
+        is_full : bool
+            Whether it names all upstreams that are near their limit.
+        now : float
+            When the message came, seconds.
+        """
+        self.heard_at = now
+        if is_full:
+            self.known.clear()
+        for upstream, condition in changed.items():
+            if condition is None:
+                self.known.pop(upstream, None)
+                continue
+            self.known[upstream] = condition
+            if upstream in self.sent_at:
+                _drop_until(self.sent_at[upstream], condition.at)
+        for by_upstream in (self.sent_at, self.last_sent_at):
+            for upstream in by_upstream.keys() - self.known.keys():
+                del by_upstream[upstream]
+
+    def record_sent(self, upstream: str, now: float) -> None:
+        """Record that this instance sent a request."""
+        if upstream in self.known:
+            sent_at = self.sent_at.setdefault(upstream, collections.deque())
+            _drop_until(sent_at, now - VISIBLE_AFTER_S)
+            sent_at.append(now)
+            self.last_sent_at[upstream] = now
 
     def find(self, upstream: str, now: float) -> Condition | None:
         """Return what is known of an upstream; None if it is outdated."""
-        condition = self.known.get(upstream)
-        if condition is None or now - condition.at > MAX_AGE_S:
+        if now - self.heard_at > MAX_AGE_S:
             return None
-        return condition
+        return self.known.get(upstream)
 
     def share(self, upstream: str, now: float) -> int:
-        """Return how many requests this instance may have outstanding."""
+        """Return how many requests this instance may have outstanding.
+
+        It is at least 1, and `sys.maxsize` for an upstream that is not near
+        its limit.
+        """
         condition = self.find(upstream, now)
         if condition is None:
             return sys.maxsize
         return max(1, int(condition.limit / max(1, condition.users)))
+
+    def earliest_at(self, upstream: str, now: float) -> float:
+        """Return when the next request may be sent, seconds.
+
+        All instances together send as many requests as the upstream
+        completes, more if it has room, and fewer if it is above its limit.
+        """
+        condition = self.find(upstream, now)
+        last_sent_at = self.last_sent_at.get(upstream)
+        if condition is None or last_sent_at is None:
+            return now
+        drain_per_s = _drain_per_s(condition)
+        per_s = drain_per_s + self.room(upstream, now) / CORRECTION_S
+        per_s = max(per_s, MIN_DRAIN_SHARE * drain_per_s)
+        return max(now, last_sent_at + max(1, condition.users) / per_s)
+
+    def expected_latency_s(self, upstream: str, now: float) -> float:
+        """Return the expected time until a response, seconds.
+
+        The newest of own and shared measurements is used. It is 0 if there
+        are none.
+        """
+        condition = self.find(upstream, now)
+        own = self.healths.get(upstream)
+        if own is not None and (
+            condition is None or own.responded_at >= condition.at
+        ):
+            return own.expected_latency_s(now)
+        if condition is None:
+            return 0.0
+        slots = own.slots if own is not None else max(1, int(condition.limit))
+        queued = max(0.0, self._load(upstream, condition, now) + 1 - slots)
+        return condition.service_s * (1 + queued / slots)
+
+    def is_silent(self, upstream: str, now: float) -> bool:
+        """Return whether the upstream has sent no response for too long.
+
+        An upstream that responds to other instances is not silent.
+        """
+        own = self.healths.get(upstream)
+        if own is None or not own.is_silent(now):
+            return False
+        condition = self.find(upstream, now)
+        return condition is None or own.is_silent(now, condition.at)
+
+    def room(self, upstream: str, now: float) -> float:
+        """Return how many more requests all instances may send together.
+
+        It is negative above the limit, and inf for an upstream that is not
+        near its limit.
+        """
+        condition = self.find(upstream, now)
+        if condition is None:
+            return math.inf
+        return condition.limit - self._load(upstream, condition, now)
+
+    def drain_per_s(self, upstream: str, now: float) -> float:
+        """Return the requests per second that an upstream completes at most.
+
+        It is inf for an upstream that is not near its limit.
+        """
+        condition = self.find(upstream, now)
+        return math.inf if condition is None else _drain_per_s(condition)
+
+    def _load(self, upstream: str, condition: Condition, now: float) -> float:
+        """Return the load, with requests sent since it was measured."""
+        sent_at = self.sent_at.get(upstream)
+        if not sent_at:
+            return condition.load
+        _drop_until(sent_at, now - VISIBLE_AFTER_S)
+        return condition.load + len(sent_at)
+
+
+def _drop_until(times: collections.deque[float], until: float) -> None:
+    while times and times[0] <= until:
+        times.popleft()
+
+
+def _drain_per_s(condition: Condition) -> float:
+    return condition.limit / max(0.001, condition.service_s)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
@@ -197,15 +197,24 @@
         """Return whether the upstream wants no requests now."""
         return now < self.paused_until
 
-    def is_silent(self, now: float) -> bool:
+    def is_silent(
+        self, now: float, heard_elsewhere_at: float = -math.inf
+    ) -> bool:
         """Return whether the upstream has sent no response for too long.
 
         Without outstanding requests it is never silent.
+
+        Parameters
+        ----------
+        now : float
+            Current time, seconds.
+        heard_elsewhere_at : float
+            When another instance last got a response from it, seconds.
         """
         if not self.sent_at:
             return False
         oldest = next(iter(self.sent_at.values()))
-        silent_since = max(oldest, self.responded_at)
+        silent_since = max(oldest, self.responded_at, heard_elsewhere_at)
         queue_factor = 1 + self.load(now) / self.slots
         return (
             now - silent_since > SILENT_FACTOR * self.service_s * queue_factor
