Report the loads that upstreams state to the coordinator

Cause: one of 72 instances sees an upstream's load about once in ten seconds; the coordinator got smoothed service times only, which are as old. Change: a report contains, for each upstream that responded or refused since the last one, the number of responses, their mean service time, the mean load and slowdown that it stated and its slots, and the age of requests that are overdue (twice the expected latency), so that an upstream which became several times slower is noticed before it responds. The fields are at the end of the message. Nothing uses them yet.

--- a/packages/knapweedhall-router/src/knapweedhall_router/links/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/coordinator_link.py
@@ -245,18 +245,22 @@
         # unread report with the coordinator's name.
         await self.found.wait()
         now = clock.now()
-        recent, times = self.state.measurements.take_recent(now)
-        report = self._report({}, times, now)
+        recent, times, loads = self.state.measurements.take_recent(now)
+        report = self._report({}, times, loads, now)
         report.recent = recent
         while True:
             writer.write(messages.encode(report))
             await asyncio.sleep(REPORT_PERIOD_S)
             now = clock.now()
-            keys, times = self.state.measurements.take(now)
-            report = self._report(keys, times, now)
+            keys, times, loads = self.state.measurements.take(now)
+            report = self._report(keys, times, loads, now)
 
     def _report(
-        self, keys: load.Counts, times: load.Times, now: float
+        self,
+        keys: load.Counts,
+        times: load.Times,
+        loads: load.Samples,
+        now: float,
     ) -> messages.Report:
         return messages.Report(
             keys,
@@ -266,6 +270,8 @@
             self.state.configuration_version(),
             self.state.directory.unlisted_leaving(),
             self.state.pauses(),
+            loads=loads,
+            overdue=self.state.overdue(),
         )
 
     def _apply_heartbeat(self, message: messages.Heartbeat) -> None:
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
@@ -152,6 +152,12 @@
         Requests of the last seconds by service and bucket, with the time
         since the begin of the period in which they were counted; only in the
         first report of a connection, whose `keys` are empty.
+    loads : dict of str to load.Sample
+        What upstreams stated with their responses, by name; that of the last
+        seconds in the first report of a connection.
+    overdue : dict of str to float
+        Age of the oldest request of upstreams that respond late, by name,
+        seconds.
     """
 
     keys: dict[str, dict[int, int]]
@@ -162,6 +168,8 @@
     leaving: list[tuple[str, int]] = []
     pauses: dict[str, float] = {}
     recent: load.RecentCounts | None = None
+    loads: dict[str, load.Sample] = {}
+    overdue: dict[str, float] = {}
 
 
 class Table(msgspec.Struct, tag='table', array_like=True):
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
@@ -204,6 +204,7 @@
         call.send_count += 1
         call.last_upstream = upstream.name
         health.record_sent(call.number, sent_at)
+        self.state.conditions.record_sent(upstream.name, sent_at)
         may_have_run_before = upstream.name in call.possible_runs
         call.possible_runs.add(upstream.name)
         try:
@@ -319,8 +320,10 @@
         failed = response.status >= 500
         health.record_result(failed, now)
         if not failed:
-            health.record_response(now - sent_at, report, now)
+            service_s = health.record_response(now - sent_at, report, now)
             self.state.add_service_time(upstream.name, health.mean_service_s)
+            if report is not None:
+                self.state.add_load(upstream.name, report, service_s)
             return response
         logs.info(
             'upstream_failed',
@@ -367,6 +370,7 @@
         )
         if report is not None:
             health.record_load(report, now)
+            self.state.add_load(upstream.name, report)
         time_left_s = call.deadline - now
         retry_after_s = admission.retry_after(
             health.expected_latency_s(now) / 2, time_left_s, self.state.rng
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -236,6 +236,25 @@
         """Add a service time to those reported to the coordinator."""
         self.measurements.add_service_time(upstream, service_s, clock.now())
 
+    def add_load(
+        self,
+        upstream: str,
+        report: model.LoadReport,
+        service_s: float | None = None,
+    ) -> None:
+        """Add the load that an upstream stated to the next report.
+
+        Parameters
+        ----------
+        upstream : str
+            Its name.
+        report : model.LoadReport
+            What it stated.
+        service_s : float or None
+            Service time of the request, seconds; None if it was refused.
+        """
+        self.measurements.add_load(upstream, report, service_s, clock.now())
+
     def record_leaving(
         self, upstream: str, source: str, born_ms: int | None = None
     ) -> None:
@@ -264,6 +283,16 @@
             if measured.is_paused(now)
         }
 
+    def overdue(self) -> dict[str, float]:
+        """Return the age of overdue requests by upstream, seconds."""
+        now = clock.now()
+        ages = {
+            name: round(measured.overdue_s(now), 2)
+            for name, measured in self.healths.items()
+            if measured.sent_at
+        }
+        return {name: age_s for name, age_s in ages.items() if age_s}
+
     def drop_measurements(self, upstream: str) -> None:
         """Drop the measurements of a removed upstream.
 
--- a/packages/knapweedhall-router/tests/test_messages.py
+++ b/packages/knapweedhall-router/tests/test_messages.py
@@ -16,6 +16,7 @@
 from knapweedhall_router.links import coordinator_link
 from knapweedhall_router.links import instance_links
 from knapweedhall_router.links import messages
+from knapweedhall_routing import load
 
 
 def configuration(routes: int) -> bytes:
@@ -113,13 +114,22 @@
         report = messages.decode(raw)
         assert isinstance(report, messages.Report)
         self.assertIsNone(report.recent)
+        self.assertEqual({}, report.loads)
 
     def test_report_to_an_earlier_release(self) -> None:
         """Guards against a report that ends the connection."""
         report = messages.Report(
-            {'s': {1: 2}}, {}, 1, 0.1, 3, recent=[(0.3, {'s': {1: 2}})]
+            {'s': {1: 2}},
+            {},
+            1,
+            0.1,
+            3,
+            recent=[(0.3, {'s': {1: 2}})],
+            loads={'u': load.Sample(1, 370, 4, 6, 100)},
+            overdue={'v': 0.8},
         )
         raw = msgspec.msgpack.encode(report)
+        self.assertEqual(report, messages.decode(raw))
         read = msgspec.msgpack.decode(raw, type=_FormerReport)
         self.assertEqual({'s': {1: 2}}, read.keys)
 
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
@@ -35,6 +35,9 @@
 # An upstream with outstanding requests is silent if it has sent no response
 # for this many times the expected latency under its load.
 SILENT_FACTOR = 6.0
+# A request is overdue after this many times the expected latency. An upstream
+# that became five times slower is noticed before it responds.
+OVERDUE_FACTOR = 2.0
 # Longest pause that an upstream may ask for. A garbled value must not exclude
 # an upstream for ever; one that is overloaded for longer asks again.
 MAX_PAUSE_S = 60.0
@@ -129,8 +132,14 @@
 
     def record_response(
         self, latency_s: float, report: model.LoadReport | None, now: float
-    ) -> None:
-        """Record the response to a request that ran."""
+    ) -> float:
+        """Record the response to a request that ran.
+
+        Returns
+        -------
+        float
+            Time to process it once it had a slot, seconds.
+        """
         self.responded_at = now
         self.connect_blocked_until = self.connect_backoff_s = 0.0
         service_s = latency_s
@@ -141,6 +150,7 @@
         weight = max(SMOOTHING, 1 / self.samples)
         self.mean_service_s += weight * (service_s - self.mean_service_s)
         self.baseline.add(service_s)
+        return service_s
 
     @property
     def service_s(self) -> float:
@@ -220,6 +230,21 @@
             now - silent_since > SILENT_FACTOR * self.service_s * queue_factor
         )
 
+    def overdue_s(self, now: float) -> float:
+        """Return for how long the oldest request is late without a response.
+
+        Returns
+        -------
+        float
+            Time since it was sent if that is `OVERDUE_FACTOR` times the
+            expected latency or more, seconds; 0 otherwise.
+        """
+        if not self.sent_at:
+            return 0.0
+        age_s = now - next(iter(self.sent_at.values()))
+        late_s = OVERDUE_FACTOR * self.expected_latency_s(now)
+        return age_s if age_s >= late_s else 0.0
+
     def load(self, now: float) -> float:
         """Return the estimated number of requests, running and waiting."""
         age = max(0.0, now - self.reported_at)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/load.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/load.py
@@ -1,4 +1,4 @@
-"""Load of the divided services: what instances measure, and their sum.
+"""Load of the services: what instances measure, and their sum.
 
 A coordinator sums what the instances report. Each instance also keeps what it
 measured in the last seconds and sends it to the next coordinator, whose term
@@ -12,6 +12,7 @@
 import math
 import typing
 
+from knapweedhall_routing import model
 from knapweedhall_routing import rates
 
 # Time for which an instance keeps its counts; all earlier requests make 5% of
@@ -32,6 +33,37 @@
 Counts = dict[str, dict[int, int]]
 # Number of responses and mean service time in seconds, by upstream.
 Times = dict[str, tuple[int, float]]
+
+
+class Sample(typing.NamedTuple):
+    """What the responses of an upstream to one instance stated in a period.
+
+    It consists of integers, as it is sent in each report.
+
+    Attributes
+    ----------
+    responses : int
+        Number of responses to requests that ran; 0 if the load was stated
+        with refusals only.
+    service_ms : int
+        Mean time to process one of them once it had a slot, milliseconds.
+    load : int
+        Mean of the requests that the upstream ran or queued.
+    slots : int
+        Number of requests that it can run at once.
+    slowdown_percent : int
+        Mean of the slowdown that it stated, percent of its baseline.
+    """
+
+    responses: int
+    service_ms: int
+    load: int
+    slots: int
+    slowdown_percent: int
+
+
+# Samples by upstream.
+Samples = dict[str, Sample]
 # Time since the begin of a period, seconds, and the requests counted in it.
 RecentCounts = list[tuple[float, Counts]]
 
@@ -48,6 +80,10 @@
         Requests by service and bucket.
     times : dict of str to list of float
         Number and sum of service times in seconds, by upstream.
+    stated : dict of str to list of float
+        Number of responses, sum of their service times in seconds, number of
+        statements of the load, sums of the loads and of the slowdowns, and
+        the slots, by upstream.
     is_reported : bool
         Whether it was part of a report.
     """
@@ -55,6 +91,7 @@
     began_at: float
     counts: Counts = dataclasses.field(default_factory=dict)
     times: dict[str, list[float]] = dataclasses.field(default_factory=dict)
+    stated: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     is_reported: bool = False
 
     def size(self) -> int:
@@ -63,7 +100,7 @@
 
 
 class Measurements:
-    """Requests and service times of one instance in the last seconds.
+    """Requests, service times and loads that one instance measured lately.
 
     Attributes
     ----------
@@ -89,7 +126,36 @@
         sums[0] += 1
         sums[1] += service_s
 
-    def take(self, now: float) -> tuple[Counts, Times]:
+    def add_load(
+        self,
+        upstream: str,
+        report: model.LoadReport,
+        service_s: float | None,
+        now: float,
+    ) -> None:
+        """Add the load that an upstream stated.
+
+        Parameters
+        ----------
+        upstream : str
+            Its name.
+        report : model.LoadReport
+            What it stated.
+        service_s : float or None
+            Service time of the request, seconds; None if it was refused.
+        now : float
+            Current time, seconds.
+        """
+        sums = self._period(now).stated.setdefault(upstream, _no_statement())
+        if service_s is not None:
+            sums[0] += 1
+            sums[1] += service_s
+        sums[2] += 1
+        sums[3] += report.running + report.waiting
+        sums[4] += report.slowdown
+        sums[5] = report.slots
+
+    def take(self, now: float) -> tuple[Counts, Times, Samples]:
         """Return what was measured since the last report."""
         self._drop_old(now)
         taken = [each for each in self.periods if not each.is_reported]
@@ -101,9 +167,9 @@
                 total = counts.setdefault(service, {})
                 for bucket, count in by_bucket.items():
                     total[bucket] = total.get(bucket, 0) + count
-        return counts, _means(taken)
+        return counts, _means(taken), _samples(taken)
 
-    def take_recent(self, now: float) -> tuple[RecentCounts, Times]:
+    def take_recent(self, now: float) -> tuple[RecentCounts, Times, Samples]:
         """Return all recent measurements, for a coordinator that has none.
 
         If there are too many counts, the oldest ones are left out. Those of
@@ -118,7 +184,7 @@
             if period.counts and (not recent or buckets <= MAX_RECENT_BUCKETS):
                 age_s = round(now - period.began_at, 3)
                 recent.append((age_s, period.counts))
-        return recent, _means(self.periods)
+        return recent, _means(self.periods), _samples(self.periods)
 
     def _period(self, now: float) -> _Period:
         """Return the current period."""
@@ -149,6 +215,38 @@
     }
 
 
+def _samples(periods: typing.Iterable[_Period]) -> Samples:
+    """Return what the upstreams stated in some periods."""
+    sums: dict[str, list[float]] = {}
+    for period in periods:
+        for upstream, stated in period.stated.items():
+            known = sums.setdefault(upstream, _no_statement())
+            for index in range(5):
+                known[index] += stated[index]
+            known[5] = stated[5]
+    return {
+        upstream: Sample(
+            int(responses),
+            round(1000 * service_s / responses) if responses else 0,
+            round(load / statements),
+            int(slots),
+            round(100 * slowdown / statements),
+        )
+        for upstream, (
+            responses,
+            service_s,
+            statements,
+            load,
+            slowdown,
+            slots,
+        ) in sums.items()
+    }
+
+
+def _no_statement() -> list[float]:
+    return [0, 0.0, 0, 0, 0.0, 0]
+
+
 class Load:
     """Load of all divided services, as the instances report it in a term.
 
--- a/packages/knapweedhall-routing/tests/test_health.py
+++ b/packages/knapweedhall-routing/tests/test_health.py
@@ -93,3 +93,21 @@
         measured = health.Health(SLOTS)
         measured.record_pause(1e9, 10.0)
         self.assertFalse(measured.is_paused(10.0 + health.MAX_PAUSE_S))
+
+
+class OverdueTest(unittest.TestCase):
+    """Requests that take longer than expected."""
+
+    def test_request_without_a_response(self) -> None:
+        """Guards against a slow upstream that is noticed when it responds."""
+        measured = health.Health(SLOTS)
+        report = model.LoadReport(0, 0, SLOTS, 1.0)
+        self.assertEqual(
+            SERVICE_S, measured.record_response(SERVICE_S, report, 0.0)
+        )
+        self.assertEqual(0.0, measured.overdue_s(9.0))
+        measured.record_sent(1, 1.0)
+        self.assertEqual(0.0, measured.overdue_s(1.1))
+        self.assertAlmostEqual(0.3, measured.overdue_s(1.3))
+        measured.record_ended(1)
+        self.assertEqual(0.0, measured.overdue_s(1.3))
--- a/packages/knapweedhall-routing/tests/test_load.py
+++ b/packages/knapweedhall-routing/tests/test_load.py
@@ -45,14 +45,14 @@
         self.measured.add_request('s', 9, self.now)
         self.measured.add_request('s', 9, self.now + 0.4)
         self.assertEqual(
-            ({'s': {2: 2}}, {}), self.measured.take(self.now + 0.5)
+            ({'s': {2: 2}}, {}, {}), self.measured.take(self.now + 0.5)
         )
-        self.assertEqual(({}, {}), self.measured.take(self.now + 0.6))
+        self.assertEqual(({}, {}, {}), self.measured.take(self.now + 0.6))
 
     def test_reported_requests_are_recent(self) -> None:
         """Guards against a next coordinator that begins without rates."""
         self.measured.take(self.now)
-        recent, times = self.measured.take_recent(self.now + 0.1)
+        recent, times, _ = self.measured.take_recent(self.now + 0.1)
         buckets = [bucket for _, counts in recent for bucket in counts['s']]
         # The last 4.5 s.
         self.assertEqual([*range(29, 15, -1)], buckets)
@@ -64,18 +64,33 @@
     def test_recent_requests_are_not_reported_again(self) -> None:
         """Guards against rates that are too high after a connection."""
         self.measured.take_recent(self.now)
-        self.assertEqual(({}, {}), self.measured.take(self.now))
+        self.assertEqual(({}, {}, {}), self.measured.take(self.now))
+
+    def test_loads_of_upstreams(self) -> None:
+        """Guards against loads that only one instance knows."""
+        for running, waiting, service_s in (
+            (6, 1, 0.5),
+            (6, 3, 0.7),
+            (6, 24, None),
+        ):
+            stated = model.LoadReport(running, waiting, 6, 1.5)
+            self.measured.add_load('u', stated, service_s, self.now)
+        expected = {'u': load.Sample(2, 600, 15, 6, 150)}
+        self.assertEqual(expected, self.measured.take(self.now)[2])
+        self.assertEqual({}, self.measured.take(self.now)[2])
+        # The next coordinator gets them again.
+        self.assertEqual(expected, self.measured.take_recent(self.now)[2])
 
     def test_size_is_limited(self) -> None:
         """Guards against links that are full while instances connect."""
         for number in range(load.MAX_RECENT_BUCKETS + 200):
             key = number * rates.BUCKET_KEYS
             self.measured.add_request('s', key, self.now)
-        recent, _ = self.measured.take_recent(self.now)
+        recent, _, _ = self.measured.take_recent(self.now)
         # As many as in any other report.
         self.assertEqual(1, len(recent))
         self.measured.add_request('s', 0, self.now + 0.1)
-        recent, _ = self.measured.take_recent(self.now + 0.1)
+        recent, _, _ = self.measured.take_recent(self.now + 0.1)
         self.assertEqual([(0.0, {'s': {0: 1}})], recent)
 
 
@@ -167,9 +182,9 @@
             return
         recent: load.RecentCounts | None = None
         if self.reports_at:
-            counts, times = self.measured.take(now)
+            counts, times, _ = self.measured.take(now)
         else:
-            recent, times = self.measured.take_recent(now)
+            recent, times, _ = self.measured.take_recent(now)
             counts = {}
         self.reports_at = now + REPORT_PERIOD_S
         term.add_report(self.name, counts, times, recent, now)
