--- a/packages/knapweedhall-routing/src/knapweedhall_routing/conditions.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/conditions.py
@@ -17,17 +17,17 @@
 # Time without a message from the coordinator after which shared knowledge is
 # not used. The coordinator sends it every 0.3 s.
 MAX_AGE_S = 2.0
-# Time over which room is used up and load above the limit is reduced. Several
-# periods of reports and heartbeats, as a shorter time makes the load
-# oscillate.
-CORRECTION_S = 1.0
+# Share of the limit up to which requests are sent without a pace. Above it,
+# the rate of all instances falls to the drain rate at the limit, and further
+# above the limit; it is never 0, as there would be no new measurements.
+FREE_SHARE = 0.5
+# Number of requests beyond the pace that an instance may send at once, as
+# requests arrive irregularly.
+BURST = 1
 # Time after which a request that was sent is part of the load that the
 # coordinator knows: a period of reports, one of heartbeats, and a response in
 # between. An unchanged load is not sent again.
 VISIBLE_AFTER_S = 0.9
-# Least share of the drain rate at which requests are sent to an upstream that
-# is above its limit; without any there would be no new measurements.
-MIN_DRAIN_SHARE = 0.1
 
 
 class Condition(typing.NamedTuple):
@@ -71,9 +71,9 @@
     sent_at : dict of str to collections.deque of float
         When this instance sent requests to an upstream in `known` that may
         not be part of its load there, oldest first, seconds.
-    last_sent_at : dict of str to float
-        When this instance last sent a request to an upstream in `known`,
-        seconds.
+    tokens : dict of str to tuple of float and float
+        Requests that this instance could send to an upstream in `known` after
+        it sent the last one, and when that was, seconds.
     """
 
     def __init__(
@@ -84,7 +84,7 @@
         self.known: dict[str, Condition] = {}
         self.heard_at = -math.inf
         self.sent_at: dict[str, collections.deque[float]] = {}
-        self.last_sent_at: dict[str, float] = {}
+        self.tokens: dict[str, tuple[float, float]] = {}
 
     def update(
         self,
@@ -114,7 +114,7 @@
             self.known[upstream] = condition
             if upstream in self.sent_at:
                 _drop_until(self.sent_at[upstream], condition.at)
-        for by_upstream in (self.sent_at, self.last_sent_at):
+        for by_upstream in (self.sent_at, self.tokens):
             for upstream in by_upstream.keys() - self.known.keys():
                 del by_upstream[upstream]
 
@@ -124,7 +124,7 @@
             sent_at = self.sent_at.setdefault(upstream, collections.deque())
             _drop_until(sent_at, now - VISIBLE_AFTER_S)
             sent_at.append(now)
-            self.last_sent_at[upstream] = now
+            self.tokens[upstream] = self._tokens_left(upstream, now) - 1, now
 
     def find(self, upstream: str, now: float) -> Condition | None:
         """Return what is known of an upstream; None if it is outdated."""
@@ -147,16 +147,32 @@
         """Return when the next request may be sent, seconds.
 
         All instances together send as many requests as the upstream
-        completes, more if it has room, and fewer if it is above its limit.
+        completes at its limit, more if it has room, and fewer if it is above
+        its limit.
         """
-        condition = self.find(upstream, now)
-        last_sent_at = self.last_sent_at.get(upstream)
-        if condition is None or last_sent_at is None:
+        missing = 1 - self._tokens_left(upstream, now)
+        if missing <= 0:
             return now
-        drain_per_s = _drain_per_s(condition)
-        per_s = drain_per_s + self.room(upstream, now) / CORRECTION_S
-        per_s = max(per_s, MIN_DRAIN_SHARE * drain_per_s)
-        return max(now, last_sent_at + max(1, condition.users) / per_s)
+        return now + missing * self._pace_s(upstream, now)
+
+    def _tokens_left(self, upstream: str, now: float) -> float:
+        """Return how many requests may be sent now, at the current pace."""
+        if upstream not in self.tokens:
+            return 1.0 + BURST
+        tokens, filled_at = self.tokens[upstream]
+        pace_s = self._pace_s(upstream, now)
+        if not pace_s:
+            return 1.0 + BURST
+        return min(1.0 + BURST, tokens + (now - filled_at) / pace_s)
+
+    def _pace_s(self, upstream: str, now: float) -> float:
+        """Return the time between two requests of this instance, seconds."""
+        condition = self.find(upstream, now)
+        if condition is None:
+            return 0.0
+        load = self._load(upstream, condition, now) / condition.limit
+        pace_s = max(1, condition.users) / _drain_per_s(condition)
+        return max(0.0, pace_s * (load - FREE_SHARE) / (1 - FREE_SHARE))
 
     def expected_latency_s(self, upstream: str, now: float) -> float:
         """Return the expected time until a response, seconds.
