Send conditions of upstreams with the coordinator's heartbeat

Cause: instances did not know the load of upstreams that other instances cause, nor the learned limits. Change: a heartbeat contains the conditions that changed, of upstreams that are near their limit, slower than their peers or overdue, 11 bytes each; names are sent once and stand for numbers. The first heartbeat of a connection, and the first one of a term, contain all of them. The fields are at the end of the message. A term begins with the limits that its instance knows from the term before.

--- a/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
@@ -24,6 +24,8 @@
 from knapweedhall_router import logs
 from knapweedhall_router import state as state_module
 from knapweedhall_router import tasks
+from knapweedhall_routing import announcements
+from knapweedhall_routing import concurrency
 from knapweedhall_routing import holdings
 from knapweedhall_routing import load as load_module
 from knapweedhall_routing import planning
@@ -61,6 +63,12 @@
         Divided services, by name.
     load : load.Load
         Load of the services and service times of the upstreams.
+    limits : concurrency.Limits
+        Learned limits of all upstreams.
+    announcements : announcements.Announcements
+        Conditions of upstreams that the instances were told.
+    announces : bool
+        Whether conditions were sent in this term.
     pauses : dict of str to float
         Until when upstreams want no requests, by name, seconds.
     links : instance_links.InstanceLinks
@@ -124,6 +132,10 @@
             state.feed.relay = self.relay_records
         self.links = links
         self.load = load or load_module.Load(len(state.instances), clock.now())
+        self.limits = concurrency.Limits(state.conditions.limits(clock.now()))
+        self.limits.list_upstreams(state.directory.entries)
+        self.announcements = announcements.Announcements()
+        self.announces = False
         self.load_was_known = False
         self.tasks: set[asyncio.Task[None]] = set()
         self.mover = moves.Mover(
@@ -359,10 +371,27 @@
         ]
 
     def make_heartbeat(
-        self, number: int, joined: list[str], left: list[str]
+        self, number: int, joined: list[str], left: list[str], is_first: bool
     ) -> messages.Heartbeat:
-        """Return a heartbeat; `joined` and `left` are member IDs."""
+        """Return a heartbeat.
+
+        Parameters
+        ----------
+        number : int
+            Its number.
+        joined, left : list of str
+            Member IDs of the instances that joined and left.
+        is_first : bool
+            Whether it is the first one of a connection.
+        """
         now = clock.now()
+        # Connections that outlast a term have the numbers of the last one.
+        is_full = is_first or not self.announces
+        if is_first:
+            changes = self.announcements.all()
+        else:
+            self.announces = True
+            changes = self._learn(now)
         return messages.Heartbeat(
             number,
             joined,
@@ -372,6 +401,21 @@
             now - self.state.directory.last_outage_at,
             self.state.directory.unlisted_leaving(),
             self.state.feed.read_offsets,
+            messages.pack_conditions(changes, now),
+            [
+                (change.number, change.name)
+                for change in changes
+                if change.name
+            ],
+            is_full,
+        )
+
+    def _learn(self, now: float) -> list[announcements.Change]:
+        """Learn limits from the reports; return what instances are told."""
+        self.limits.list_upstreams(self.state.directory.entries)
+        self.limits.learn(now)
+        return self.announcements.changes(
+            self.limits, len(self.links.active), now
         )
 
     def relay_records(self, topic: str, records: feed.Records) -> None:
@@ -423,6 +467,13 @@
         for upstream, born_ms in report.leaving:
             self.state.record_leaving(upstream, 'report', born_ms)
         now = clock.now()
+        self.limits.add_report(
+            instance,
+            report.loads,
+            report.overdue,
+            report.recent is not None,
+            now,
+        )
         for upstream, left_s in report.pauses.items():
             until = now + left_s
             self.pauses[upstream] = max(until, self.pauses.get(upstream, 0.0))
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/coordinator_link.py
@@ -87,6 +87,8 @@
         Set with the first heartbeat of the current connection.
     pause_s : float
         Upper bound of the random pause before the next search.
+    condition_names : dict of int to str
+        Upstreams by the number that stands for them in heartbeats.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         self.known_coordinator = ''
         self.found = asyncio.Event()
         self.pause_s = INITIAL_PAUSE_S
+        self.condition_names: dict[int, str] = {}
 
     async def run(self) -> None:
         """Find the coordinator and connect to it, until cancelled."""
@@ -292,6 +295,7 @@
         self.state.feed.coordinator_outage_at = now - message.outage_age_s
         for name, born_ms in message.leaving:
             self.state.record_leaving(name, 'heartbeat', born_ms)
+        self._apply_conditions(message, now)
         self.announced.update(message.joined, message.left)
         self.members = set(self.announced.current)
         alive = self.announced.members(now)
@@ -299,6 +303,22 @@
             names = {member.rpartition('@')[0] for member in alive}
             self.state.instances = tuple(sorted(names))
 
+    def _apply_conditions(
+        self, message: messages.Heartbeat, now: float
+    ) -> None:
+        if message.conditions is None:
+            return
+        if message.all_conditions:
+            self.condition_names.clear()
+        self.condition_names.update(message.condition_names)
+        self.state.conditions.update(
+            messages.unpack_conditions(
+                message.conditions, self.condition_names, now
+            ),
+            message.all_conditions,
+            now,
+        )
+
     def apply(self, message: messages.Message) -> None:
         """Update the state from a message of the coordinator.
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/instance_links.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/instance_links.py
@@ -76,8 +76,8 @@
     on_report : callable
         Called with the name of an instance and its report.
     make_heartbeat : callable
-        Returns a heartbeat from its number, the members that joined, and
-        those that left.
+        Returns a heartbeat from its number, the members that joined, those
+        that left, and whether it is the first one of a connection.
     active : set of InstanceLink
         Open connections.
     announced : set of str
@@ -93,7 +93,7 @@
         initial_messages: typing.Callable[[list[str]], list[messages.Message]],
         on_report: typing.Callable[[str, messages.Report], None],
         make_heartbeat: typing.Callable[
-            [int, list[str], list[str]], messages.Heartbeat
+            [int, list[str], list[str], bool], messages.Heartbeat
         ],
     ) -> None:
         self.initial_messages = initial_messages
@@ -140,7 +140,7 @@
         self.number += 1
         self.sent_at[self.number] = clock.now()
         self.sent_at.pop(self.number - MAX_SENT_HEARTBEATS, None)
-        self.send(self.make_heartbeat(self.number, joined, left))
+        self.send(self.make_heartbeat(self.number, joined, left, False))
 
     def reports(self) -> dict[str, quorum.Report]:
         """Return the last report of each connected instance, by name."""
@@ -179,7 +179,7 @@
         link = InstanceLink(hello, writer)
         try:
             heartbeat = self.make_heartbeat(
-                self.number, sorted(self.announced), []
+                self.number, sorted(self.announced), [], True
             )
             for message in (heartbeat, *self.initial_messages(hello.topics)):
                 link.send(link.encode(message))
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
@@ -9,11 +9,14 @@
 
 import asyncio
 import struct
+import typing
 import zlib
 
 import msgspec
 
 from knapweedhall_adapter import errors
+from knapweedhall_routing import announcements
+from knapweedhall_routing import conditions
 from knapweedhall_routing import load
 from knapweedhall_routing import model
 from knapweedhall_routing import ranges
@@ -27,6 +30,14 @@
 # The fastest level; records are compressed once for all instances.
 COMPRESSION_LEVEL = 1
 
+# Number of the upstream, limit, load, service time, number of instances that
+# use it, and age of the measurement.
+_CONDITION = struct.Struct('>HHHHHB')
+# Units of the limit, of the service time and of the age.
+LIMITS_PER_REQUEST = 16
+SERVICE_UNIT_S = 0.001
+AGE_UNIT_S = 0.02
+
 # First key, last key, upstream, host, port.
 WireRange = tuple[int, int, str, str, int]
 
@@ -231,6 +242,13 @@
         As in the reports, of all instances.
     offsets : dict of str to int
         Offset up to which the coordinator has read each topic.
+    conditions : bytes or None
+        Changed conditions of upstreams, see `pack_conditions`; None from a
+        coordinator that does not know them.
+    condition_names : list of tuple of int and str
+        Numbers and names of upstreams that were not named before.
+    all_conditions : bool
+        Whether the conditions and names are complete.
     """
 
     number: int
@@ -241,6 +259,9 @@
     outage_age_s: float
     leaving: list[tuple[str, int]] = []
     offsets: dict[str, int] = {}
+    conditions: bytes | None = None
+    condition_names: list[tuple[int, str]] = []
+    all_conditions: bool = False
 
 
 class Records(msgspec.Struct, tag='records', array_like=True):
@@ -383,3 +404,78 @@
 def version(message: Table | TableChange) -> ranges.Version:
     """Return the version of the table after a message is applied."""
     return ranges.Version(message.epoch, message.number)
+
+
+def pack_conditions(
+    changes: typing.Iterable[announcements.Change], now: float
+) -> bytes:
+    """Return conditions in the form for heartbeats.
+
+    An upstream that is not near its limit any more has the limit 0.
+
+    Parameters
+    ----------
+    changes : iterable of announcements.Change
+        What to tell the instances.
+    now : float
+        Current time, seconds.
+    """
+    packed = []
+    for number, _, condition in changes:
+        if condition is None:
+            packed.append(_CONDITION.pack(number, 0, 0, 0, 0, 0))
+            continue
+        packed.append(
+            _CONDITION.pack(
+                number,
+                _limited(condition.limit * LIMITS_PER_REQUEST, 1, 65535),
+                _limited(condition.load, 0, 65535),
+                _limited(condition.service_s / SERVICE_UNIT_S, 0, 65535),
+                _limited(condition.users, 0, 65535),
+                _limited((now - condition.at) / AGE_UNIT_S, 0, 255),
+            )
+        )
+    return b''.join(packed)
+
+
+def _limited(value: float, lowest: int, highest: int) -> int:
+    return round(min(max(value, lowest), highest))
+
+
+@errors.decoder('conditions')
+def unpack_conditions(
+    raw: bytes, names: typing.Mapping[int, str], now: float
+) -> dict[str, conditions.Condition | None]:
+    """Return the conditions in a heartbeat by upstream.
+
+    Parameters
+    ----------
+    raw : bytes
+        What the heartbeat contains.
+    names : mapping of int to str
+        Names of the upstreams by number; others are left out.
+    now : float
+        When the heartbeat came, seconds.
+
+    Raises
+    ------
+    errors.DecodeError
+        If it is malformed.
+    """
+    changed: dict[str, conditions.Condition | None] = {}
+    for number, limit, load_, service, users, age in _CONDITION.iter_unpack(
+        raw
+    ):
+        if number in names:
+            changed[names[number]] = (
+                conditions.Condition(
+                    limit / LIMITS_PER_REQUEST,
+                    load_,
+                    service * SERVICE_UNIT_S,
+                    users,
+                    now - age * AGE_UNIT_S,
+                )
+                if limit
+                else None
+            )
+    return changed
--- a/packages/knapweedhall-router/tests/test_coordinator.py
+++ b/packages/knapweedhall-router/tests/test_coordinator.py
@@ -20,6 +20,7 @@
 from knapweedhall_router.links import messages
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import holdings
+from knapweedhall_routing import load
 from knapweedhall_routing import model
 from knapweedhall_routing import planning
 from knapweedhall_routing import rates
@@ -91,6 +92,40 @@
         self.assertIsNone(state.feed.relay)
 
 
+class ConditionsTest(unittest.TestCase):
+    """Conditions of upstreams that a term announces."""
+
+    def test_reports_become_conditions(self) -> None:
+        """Guards against an overload that no other instance learns of."""
+        state = state_module.State(fleet.Fleet().new_settings())
+        state.directory.put(
+            model.Upstream('u', ADDRESS, 's', 'a', 4, False, 0.0, 1), 0.0
+        )
+        term = coordinator.Coordinator(
+            typing.cast(typing.Any, None),
+            typing.cast(typing.Any, None),
+            state,
+            clock.now() + 1.0,
+        )
+        report = messages.Report(
+            {}, {}, 1, 0.1, 3, loads={'u': load.Sample(1, 90, 9, 4, 100)}
+        )
+        term.record_report('i', report)
+        first = term.make_heartbeat(1, [], [], True)
+        self.assertEqual((b'', True), (first.conditions, first.all_conditions))
+        # The connections of a former term have other numbers.
+        for is_full, names in ((True, [(0, 'u')]), (False, [])):
+            heartbeat = term.make_heartbeat(2, [], [], False)
+            self.assertEqual(is_full, heartbeat.all_conditions)
+            self.assertEqual(names, heartbeat.condition_names)
+        later = term.make_heartbeat(3, [], [], True)
+        assert later.conditions is not None
+        self.assertEqual([(0, 'u')], later.condition_names)
+        told = messages.unpack_conditions(later.conditions, {0: 'u'}, 9.0)
+        assert told['u'] is not None
+        self.assertEqual((4.0, 9.0, 1), (*told['u'][:2], told['u'].users))
+
+
 class StoredRecordsTest(unittest.TestCase):
     """The coordinator's records, as another writer may have left them."""
 
--- a/packages/knapweedhall-router/tests/test_coordinator_link.py
+++ b/packages/knapweedhall-router/tests/test_coordinator_link.py
@@ -34,7 +34,7 @@
 
 
 def _heartbeat(
-    number: int, joined: list[str], left: list[str]
+    number: int, joined: list[str], left: list[str], is_first: bool = False
 ) -> messages.Heartbeat:
     return messages.Heartbeat(number, joined, left, False, {}, 100.0)
 
--- a/packages/knapweedhall-router/tests/test_messages.py
+++ b/packages/knapweedhall-router/tests/test_messages.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import random
 import struct
 import typing
@@ -13,10 +14,15 @@
 import msgspec
 
 from knapweedhall_adapter import errors
+from knapweedhall_router import clock
 from knapweedhall_router.links import coordinator_link
 from knapweedhall_router.links import instance_links
 from knapweedhall_router.links import messages
+from knapweedhall_router import state as state_module
+from knapweedhall_routing import announcements
+from knapweedhall_routing import conditions
 from knapweedhall_routing import load
+from tests import fleet
 
 
 def configuration(routes: int) -> bytes:
@@ -183,3 +189,57 @@
         ):
             with self.subTest(member=member[:20]):
                 self.assertIsNone(coordinator_link.member_address(member))
+
+
+class ConditionsTest(unittest.TestCase):
+    """Conditions of upstreams in heartbeats."""
+
+    def test_conditions(self) -> None:
+        """Guards against conditions that are lost or spoiled on the way."""
+        known = conditions.Condition(4.5, 7.0, 0.372, 72, 99.5)
+        odd = conditions.Condition(0.01, 1e9, 1e9, 10**9, -math.inf)
+        raw = messages.pack_conditions(
+            [
+                announcements.Change(0, 'u', known),
+                announcements.Change(65535, 'v', None),
+                announcements.Change(7, 'w', odd),
+                announcements.Change(8, 'unnamed', odd),
+            ],
+            100.0,
+        )
+        self.assertEqual(44, len(raw))
+        names = {0: 'u', 65535: 'v', 7: 'w'}
+        unpacked = messages.unpack_conditions(raw, names, 200.0)
+        self.assertEqual({'u', 'v', 'w'}, unpacked.keys())
+        self.assertEqual(known._replace(at=199.5), unpacked['u'])
+        self.assertIsNone(unpacked['v'])
+        assert unpacked['w'] is not None
+        self.assertGreater(unpacked['w'].limit, 0.0)
+        with self.assertRaises(errors.DecodeError):
+            messages.unpack_conditions(raw[:-1], names, 200.0)
+
+    def test_instance_follows_the_coordinator(self) -> None:
+        """Guards against numbers of an earlier coordinator."""
+        state = state_module.State(fleet.Fleet().new_settings())
+        link = coordinator_link.CoordinatorLink(
+            typing.cast(typing.Any, None), state
+        )
+        known = conditions.Condition(4.5, 7.0, 0.372, 72, clock.now())
+        raw = messages.pack_conditions(
+            [announcements.Change(0, '', known)], clock.now()
+        )
+        for names, is_full, expected in (
+            ([(0, 'u')], True, {'u'}),
+            ([], False, {'u'}),
+            ([(0, 'v')], True, {'v'}),
+            ([], True, set()),
+        ):
+            heartbeat = messages.Heartbeat(
+                1, [], [], False, {}, 9.0, [], {}, raw, names, is_full
+            )
+            link.apply(messages.decode(messages.encode(heartbeat)[4:]))
+            self.assertEqual(expected, state.conditions.known.keys())
+        # A coordinator of an earlier release confirms nothing.
+        heard_at = state.conditions.heard_at
+        link.apply(messages.Heartbeat(1, [], [], False, {}, 9.0))
+        self.assertEqual(heard_at, state.conditions.heard_at)
--- a/packages/knapweedhall-router/tests/test_properties.py
+++ b/packages/knapweedhall-router/tests/test_properties.py
@@ -47,7 +47,9 @@
     messages.Report({}, {}, 1, 0.1, 3, recent=[(0.3, {'s': {1: 2}})]),
     messages.Table('s', 1, 2, [(0, 9, 'u', '10.0.0.1', 80)]),
     messages.TableChange('s', 1, 2, [(0, 9, 'u', '10.0.0.1', 80)]),
+    messages.Report({}, {}, 1, 0.1, 3, overdue={'u': 0.8}),
     messages.Heartbeat(1, ['a'], [], False, {'t': 0.1}, 9.0, [('u', 1)]),
+    messages.Heartbeat(1, [], [], False, {}, 9.0, conditions=b'\0' * 11),
     messages.Records('t', False, [(1, 'k', b'v')]),
     messages.PackedRecords(zlib.compress(b'\x90')),
 )
@@ -126,6 +128,13 @@
             packed = messages.PackedRecords(content)
             decode_or_reject(lambda _: messages.unpack(packed), content)
 
+    @hypothesis.given(strategies.binary(max_size=99))
+    def test_conditions(self, raw: bytes) -> None:
+        """Guards against conditions that end a task."""
+        decode_or_reject(
+            lambda raw: messages.unpack_conditions(raw, {0: 'u'}, 9.0), raw
+        )
+
     @hypothesis.given(
         strategies.text(max_size=30)
         | strategies.from_regex(r'\A\w*@[0-9.]{1,9}:[0-9]{0,7}\Z')
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/concurrency.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/concurrency.py
@@ -229,13 +229,13 @@
         self.responded_at = now
         if not is_recent:
             self.responses += sample.responses
+        if not self.service_s:
+            self.service_s = service_s
         if sample.load >= self.slots:
             self.full_at = now
         if now - service_s <= self.full_at:
             # It may have waited for a slot, for an unknown time.
             return
-        if not self.service_s:
-            self.service_s = service_s
         weight = 1 - (1 - TIME_SMOOTHING) ** min(sample.responses, 20)
         self.service_s += weight * (service_s - self.service_s)
 
@@ -252,6 +252,7 @@
             # Nobody knows how long the first responses took to come.
             self.busy_s = self.ended = 0.0
             self.responses, self.measured_at = 0, now
+            self.loads = [self.load]
             return
         is_full = self.load >= self.slots
         if not self.responses and not is_full:
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/conditions.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/conditions.py
@@ -17,6 +17,9 @@
 # Time without a message from the coordinator after which shared knowledge is
 # not used. The coordinator sends it every 0.3 s.
 MAX_AGE_S = 2.0
+# Time for which limits are a better start of a term than the slots: the
+# service times that they were learned from decay with 20 s.
+LIMITS_AGE_S = 30.0
 # Share of the limit up to which requests are sent without a pace. Above it,
 # the rate of all instances falls to the drain rate at the limit, and further
 # above the limit; it is never 0, as there would be no new measurements.
@@ -126,6 +129,12 @@
             sent_at.append(now)
             self.tokens[upstream] = self._tokens_left(upstream, now) - 1, now
 
+    def limits(self, now: float) -> dict[str, float]:
+        """Return the limits that a term of this instance begins with."""
+        if now - self.heard_at > LIMITS_AGE_S:
+            return {}
+        return {name: known.limit for name, known in self.known.items()}
+
     def find(self, upstream: str, now: float) -> Condition | None:
         """Return what is known of an upstream; None if it is outdated."""
         if now - self.heard_at > MAX_AGE_S:
@@ -182,12 +191,10 @@
         """
         condition = self.find(upstream, now)
         own = self.healths.get(upstream)
-        if own is not None and (
-            condition is None or own.responded_at >= condition.at
-        ):
+        if condition is None or not condition.service_s:
+            return 0.0 if own is None else own.expected_latency_s(now)
+        if own is not None and own.responded_at >= condition.at:
             return own.expected_latency_s(now)
-        if condition is None:
-            return 0.0
         slots = own.slots if own is not None else max(1, int(condition.limit))
         queued = max(0.0, self._load(upstream, condition, now) + 1 - slots)
         return condition.service_s * (1 + queued / slots)
