Do not end a term by a fault in learning limits

Cause: an idle upstream states a load of 0 with each response, so that its mean service time by throughput was 0, and dividing by it ended the term; in test_fleet_keys.OwnershipTest.test_store_is_down grants expired. Change: a mean of 0 counts as not known, and a fault in learning is logged as coordinator_fault and leaves the heartbeat alone. Result: test_store_is_down and test_coordinator_stops_while_the_store_is_down failed before; test_fleet_keys passes (15 tests). tests.test_concurrency.LimitsTest.test_idle_upstream failed with ZeroDivisionError before and passes.

--- a/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
@@ -411,12 +411,19 @@
         )
 
     def _learn(self, now: float) -> list[announcements.Change]:
-        """Learn limits from the reports; return what instances are told."""
-        self.limits.list_upstreams(self.state.directory.entries)
-        self.limits.learn(now)
-        return self.announcements.changes(
-            self.limits, len(self.links.active), now
-        )
+        """Learn limits from the reports; return what instances are told.
+
+        A failure leaves the heartbeat and the term alone.
+        """
+        try:
+            self.limits.list_upstreams(self.state.directory.entries)
+            self.limits.learn(now)
+            return self.announcements.changes(
+                self.limits, len(self.links.active), now
+            )
+        except Exception as error:
+            logs.warning('coordinator_fault', reason=tasks.describe(error))
+            return []
 
     def relay_records(self, topic: str, records: feed.Records) -> None:
         """Send records that were read from the store to all instances."""
--- a/packages/knapweedhall-router/tests/test_coordinator.py
+++ b/packages/knapweedhall-router/tests/test_coordinator.py
@@ -118,7 +118,11 @@
             heartbeat = term.make_heartbeat(2, [], [], False)
             self.assertEqual(is_full, heartbeat.all_conditions)
             self.assertEqual(names, heartbeat.condition_names)
-        later = term.make_heartbeat(3, [], [], True)
+        # A fault here ended the term, so that grants expired.
+        with mock.patch.object(term.limits, 'learn', side_effect=ValueError):
+            heartbeat = term.make_heartbeat(3, [], [], False)
+        self.assertEqual(b'', heartbeat.conditions)
+        later = term.make_heartbeat(4, [], [], True)
         assert later.conditions is not None
         self.assertEqual([(0, 'u')], later.condition_names)
         told = messages.unpack_conditions(later.conditions, {0: 'u'}, 9.0)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/concurrency.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/concurrency.py
@@ -266,8 +266,8 @@
         # The load changes while a request runs.
         periods = 1 + int(self.service_s / LOAD_PERIOD_S)
         level = self._level(statistics.fmean(self.loads[-periods:]))
-        if self.weights[level] >= MIN_SAMPLES and responses:
-            expected_s = self.sums[level] / self.weights[level]
+        expected_s = self._mean_s(level)
+        if expected_s and responses:
             weight = 1 - (1 - TIME_SMOOTHING) ** min(responses, 20)
             self.change += weight * (
                 busy_s / responses / expected_s - self.change
@@ -291,6 +291,15 @@
         share = min(running, self.slots) / self.slots
         return max(0, math.ceil(share * len(self.weights)) - 1)
 
+    def _mean_s(self, level: int) -> float:
+        """Return the mean service time at a level; 0 if it is not known.
+
+        An idle upstream states a load of 0 with each response.
+        """
+        if self.weights[level] < MIN_SAMPLES:
+            return 0.0
+        return self.sums[level] / self.weights[level]
+
     def current_service_s(self, now: float) -> float:
         """Return the service time of a request that is sent now, seconds.
 
@@ -336,11 +345,11 @@
         lowest = max(1.0, MIN_LIMIT_SHARE * self.slots)
         best: tuple[float, float] | None = None
         for level, weight in enumerate(self.weights):
-            if weight < MIN_SAMPLES or (level + 1) * width < lowest:
+            mean_s = self._mean_s(level)
+            if not mean_s or (level + 1) * width < lowest:
                 continue
             # The service time in relation to the one that the load is worth.
-            cost_s = self.sums[level] / weight
-            cost_s /= ((level + 1) * width) ** ELASTICITY
+            cost_s = mean_s / ((level + 1) * width) ** ELASTICITY
             if best is None:
                 best = cost_s, weight
                 continue
--- a/packages/knapweedhall-routing/tests/test_concurrency.py
+++ b/packages/knapweedhall-routing/tests/test_concurrency.py
@@ -291,6 +291,15 @@
             self.assertLessEqual(abs(after - before), 1.5 * step)
         self.assertGreaterEqual(min(limits), 1.0)
 
+    def test_idle_upstream(self) -> None:
+        """Guards against a division by zero that ended a term.
+
+        An upstream that is idle states a load of 0 with each response.
+        """
+        for number in range(40):
+            self.report(number * 0.3, load.Sample(3, 5, 0, SLOTS, 100))
+        self.assertEqual(SLOTS, self.limits.upstreams['v'].limit)
+
     def test_damaged_reports(self) -> None:
         """Guards against figures that no upstream states."""
         for sample in (
