Admit requests by the newest of own and shared knowledge

Cause: an instance that sends a request to an upstream each ten seconds admits by a load that is ten seconds old, and refuses requests to a silent owner although other instances get its responses. Change: admission uses Conditions.expected_latency_s and is_silent: the shared service time with the newest load, if the coordinator told of the upstream in the last 2 s, otherwise the own measurements as before.

--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/selection.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/selection.py
@@ -155,7 +155,7 @@
         estimate = admission.Estimate(
             now,
             call.deadline - RETURN_MARGIN_S,
-            health.expected_latency_s(now),
+            self.state.conditions.expected_latency_s(upstream.name, now),
             health.outstanding,
             self.connection_share(call),
             over_cold_budget,
@@ -247,8 +247,7 @@
         )
 
     def _is_silent(self, upstream_name: str, now: float) -> bool:
-        health = self.state.healths.get(upstream_name)
-        return health is not None and health.is_silent(now)
+        return self.state.conditions.is_silent(upstream_name, now)
 
     def _admit_owner(
         self, call: calls.Call, owned_range: model.OwnedRange, now: float
@@ -259,7 +258,7 @@
         health = self.state.health(entry)
         if health.is_paused(now):
             return self._refuse_until(call, health.paused_until)
-        if health.is_silent(now):
+        if self._is_silent(entry.name, now):
             # Requests in flight show when it responds again.
             return self.refuse(call, 'silent-owner')
         over_cold_budget = (
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/conditions.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/conditions.py
@@ -186,17 +186,21 @@
     def expected_latency_s(self, upstream: str, now: float) -> float:
         """Return the expected time until a response, seconds.
 
-        The newest of own and shared measurements is used. It is 0 if there
-        are none.
+        The load is the newest of own and shared measurements. The service
+        time is the shared one, as the last ten responses to one of many
+        instances took a minute. It is 0 if there are none.
         """
         condition = self.find(upstream, now)
         own = self.healths.get(upstream)
         if condition is None or not condition.service_s:
             return 0.0 if own is None else own.expected_latency_s(now)
-        if own is not None and own.responded_at >= condition.at:
-            return own.expected_latency_s(now)
-        slots = own.slots if own is not None else max(1, int(condition.limit))
-        queued = max(0.0, self._load(upstream, condition, now) + 1 - slots)
+        load = self._load(upstream, condition, now)
+        slots = max(1, int(condition.limit))
+        if own is not None:
+            slots = own.slots
+            if own.reported_at > condition.at:
+                load = own.load(now)
+        queued = max(0.0, load + 1 - slots)
         return condition.service_s * (1 + queued / slots)
 
     def is_silent(self, upstream: str, now: float) -> bool:
