Let requests wait for room in an ordered queue

Requests that an upstream can't run yet were sent to it in any case and waited in its FIFO queue. A request now waits at the instance while its owner, or all upstreams that may run it, are at this instance's share of their limits. There are no shares without shared knowledge, and then nothing waits. The queue sends in order when an attempt ends, follows keys to new owners, and refuses what waits when the process is stopped.

--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -239,6 +239,12 @@
 a value that is not valid and is not forwarded.
 caller_fault | WARNING | reason | Bytes of a caller were no request, or an \
 internal error kept a response from being written.
+request_queued | INFO | request service upstream priority ahead drain_per_s | \
+A request waits for room at the owner `upstream` of its key, or at any \
+upstream; `ahead` requests are expected to be sent before it.
+request_dequeued | INFO | request service reason waited_ms | A request no \
+longer waits for room; `reason` is `room` if it is sent, `changed` if its \
+upstream is selected again, `caller-left`, or why it is refused.
 """,
     ),
 )
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/calls.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 
 from aiohttp import web
 
@@ -69,6 +70,13 @@
         Upstream that it was last sent to; '' before the first send.
     excluded_at : dict of str to float
         Upstreams that failed, refused it or could not be reached, and when.
+    priority, workspace : int, str
+        Urgency, 0 is the most urgent; and the caller's workspace, '' if none.
+    patience_until : float
+        Until when it may wait without being next in order, on `clock.now`;
+        inf before it waits for the first time.
+    queued_s : float
+        How long it has waited for room, seconds.
     """
 
     __slots__ = (
@@ -89,6 +97,10 @@
         'possible_runs',
         'excluded_at',
         'last_upstream',
+        'priority',
+        'workspace',
+        'patience_until',
+        'queued_s',
     )
 
     def __init__(
@@ -122,6 +134,10 @@
         self.possible_runs: set[str] = set()
         self.last_upstream = ''
         self.excluded_at: dict[str, float] = {}
+        self.priority = route.priority
+        self.workspace = ''
+        self.patience_until = math.inf
+        self.queued_s = 0.0
 
     def exclude(self, upstream_name: str, now: float) -> None:
         """Exclude an upstream from the further attempts.
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
@@ -71,7 +71,11 @@
         self.running: dict[calls.Call, asyncio.Timeout] = {}
 
     def limit_work(self) -> None:
-        """Shorten the running calls to the time until which they may run."""
+        """Shorten the running calls to the time until which they may run.
+
+        Those that wait for room are refused, as other instances can run them.
+        """
+        self.selector.queues.clear()
         for call, timeout in self.running.items():
             call.deadline = min(call.deadline, self.state.work_until)
             calls.limit_timeout(timeout, call.deadline)
@@ -146,6 +150,14 @@
         upstream = await self.selector.select(call)
         if isinstance(upstream, selection.Failure):
             return self._final_failure(call, upstream)
+        try:
+            return await self._attempt_at(call, upstream)
+        finally:
+            self.selector.end_attempt(call, upstream)
+
+    async def _attempt_at(
+        self, call: calls.Call, upstream: model.Upstream
+    ) -> Result | Retry:
         pool = self.pools.get(upstream.address)
         connection = pool.take(self.selector.max_idle_s(call), call.request_id)
         if connection is None:
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/selection.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/selection.py
@@ -9,10 +9,12 @@
 from knapweedhall_router import clock
 from knapweedhall_router.serving import calls
 from knapweedhall_router.serving import connections
+from knapweedhall_router.serving import queues
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import admission
 from knapweedhall_routing import choice
 from knapweedhall_routing import model
+from knapweedhall_routing import waiting
 
 # Time for which responses that have arrived are read before an owner counts as
 # silent. After a standstill of the process, requests may be handled before
@@ -43,6 +45,25 @@
     retry_after_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class NoRoom:
+    """Upstreams could run the request, but it has to wait for them.
+
+    Attributes
+    ----------
+    lane : str
+        Owner of its key; '' if any upstream can run it.
+    latency_s : float
+        Expected time until the response once it is sent, seconds.
+    with_room : tuple of str
+        Upstreams that have room, though other requests wait.
+    """
+
+    lane: str
+    latency_s: float
+    with_room: tuple[str, ...] = ()
+
+
 class UpstreamSelector:
     """Selects upstreams based on the state of this instance.
 
@@ -51,6 +72,8 @@
     pools : connections.Pools
         Connections to upstreams; upstreams with an idle connection are
         preferred.
+    queues : queues.Queues
+        Requests that wait for room.
     """
 
     def __init__(
@@ -58,6 +81,7 @@
     ) -> None:
         self.state = state
         self.pools = pools
+        self.queues = queues.Queues(state)
 
     def is_divided(self, call: calls.Call) -> bool:
         """Return whether each key of the call's service has an owner."""
@@ -78,16 +102,81 @@
     async def select(self, call: calls.Call) -> model.Upstream | Failure:
         """Return the upstream for a call, or why there is none.
 
-        If the call's key has no owner, this waits for a new one within the
-        limits of the call.
+        This waits for room at the upstream and, if the call's key has no
+        owner, for a new one, within the limits of the call. The upstream
+        counts one more attempt until `end_attempt`.
+        """
+        offered = ''
+        try:
+            while True:
+                if self.is_divided(call):
+                    selected = await self._wait_for_owner(call, offered)
+                else:
+                    selected = self._choose_any(call, offered)
+                if isinstance(selected, model.Upstream):
+                    if selected.name != offered:
+                        self.queues.begin_attempt(selected.name)
+                        self.queues.record_unqueued(call, True)
+                    else:
+                        offered = ''
+                    return selected
+                if isinstance(selected, Failure) and not offered:
+                    self.queues.record_unqueued(call, False)
+                    return selected
+                if offered:
+                    # It does not suit this call any longer; others may.
+                    self.queues.withdraw_attempt(offered)
+                    offered = ''
+                    continue
+                assert isinstance(selected, NoRoom)
+                outcome = await self._wait_for_room(call, selected)
+                if isinstance(outcome, Failure):
+                    return outcome
+                offered = outcome
+        finally:
+            if offered:
+                self.queues.end_attempt(call.service, offered)
+
+    def end_attempt(self, call: calls.Call, upstream: model.Upstream) -> None:
+        """End an attempt that `select` began."""
+        self.queues.end_attempt(call.service, upstream.name)
+
+    async def _wait_for_room(
+        self, call: calls.Call, no_room: NoRoom
+    ) -> str | Failure:
+        """Return the upstream that has room; '' to select another one."""
+        outcome = await self.queues.wait(
+            call,
+            no_room.lane,
+            self._send_by(call, no_room.latency_s),
+            no_room.with_room,
+        )
+        if isinstance(outcome, queues.Refused):
+            if outcome.reason == queues.STOPPING:
+                return self.refuse_stopping()
+            return self.refuse(call, outcome.reason)
+        return outcome.upstream if isinstance(outcome, queues.Offer) else ''
+
+    def _send_by(self, call: calls.Call, latency_s: float) -> float:
+        """Return until when a call may wait for room if it is next.
+
+        It waits only while it can meet its objective, as holding a request
+        that is refused in the end, or late, is worse than refusing it.
         """
-        if self.is_divided(call):
-            return await self._wait_for_owner(call)
-        return self._choose_any(call)
+        send_by = call.deadline - RETURN_MARGIN_S - latency_s
+        patience_until = waiting.patience_until(
+            call.arrived_at, call.route.objective_s
+        )
+        useful_until = call.objective_at - RETURN_MARGIN_S - latency_s
+        return min(send_by, max(useful_until, patience_until))
 
-    def _choose_any(self, call: calls.Call) -> model.Upstream | Failure:
+    def _choose_any(
+        self, call: calls.Call, offered: str
+    ) -> model.Upstream | Failure | NoRoom:
         now = clock.now()
         usable = self.state.directory.usable(call.service)
+        if offered:
+            usable = [each for each in usable if each.name == offered]
         allowed = [
             upstream
             for upstream in usable
@@ -113,6 +202,18 @@
         if paused_until and not allowed:
             return self._refuse_until(call, min(paused_until))
         warm = [upstream for upstream in allowed if upstream.cold_until <= now]
+        if not offered and allowed and self.state.conditions.known:
+            with_room = [
+                upstream
+                for upstream in warm or allowed
+                if not self.queues.is_at_share(upstream.name, now)
+            ]
+            if not with_room or self.queues.has_waiting(call.service, ''):
+                latency_s = self.state.baseline(call.service).service_s
+                names = tuple(upstream.name for upstream in with_room)
+                return NoRoom('', latency_s, names)
+            warm = with_room if warm else []
+            allowed = with_room
         eligible = warm or [
             upstream
             for upstream in allowed
@@ -170,8 +271,8 @@
         return upstream
 
     async def _wait_for_owner(
-        self, call: calls.Call
-    ) -> model.Upstream | Failure:
+        self, call: calls.Call, offered: str
+    ) -> model.Upstream | Failure | NoRoom:
         if call.key is None:
             return Failure(400, 'no-key')
         wait_until = min(
@@ -204,7 +305,9 @@
                             silence_checked = True
                             await asyncio.sleep(SILENCE_CHECK_S)
                             continue
-                        return self._admit_owner(call, owned_range, now)
+                        return self._admit_owner(
+                            call, owned_range, offered, now
+                        )
             if not await self.state.owners_changed.wait(wait_until - now):
                 return self.refuse(call, 'no-new-owner')
 
@@ -251,8 +354,12 @@
         return health is not None and health.is_silent(now)
 
     def _admit_owner(
-        self, call: calls.Call, owned_range: model.OwnedRange, now: float
-    ) -> model.Upstream | Failure:
+        self,
+        call: calls.Call,
+        owned_range: model.OwnedRange,
+        offered: str,
+        now: float,
+    ) -> model.Upstream | Failure | NoRoom:
         entry = self.state.directory.entries.get(owned_range.upstream)
         if entry is None:
             return Failure(503, 'unlisted-owner', 0.1)
@@ -262,6 +369,11 @@
         if health.is_silent(now):
             # Requests in flight show when it responds again.
             return self.refuse(call, 'silent-owner')
+        if entry.name != offered:
+            at_share = self.queues.is_at_share(entry.name, now)
+            if at_share or self.queues.has_waiting(call.service, entry.name):
+                names = () if at_share else (entry.name,)
+                return NoRoom(entry.name, health.service_s, names)
         over_cold_budget = (
             entry.cold_until > now
             and not self.state.admit_cold(entry.name, call.service, now)
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+import typing
 
 from knapweedhall_router import clock
 from knapweedhall_router.control import feed
@@ -25,13 +26,22 @@
 
 
 class Signal:
-    """Wakes all tasks that wait for a change."""
+    """Wakes all tasks that wait for a change.
+
+    Attributes
+    ----------
+    listeners : list of callable
+        Called with each change.
+    """
 
     def __init__(self) -> None:
         self.waiters: set[asyncio.Future[None]] = set()
+        self.listeners: list[typing.Callable[[], None]] = []
 
     def notify(self) -> None:
         """Wake all waiting tasks."""
+        for listener in self.listeners:
+            listener()
         for waiter in self.waiters:
             if not waiter.done():
                 waiter.set_result(None)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/conditions.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/conditions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import sys
 import typing
 
@@ -59,3 +60,31 @@
         if condition is None:
             return sys.maxsize
         return max(1, int(condition.limit / max(1, condition.users)))
+
+    def earliest_at(self, upstream: str, now: float) -> float:
+        """Return when the next request may be sent, seconds."""
+        return now
+
+    def expected_latency_s(self, upstream: str, now: float) -> float:
+        """Return the expected time until a response; 0 if it is not known."""
+        condition = self.find(upstream, now)
+        if condition is None:
+            return 0.0
+        queued = max(0.0, condition.load + 1 - condition.limit)
+        return condition.service_s * (1 + queued / max(1.0, condition.limit))
+
+    def room(self, upstream: str, now: float) -> float:
+        """Return how many more requests it takes; inf if it is not known."""
+        condition = self.find(upstream, now)
+        return (
+            math.inf
+            if condition is None
+            else (condition.limit - condition.load)
+        )
+
+    def drain_per_s(self, upstream: str, now: float) -> float:
+        """Return the requests that it completes; inf if it is not known."""
+        condition = self.find(upstream, now)
+        if condition is None:
+            return math.inf
+        return condition.limit / max(condition.service_s, 0.001)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/waiting.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/waiting.py
@@ -69,7 +69,7 @@
     patience_until : float
         Until when it may wait without being next in order, seconds.
     send_by : float
-        When it has to be sent at the latest to be answered in time, seconds.
+        Until when it may wait if it is next in order, seconds.
     size : int
         Size of its body in bytes.
     workspace : str
@@ -86,6 +86,21 @@
     workspace: str = ''
 
 
+class Room(typing.NamedTuple):
+    """When this instance can send more requests of a lane.
+
+    Attributes
+    ----------
+    per_s : float
+        Requests per second.
+    next_at : float
+        When the next one may be sent at the earliest, seconds.
+    """
+
+    per_s: float
+    next_at: float = -math.inf
+
+
 class Refusal(typing.NamedTuple):
     """An entry that left the queue unserved, and why."""
 
@@ -278,6 +293,15 @@
         """Return the lanes with waiting requests."""
         return list(self._lanes)
 
+    def has_lane(self, lane: str) -> bool:
+        """Return whether requests wait in a lane."""
+        return lane in self._lanes
+
+    def lane_of(self, number: int) -> str | None:
+        """Return the lane of a request; None if it does not wait."""
+        waiting = self._waiting.get(number)
+        return None if waiting is None else waiting.entry.lane
+
     def numbers(self, lane: str | None = None) -> list[int]:
         """Return the numbers of all waiting requests, or of those of a lane.
 
@@ -300,7 +324,7 @@
         self.fractions.record(_groups(priority, workspace), False, now)
 
     def add(
-        self, entry: Entry, now: float, drain_per_s: float | None = None
+        self, entry: Entry, now: float, room: Room | None = None
     ) -> list[Refusal]:
         """Add a request; return what is refused, which may be itself.
 
@@ -310,9 +334,8 @@
             The request.
         now : float
             Current time, seconds.
-        drain_per_s : float or None
-            Requests per second that this instance may send in its lane; None
-            if that is not known.
+        room : Room or None
+            When there will be room in its lane; None if that is not known.
         """
         self.observe(now)
         groups = _groups(entry.priority, entry.workspace)
@@ -322,11 +345,8 @@
         waiting = _Waiting(entry, rank)
         if entry.send_by <= now:
             return [self._refuse_at_once(entry, TOO_LATE, now)]
-        if drain_per_s is not None:
-            wait_s = self._expected_wait_s(waiting, drain_per_s)
-            until = min(entry.patience_until, entry.send_by)
-            if now + wait_s > until:
-                return [self._refuse_at_once(entry, NO_ROOM, now)]
+        if room is not None and not self._has_chance(waiting, room, now):
+            return [self._refuse_at_once(entry, NO_ROOM, now)]
         evicted = self._find_room(waiting)
         if evicted is None:
             return [self._refuse_at_once(entry, FULL, now)]
@@ -415,17 +435,21 @@
             count for rank, count in counts.items() if rank <= waiting.rank
         )
 
-    def _expected_wait_s(self, waiting: _Waiting, drain_per_s: float) -> float:
-        """Return how long a request would wait if it were added."""
-        lane = self._lanes.get(waiting.entry.lane)
-        if lane is None:
-            return 0.0
-        ahead = sum(
-            count for rank, count in lane.counts.items() if rank < waiting.rank
+    def _has_chance(self, waiting: _Waiting, room: Room, now: float) -> bool:
+        """Return whether a request is expected to be sent if it is added."""
+        entry, rank = waiting
+        lane = self._lanes.get(entry.lane)
+        counts = {} if lane is None else lane.counts
+        alike = counts.get(rank, 0)
+        ahead = alike + sum(
+            count for each, count in counts.items() if each < rank
         )
-        alike = lane.counts.get(waiting.rank, 0)
-        ahead = min(ahead + alike, (alike + 1) * LESS_URGENT_PERIOD)
-        return ahead / drain_per_s if drain_per_s > 0 else math.inf
+        sent_at = max(now, room.next_at)
+        if not ahead:
+            return sent_at < entry.send_by
+        ahead = min(ahead, (alike + 1) * LESS_URGENT_PERIOD)
+        sent_at += ahead / room.per_s if room.per_s > 0 else math.inf
+        return sent_at < min(entry.patience_until, entry.send_by)
 
     def _find_room(self, waiting: _Waiting) -> list[int] | None:
         """Return what has to leave for a request; None if it has no room."""
--- a/packages/knapweedhall-routing/tests/test_waiting.py
+++ b/packages/knapweedhall-routing/tests/test_waiting.py
@@ -53,7 +53,7 @@
     def __init__(self, drain_per_s: float, with_rate: bool) -> None:
         self.queue = new_queue()
         self.drain_per_s = drain_per_s
-        self.rate = drain_per_s if with_rate else None
+        self.room = waiting.Room(drain_per_s) if with_rate else None
         self.served: collections.Counter[object] = collections.Counter()
         self.asked: collections.Counter[object] = collections.Counter()
         self.entries: dict[int, tuple[waiting.Entry, float]] = {}
@@ -82,7 +82,7 @@
             )
             self.entries[number] = entry, at
             self.asked.update([priority, workspace, 'all'])
-            self._refuse(self.queue.add(entry, at, self.rate), at)
+            self._refuse(self.queue.add(entry, at, self.room), at)
             self._refuse(self.queue.expire(at), at)
 
     def fraction(self, group: object) -> float:
@@ -247,17 +247,26 @@
     def test_hopeless_request_is_refused_at_once(self) -> None:
         """Guards against holding what has no chance."""
         queue = new_queue()
+        room = waiting.Room(40.0)
         for number in range(4):
-            self.assertEqual([], queue.add(new_entry(number), 0.0, 40.0))
+            self.assertEqual([], queue.add(new_entry(number), 0.0, room))
         for number, send_by, reason in (
             (5, 0.0, waiting.TOO_LATE),
             (6, 2.4, waiting.NO_ROOM),
         ):
             entry = new_entry(number, send_by=send_by)
             self.assertEqual(
-                [waiting.Refusal(number, reason)], queue.add(entry, 0.0, 20.0)
+                [waiting.Refusal(number, reason)],
+                queue.add(entry, 0.0, waiting.Room(20.0)),
             )
 
+    def test_next_one_waits_only_if_room_comes_in_time(self) -> None:
+        """Guards against holding the next one for longer than is of use."""
+        room = waiting.Room(0.2, 1.0)
+        self.assertEqual([], new_queue().add(new_entry(1), 0.0, room))
+        refusals = new_queue().add(new_entry(2, send_by=0.9), 0.0, room)
+        self.assertEqual([waiting.Refusal(2, waiting.NO_ROOM)], refusals)
+
     def test_standstill_refuses_nobody_with_time_left(self) -> None:
         """Guards against refusing all that waited during a standstill."""
         queue = new_queue()
@@ -364,10 +373,10 @@
         def cost_s(size: int) -> float:
             queue = new_queue(size, 10**9)
             for number in range(size):
-                queue.add(new_entry(number, number / 1e6), 0.0, 1e9)
+                queue.add(new_entry(number, number / 1e6), 0.0)
             begun_at = time.process_time()
             for number in range(size, size + 2000):
-                queue.add(new_entry(number, number / 1e6), 0.0, 1e9)
+                queue.add(new_entry(number, number / 1e6), 0.0)
                 queue.take('', 0.0)
             return time.process_time() - begun_at
 
