Plan when callers that were refused return, and shrink the retry budget

Retry-After followed the expected latency of one upstream, so callers returned while a burst went on and were refused again. It now is the time until there will be room: what waits and what was refused before, at the rate that the service drains beyond its new requests, at most a third of the time left. If there will be none by then, returns are spread over the last quarter of it.

The retry budget shrinks with the share of first attempts that are refused for lack of room and is 0 from a share of 0.3.

--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
@@ -83,6 +83,7 @@
     async def run(self, call: calls.Call) -> Result:
         """Return the upstream's response to a call, or why there is none."""
         self.state.retry_budget(call.service).earn(clock.now())
+        self.selector.count_request(call)
         if call.key is not None and self.selector.is_divided(call):
             self.state.count_request(call.service, call.key)
         # In a stop, the upstream gets the end of the work as its time limit.
@@ -90,7 +91,8 @@
         response_until = min(call.deadline, self.state.responses_until)
         call.deadline = min(call.deadline, self.state.work_until)
         timeout = asyncio.timeout(max(0.0, response_until - clock.now()))
-        last: Result = selection.Failure(503, 'no-upstream', 0.1)
+        last: Result = self.selector.refuse_soon(call, 'no-upstream')
+        is_first = True
         try:
             async with timeout:
                 self.running[call] = timeout
@@ -99,6 +101,9 @@
                     is_final = not isinstance(result, Retry)
                     if isinstance(result, Retry):
                         result = result.fallback
+                    if is_first:
+                        self._record_first(call, result)
+                        is_first = False
                     if not (
                         isinstance(last, exchange.Response)
                         and isinstance(result, selection.Failure)
@@ -113,6 +118,11 @@
         finally:
             self.running.pop(call, None)
 
+    def _record_first(self, call: calls.Call, result: Result) -> None:
+        """Shrink the budget of retries if a first attempt is refused."""
+        if isinstance(result, selection.Failure) and result.full:
+            self.state.retry_budget(call.service).record_refused()
+
     def _time_out(self, call: calls.Call, last: Result) -> Result:
         """Return the result of a call whose time is over."""
         if isinstance(last, exchange.Response):
@@ -180,7 +190,7 @@
         that the request has not run.
         """
         if call.possible_runs:
-            return selection.Failure(502, failure.reason)
+            return selection.Failure(502, failure.reason, full=failure.full)
         return failure
 
     def _handle_connect_failure(
@@ -379,14 +389,16 @@
         )
         if report is not None:
             health.record_load(report, now)
-        time_left_s = call.deadline - now
-        retry_after_s = admission.retry_after(
-            health.expected_latency_s(now) / 2, time_left_s, self.state.rng
-        )
         reason = f'upstream-refused-{outcome.status}'
-        failure = self._final_failure(
-            call, selection.Failure(503, reason, retry_after_s)
-        )
+        if (
+            outcome.status == names.WRONG_UPSTREAM_STATUS
+            or admission.is_spurious_refusal(report)
+        ):
+            refusal = self.selector.refuse_soon(call, reason)
+        else:
+            lane = upstream.name if self.selector.is_divided(call) else ''
+            refusal = self.selector.refuse_full(call, reason, lane)
+        failure = self._final_failure(call, refusal)
         logs.info(
             'request_refused_by_upstream',
             request=call.request_id,
@@ -431,7 +443,7 @@
             call.send_count -= 1
             return Retry(
                 self._final_failure(
-                    call, selection.Failure(503, outcome.reason, 0.1)
+                    call, self.selector.refuse_soon(call, outcome.reason)
                 )
             )
         self.state.health(upstream).record_result(True, now)
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/queues.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/queues.py
@@ -114,6 +114,11 @@
         queue = self.by_service.get(service)
         return queue is not None and queue.has_lane(lane)
 
+    def count_waiting(self, service: str, lane: str) -> int:
+        """Return how many requests wait in a lane of a service's queue."""
+        queue = self.by_service.get(service)
+        return 0 if queue is None else queue.count(lane)
+
     def begin_attempt(self, upstream: str) -> None:
         """Count a request that is about to be sent to an upstream."""
         self.attempts[upstream] = self.attempts.get(upstream, 0) + 1
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/selection.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/selection.py
@@ -14,6 +14,7 @@
 from knapweedhall_routing import admission
 from knapweedhall_routing import choice
 from knapweedhall_routing import model
+from knapweedhall_routing import returns
 from knapweedhall_routing import waiting
 
 # Time for which responses that have arrived are read before an owner counts as
@@ -23,6 +24,11 @@
 # Time before the caller's deadline at which the response must be available, so
 # that it still reaches the caller.
 RETURN_MARGIN_S = 0.01
+# Retry-After for causes that another instance or connection does not have.
+SOON_S = 0.1
+# Services and owners for which returns are planned, at most; more than a site
+# of 450 instances has upstreams.
+MAX_RETURNS = 2000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,11 +44,14 @@
         Cause, for the log and for the caller.
     retry_after_s : float or None
         Delay after which the caller should retry, seconds.
+    full : bool
+        Whether the cause is that the service has no room for the request.
     """
 
     status: int
     reason: str
     retry_after_s: float | None = None
+    full: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,6 +83,8 @@
         preferred.
     queues : queues.Queues
         Requests that wait for room.
+    returns : dict of str to returns.Returns
+        When refused callers should return, by service, or by owner.
     """
 
     def __init__(
@@ -82,6 +93,7 @@
         self.state = state
         self.pools = pools
         self.queues = queues.Queues(state)
+        self.returns: dict[str, returns.Returns] = {}
 
     def is_divided(self, call: calls.Call) -> bool:
         """Return whether each key of the call's service has an owner."""
@@ -154,7 +166,7 @@
         if isinstance(outcome, queues.Refused):
             if outcome.reason == queues.STOPPING:
                 return self.refuse_stopping()
-            return self.refuse(call, outcome.reason)
+            return self.refuse_full(call, outcome.reason, no_room.lane)
         return outcome.upstream if isinstance(outcome, queues.Offer) else ''
 
     def _send_by(self, call: calls.Call, latency_s: float) -> float:
@@ -267,7 +279,10 @@
             if is_late and call.deadline >= self.state.work_until:
                 # This process ends too soon; other instances have the time.
                 return self.refuse_stopping()
-            return Failure(503, decision.reason, decision.retry_after_s)
+            if over_cold_budget:
+                return Failure(503, decision.reason, decision.retry_after_s)
+            lane = upstream.name if self.is_divided(call) else ''
+            return self.refuse_full(call, decision.reason, lane)
         return upstream
 
     async def _wait_for_owner(
@@ -319,13 +334,56 @@
         )
         return Failure(503, reason, retry_after_s)
 
+    def refuse_soon(self, call: calls.Call, reason: str) -> Failure:
+        """Return a refusal for a cause that ends soon, or elsewhere."""
+        retry_after_s = admission.retry_after(
+            SOON_S, call.deadline - clock.now(), self.state.rng
+        )
+        return Failure(503, reason, retry_after_s)
+
+    def refuse_full(self, call: calls.Call, reason: str, lane: str) -> Failure:
+        """Return a refusal by a service without room.
+
+        Parameters
+        ----------
+        call : calls.Call
+            The refused call.
+        reason : str
+            Cause, for the log and for the caller.
+        lane : str
+            Owner of its key that has no room; '' for the whole service.
+        """
+        now = clock.now()
+        retry_after_s = self._returns(lane or call.service).plan(
+            now,
+            call.deadline - now,
+            self.queues.count_waiting(call.service, lane),
+            self.queues.drain_per_s(call.service, lane, now),
+            self.state.rng,
+        )
+        return Failure(503, reason, retry_after_s, True)
+
+    def count_request(self, call: calls.Call) -> None:
+        """Count a request for the load that refused callers return to."""
+        if not self.is_divided(call):
+            self._returns(call.service).count_request(clock.now())
+
+    def _returns(self, name: str) -> returns.Returns:
+        known = self.returns.get(name)
+        if known is None:
+            if len(self.returns) >= MAX_RETURNS:
+                # They plan for a few seconds only.
+                self.returns.clear()
+            known = self.returns[name] = returns.Returns()
+        return known
+
     def refuse_stopping(self) -> Failure:
         """Return a refusal of a request that this process can't finish.
 
         Other instances can run it at once.
         """
         return Failure(
-            503, 'stopping', admission.retry_after(0.0, 0.0, self.state.rng)
+            503, 'stopping', admission.retry_after(0.0, 1.0, self.state.rng)
         )
 
     def _refuse_until(self, call: calls.Call, until: float) -> Failure:
@@ -362,7 +420,7 @@
     ) -> model.Upstream | Failure | NoRoom:
         entry = self.state.directory.entries.get(owned_range.upstream)
         if entry is None:
-            return Failure(503, 'unlisted-owner', 0.1)
+            return self.refuse_soon(call, 'unlisted-owner')
         health = self.state.health(entry)
         if health.is_paused(now):
             return self._refuse_until(call, health.paused_until)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/admission.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/admission.py
@@ -130,7 +130,7 @@
     rng : random.Random
         Source of the spread.
     """
-    max_s = max(MIN_RETRY_AFTER_S, left_s * RETRY_AFTER_SHARE)
+    max_s = max(0.0, left_s) * RETRY_AFTER_SHARE
     latest_s = min(max(desired_s, MIN_RETRY_AFTER_S), max_s)
     return rng.uniform(latest_s / 2, latest_s)
 
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/budgets.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/budgets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 import typing
 
 # Share of the allowed retries per request that the instances use together;
@@ -12,11 +13,22 @@
 # Share of the fixed allowance that the instances use together; for a short
 # time after instances start or stop, some use more than their share.
 EXTRA_USE_SHARE = 0.5
+# Share of refused first attempts from which no retries are sent: such a
+# service is full, and a retry takes the place of a first attempt. In a burst
+# of 1.7 times the capacity, 0.41 of them are refused.
+FULL_REFUSED_SHARE = 0.3
+# Time constant of that share: bursts last 3 s to 8 s.
+REFUSED_DECAY_S = 1.0
+# First attempts that are assumed to be accepted besides those counted, so that
+# a few refusals at an idle service leave most of the budget.
+ASSUMED_ACCEPTED = 3.0
 
 
 class RetryBudget:
     """Token bucket of the retries that one instance may send to one service.
 
+    It shrinks with the share of first attempts that are refused.
+
     Attributes
     ----------
     ratio : float
@@ -34,6 +46,8 @@
         When the bucket was last refilled, seconds.
     requests : float
         Estimated number of requests in the last window.
+    firsts, refused : float
+        Decaying numbers of recent first attempts, and of the refused ones.
     """
 
     def __init__(self, ratio: float, extra: float, window_s: float) -> None:
@@ -44,6 +58,8 @@
         self.tokens = 0.0
         self.filled_at = float('-inf')
         self.requests = 0.0
+        self.firsts = 0.0
+        self.refused = 0.0
 
     def _extra_share(self) -> float:
         return self.extra / max(1, self.instances)
@@ -59,14 +75,32 @@
             elapsed_s = max(0.0, now - self.filled_at)
             self.tokens += elapsed_s / self.window_s * extra / 2
             self.requests *= max(0.0, 1 - elapsed_s / self.window_s)
+            factor = math.exp(-elapsed_s / REFUSED_DECAY_S)
+            self.firsts *= factor
+            self.refused *= factor
         self.tokens = min(self.tokens, max(max_tokens, 1.0))
+        share_left = self._share_left()
+        if share_left < 1:
+            # A single retry is allowed until the service is full.
+            max_tokens = max(max_tokens * share_left, 1.0)
+            self.tokens = min(self.tokens, max_tokens if share_left else 0.0)
         self.filled_at = now
 
+    def _share_left(self) -> float:
+        """Return the part of the budget that refusals leave, 0 to 1."""
+        share = self.refused / (self.firsts + ASSUMED_ACCEPTED)
+        return max(0.0, 1 - share / FULL_REFUSED_SHARE)
+
     def earn(self, now: float) -> None:
         """Add the tokens that the first attempt of a request earns."""
         self._refill(now)
         self.requests += 1
-        self.tokens += self.ratio
+        self.firsts += 1
+        self.tokens += self.ratio * self._share_left()
+
+    def record_refused(self) -> None:
+        """Record that a first attempt was refused as the service is full."""
+        self.refused += 1
 
     def spend(self, now: float) -> bool:
         """Take the token for one retry; return False if there is none."""
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/waiting.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/waiting.py
@@ -297,6 +297,11 @@
         """Return whether requests wait in a lane."""
         return lane in self._lanes
 
+    def count(self, lane: str) -> int:
+        """Return how many requests wait in a lane."""
+        known = self._lanes.get(lane)
+        return 0 if known is None else sum(known.counts.values())
+
     def lane_of(self, number: int) -> str | None:
         """Return the lane of a request; None if it does not wait."""
         waiting = self._waiting.get(number)
--- a/packages/knapweedhall-routing/tests/test_budgets.py
+++ b/packages/knapweedhall-routing/tests/test_budgets.py
@@ -4,6 +4,9 @@
 
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from knapweedhall_routing import budgets
 
 WINDOW_S = 10.0
@@ -51,6 +54,50 @@
         largest = max_in_window(self.retries(11, 244.0, 40))
         self.assertGreater(largest, RATIO * 244.0 * WINDOW_S / 4)
 
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.floats(0.0, 3.0),
+                strategies.integers(0, 30),
+                strategies.floats(0.0, 1.0),
+                strategies.integers(0, 10),
+            ),
+            max_size=40,
+        )
+    )
+    def test_refusals_never_enlarge_the_budget(
+        self, steps: list[tuple[float, int, float, int]]
+    ) -> None:
+        """Guards against a budget that refusals shift to later retries."""
+        shrinking = budgets.RetryBudget(RATIO, EXTRA, WINDOW_S)
+        full_size = budgets.RetryBudget(RATIO, EXTRA, WINDOW_S)
+        now, spent, spent_in_full = 0.0, 0, 0
+        for step_s, requests, refused_share, retries in steps:
+            now += step_s
+            for number in range(requests):
+                shrinking.earn(now)
+                full_size.earn(now)
+                if number < refused_share * requests:
+                    shrinking.record_refused()
+            spent += sum(shrinking.spend(now) for _ in range(retries))
+            spent_in_full += sum(full_size.spend(now) for _ in range(retries))
+            self.assertLessEqual(spent, spent_in_full)
+
+    def test_full_service_gets_no_retries(self) -> None:
+        """Guards against retries that displace first attempts in a burst."""
+        budget = budgets.RetryBudget(RATIO, EXTRA, WINDOW_S)
+        for number in range(1500):
+            now = number / 100
+            budget.earn(now)
+            # A burst of 1.7 times the capacity.
+            if now >= 10 and number % 17 < 7:
+                budget.record_refused()
+            if now in (9.0, 12.0):
+                self.assertEqual(now < 10, budget.spend(now), now)
+        for number in range(300):
+            budget.earn(15.0 + number / 100)
+        self.assertTrue(budget.spend(18.0))
+
 
 class ColdShareTest(unittest.TestCase):
     """Requests to an upstream in a cold start."""
