Avoid upstreams that never answer what they can't queue

Upstreams of some services never respond to a request that they can't queue, nor to further requests on its connection, so callers waited until their time limit, and the next request went there as well. Requests that may run once only are not sent to a silent upstream, and to a mute one only if all others are. An idempotent request in a service that is not divided is given up there and sent elsewhere while there is time, within the retry budget and max_attempts. A connection without a response was already reset with its exchange; a test shows it.

--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/calls.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/calls.py
@@ -77,6 +77,8 @@
         inf before it waits for the first time.
     queued_s : float
         How long it has waited for room, seconds.
+    has_paid_retry : bool
+        Whether the next send is paid from the retry budget already.
     """
 
     __slots__ = (
@@ -101,6 +103,7 @@
         'workspace',
         'patience_until',
         'queued_s',
+        'has_paid_retry',
     )
 
     def __init__(
@@ -138,6 +141,7 @@
         self.workspace = ''
         self.patience_until = math.inf
         self.queued_s = 0.0
+        self.has_paid_retry = False
 
     def exclude(self, upstream_name: str, now: float) -> None:
         """Exclude an upstream from the further attempts.
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
@@ -17,6 +17,7 @@
 from knapweedhall_router.serving import exchange
 from knapweedhall_router.serving import response_buffers
 from knapweedhall_router.serving import selection
+from knapweedhall_router.serving import silences
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import admission
 from knapweedhall_routing import buffer_budget
@@ -154,8 +155,47 @@
             return False
         if not call.send_count:
             return len(call.excluded_at) <= MAX_SENDS
+        if call.has_paid_retry:
+            call.has_paid_retry = False
+            return True
         return self.state.retry_budget(call.service).spend(now)
 
+    def _may_resend(self, call: calls.Call) -> bool:
+        """Return whether a call may run at another upstream as well."""
+        return (
+            call.idempotent
+            and not self.selector.is_divided(call)
+            and self._has_runs_left(call)
+            and call.send_count < MAX_SENDS
+        )
+
+    def _resend(
+        self,
+        call: calls.Call,
+        upstream: model.Upstream,
+        connection: connections.Connection,
+    ) -> bool:
+        """Give up an exchange without a response to send the call elsewhere.
+
+        Returns
+        -------
+        bool
+            Whether the exchange needs to be watched no longer.
+        """
+        if connection.received_bytes:
+            return True
+        now = clock.now()
+        health = self.state.health(upstream)
+        if not (health.is_silent(now) or health.is_mute(now)):
+            return False
+        if not self.selector.can_resend(call):
+            return False
+        if not self.state.retry_budget(call.service).spend(now):
+            return False
+        call.has_paid_retry = True
+        connection.fail('silent')
+        return True
+
     async def _attempt(self, call: calls.Call) -> Result | Retry:
         upstream = await self.selector.select(call)
         if isinstance(upstream, selection.Failure):
@@ -228,6 +268,17 @@
         health.record_sent(call.number, sent_at)
         may_have_run_before = upstream.name in call.possible_runs
         call.possible_runs.add(upstream.name)
+        silence = silences.Silence(
+            clock.now,
+            functools.partial(self._resend, call, upstream, connection),
+        )
+        if self._may_resend(call):
+            silence.watch(
+                min(
+                    sent_at + health.silence_limit_s(sent_at),
+                    self.selector.resend_by(call),
+                )
+            )
         try:
             outcome = await exchange.run(
                 connection,
@@ -244,6 +295,9 @@
                 ),
             )
         finally:
+            silence.end()
+            if not connection.received_bytes:
+                health.record_unanswered(sent_at, clock.now())
             health.record_ended(call.number)
             self.buffers.finish(call.number)
         pool.put_back(connection)
@@ -253,7 +307,7 @@
             if not may_have_run_before:
                 call.possible_runs.discard(upstream.name)
             return self._handle_not_executed(call, upstream, outcome)
-        if outcome.sent:
+        if outcome.sent and not call.has_paid_retry:
             self._record_reset(call, upstream, pool, connection, sent_at)
         return self._handle_broken(
             call, upstream, outcome, may_have_run_before
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/selection.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/selection.py
@@ -26,6 +26,11 @@
 RETURN_MARGIN_S = 0.01
 # Retry-After for causes that another instance or connection does not have.
 SOON_S = 0.1
+# Reason of a refusal as no upstream responds.
+SILENT = 'silent-upstreams'
+# Time left for a request that is sent again, as a multiple of the expected
+# service time; the other upstream may have a queue.
+RESEND_TIME_FACTOR = 2.0
 # Services and owners for which returns are planned, at most; more than a site
 # of 450 instances has upstreams.
 MAX_RETURNS = 2000
@@ -119,6 +124,7 @@
         counts one more attempt until `end_attempt`.
         """
         offered = ''
+        silence_checked = False
         try:
             while True:
                 if self.is_divided(call):
@@ -133,6 +139,10 @@
                         offered = ''
                     return selected
                 if isinstance(selected, Failure) and not offered:
+                    if selected.reason == SILENT and not silence_checked:
+                        silence_checked = True
+                        await asyncio.sleep(SILENCE_CHECK_S)
+                        continue
                     self.queues.record_unqueued(call, False)
                     return selected
                 if offered:
@@ -213,6 +223,10 @@
         ]
         if paused_until and not allowed:
             return self._refuse_until(call, min(paused_until))
+        if not call.idempotent and allowed:
+            allowed = self._without_silent(allowed, now)
+            if not allowed:
+                return self.refuse(call, SILENT)
         warm = [upstream for upstream in allowed if upstream.cold_until <= now]
         if not offered and allowed and self.state.conditions.known:
             with_room = [
@@ -249,6 +263,55 @@
             return self.refuse(call, 'no-upstream')
         return self._admit(call, chosen.upstream, False)
 
+    def _without_silent(
+        self, upstreams: list[model.Upstream], now: float
+    ) -> list[model.Upstream]:
+        """Return the upstreams that may get a request that may run once only.
+
+        Those that respond to a part of their requests are used if all others
+        are silent: one of these requests may just take long.
+        """
+        audible = [
+            upstream
+            for upstream in upstreams
+            if not self._is_silent(upstream.name, now)
+        ]
+        answering = [
+            upstream
+            for upstream in audible
+            if not self.state.health(upstream).is_mute(now)
+        ]
+        return answering or audible
+
+    def resend_by(self, call: calls.Call) -> float:
+        """Return until when a call should be sent again to end in time."""
+        service_s = self.state.baseline(call.service).service_s
+        return call.deadline - RETURN_MARGIN_S - RESEND_TIME_FACTOR * service_s
+
+    def can_resend(self, call: calls.Call) -> bool:
+        """Return whether another upstream can run a call in time now."""
+        now = clock.now()
+        service_s = self.state.baseline(call.service).service_s
+        if now + service_s + RETURN_MARGIN_S >= call.deadline:
+            return False
+        return any(
+            upstream.name not in call.possible_runs
+            and upstream.name not in call.excluded_at
+            and upstream.cold_until <= now
+            and not self._is_unsuitable(upstream, now)
+            for upstream in self.state.directory.usable(call.service)
+        )
+
+    def _is_unsuitable(self, upstream: model.Upstream, now: float) -> bool:
+        health = self.state.health(upstream)
+        return (
+            health.is_paused(now)
+            or health.is_silent(now)
+            or health.is_mute(now)
+            or health.connect_blocked_until > now
+            or self.queues.is_at_share(upstream.name, now)
+        )
+
     def _candidate(
         self, upstream: model.Upstream, max_idle_s: float, now: float
     ) -> choice.Candidate:
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
@@ -97,6 +97,9 @@
         Last reported slowdown and the moving average of all reports.
     reported_at, responded_at : float
         When the last load report and the last response arrived, seconds.
+    mute_until : float
+        Until when it counts as mute because a request got no response until
+        its end, seconds.
     """
 
     def __init__(self, slots: int, baseline: Baseline | None = None) -> None:
@@ -116,6 +119,7 @@
         self.mean_slowdown = 1.0
         self.reported_at = -math.inf
         self.responded_at = -math.inf
+        self.mute_until = -math.inf
 
     def record_sent(self, number: int, now: float) -> None:
         """Record that a request was sent."""
@@ -206,10 +210,33 @@
             return False
         oldest = next(iter(self.sent_at.values()))
         silent_since = max(oldest, self.responded_at)
+        return now - silent_since > self.silence_limit_s(now)
+
+    def silence_limit_s(self, now: float) -> float:
+        """Return after which time without a response it counts as silent."""
         queue_factor = 1 + self.load(now) / self.slots
-        return (
-            now - silent_since > SILENT_FACTOR * self.service_s * queue_factor
-        )
+        return SILENT_FACTOR * self.service_s * queue_factor
+
+    def is_mute(self, now: float) -> bool:
+        """Return whether a request gets no response although others do.
+
+        Some upstreams never respond to what they can't queue.
+        """
+        if now < self.mute_until:
+            return True
+        if not self.sent_at:
+            return False
+        oldest = next(iter(self.sent_at.values()))
+        return now - oldest > self.silence_limit_s(now)
+
+    def record_unanswered(self, sent_at: float, now: float) -> None:
+        """Record that a request ended without any byte of a response.
+
+        If it was silent for too long, the upstream could not queue it, and
+        counts as mute for the time in which its queue becomes shorter.
+        """
+        if now - sent_at > self.silence_limit_s(now):
+            self.mute_until = now + self.expected_latency_s(now)
 
     def load(self, now: float) -> float:
         """Return the estimated number of requests, running and waiting."""
