--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -201,8 +201,9 @@
 waited_ms configuration | An upstream answered a request; only a sample of \
 these events is written.
 request_failed | INFO | request route service key status reason sends \
-upstreams waited_ms configuration owner_version owner_age_s | The router \
-answered a request with an error response of its own.
+upstreams waited_ms queued_ms retry_after_s configuration owner_version \
+owner_age_s | The router answered a request with an error response of its \
+own; `queued_ms` is how long it waited for room.
 request_refused_by_upstream | INFO | request upstream status key | An \
 upstream reported that it did not run a request.
 request_repeated | INFO | request upstream reason sends | A request is sent \
--- a/packages/knapweedhall-router/src/knapweedhall_router/logs.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/logs.py
@@ -18,7 +18,13 @@
 # Rate limits of the events for the outcome of a request. Answered requests are
 # sampled. The limit for failed ones is the number of requests that an instance
 # can answer in a second, so that below it none is left out.
-MAX_LINES_PER_S_BY_EVENT = {'request_answered': 2, 'request_failed': 500}
+MAX_LINES_PER_S_BY_EVENT = {
+    'request_answered': 2,
+    'request_failed': 500,
+    # As many as wait in a burst of seconds on a small instance.
+    'request_queued': 100,
+    'request_dequeued': 100,
+}
 STANDARD_OUTPUT = 1
 FieldValue = str | int | float | bool | None | list[str]
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
@@ -15,6 +15,10 @@
 # 2.2 s and time limits of up to 5.6 s.
 BUCKET_BOUNDS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 6.0]
 
+# Bounds of the histogram of waits, which last an eighth of the objective, or
+# up to the objective for the next one in order.
+WAIT_BOUNDS_S = [0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0]
+
 
 def create_latency_histogram(
     registry: aioprometheus.Registry,
@@ -28,6 +32,18 @@
     )
 
 
+def create_wait_histogram(
+    registry: aioprometheus.Registry,
+) -> aioprometheus.Histogram:
+    """Return a histogram of the time that requests wait for room."""
+    return aioprometheus.Histogram(
+        'knapweedhall_wait_seconds',
+        'Time that requests waited for room at an upstream, by priority',
+        buckets=WAIT_BOUNDS_S,
+        registry=registry,
+    )
+
+
 class Traffic(typing.Protocol):
     """Counters of the requests of callers.
 
@@ -46,6 +62,10 @@
     def in_flight(self) -> int:
         """Number of requests in progress."""
 
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait for room at an upstream."""
+
 
 class Metrics:
     """Counters, gauges and histograms of this process.
@@ -89,6 +109,7 @@
         state = self.state
         return {
             'running': self.traffic.in_flight,
+            'queued': self.traffic.queued,
             'configuration': state.configuration_version(),
             'upstreams': len(state.directory.entries),
             'instances': len(state.instances),
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
@@ -141,12 +141,20 @@
         self.outcome_counts: dict[str, int] = {}
         self.registry = aioprometheus.Registry()
         self.request_seconds = metrics.create_latency_histogram(self.registry)
+        dispatcher.selector.queues.wait_seconds = (
+            metrics.create_wait_histogram(self.registry)
+        )
 
     @property
     def in_flight(self) -> int:
         """Number of requests in progress, one per busy connection."""
         return len(self.busy_connections)
 
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait for room at an upstream."""
+        return len(self.dispatcher.selector.queues)
+
     def create_server(self) -> caller_connections.CallerServer:
         """Return the HTTP server for requests of callers."""
         return caller_connections.CallerServer(
@@ -414,6 +422,8 @@
             sends=call.send_count,
             upstreams=sorted(call.possible_runs),
             waited_ms=round((now - call.arrived_at) * 1000, 1),
+            queued_ms=round(call.queued_s * 1000, 1),
+            retry_after_s=round(failure.retry_after_s or 0.0, 3),
             configuration=self.state.configuration_version(),
             owner_version=(
                 '.'.join(map(str, table.version)) if owned_range else ''
