--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -202,8 +202,9 @@
 status waited_ms configuration | An upstream answered a request; only a \
 sample of these events is written.
 request_failed | INFO | request workspace route service key status reason \
-sends upstreams waited_ms configuration owner_version owner_age_s | The \
-router answered a request with an error response of its own.
+sends upstreams waited_ms queued_ms retry_after_s configuration owner_version \
+owner_age_s | The router answered a request with an error response of its \
+own; `queued_ms` is how long it waited for room.
 request_refused_by_upstream | INFO | request upstream status key | An \
 upstream reported that it did not run a request.
 request_repeated | INFO | request upstream reason sends | A request is sent \
@@ -244,6 +245,12 @@
 configuration | A request was refused with 429 and has not run; the reason is \
 `quota` if its workspace used up its quota, or `quota-unknown` if this \
 instance got no answer of a coordinator and has no token of its own.
+request_queued | INFO | request service upstream priority ahead drain_per_s | \
+A request waits for room at the owner `upstream` of its key, or at any \
+upstream; `ahead` requests are expected to be sent before it.
+request_dequeued | INFO | request service reason waited_ms | A request no \
+longer waits for room; `reason` is `room` if it is sent, `changed` if its \
+upstream is selected again, `caller-left`, or why it is refused.
 """,
     ),
 )
