Let requests wait for a leaving owner as long as it is used

What waited for an owner that had announced that it leaves was queued again at every check. tests.test_queues.ChangeTest and test_notices pass.

--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/queues.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/queues.py
@@ -380,23 +380,28 @@
         self, service: str, queue: waiting.Queue, now: float
     ) -> None:
         for lane in queue.lanes():
-            entry = self.state.directory.entries.get(lane)
-            health = self.state.healths.get(lane)
-            if (
-                entry is None
-                or self.state.directory.unusable_since(lane) is not None
-                or health is None
-                or health.is_paused(now)
-                or health.is_silent(now)
-            ):
-                # The selection knows whether it is still to be used, or how
-                # to refuse what waits for it.
+            if not self._is_waited_for(lane, now):
+                # The selection knows how to refuse what waits for it.
                 for number in queue.numbers(lane):
                     queue.remove(number)
                     self._settle(number, LookAgain())
             else:
                 self._offer(service, lane, now)
 
+    def _is_waited_for(self, owner: str, now: float) -> bool:
+        """Return whether requests may go on to wait for an owner."""
+        if owner not in self.state.directory.entries:
+            return False
+        unusable_since = self.state.directory.unusable_since(owner)
+        if unusable_since is not None:
+            # As long as the selection uses it.
+            if now - unusable_since >= self.state.settings.drain_s / 2:
+                return False
+        health = self.state.healths.get(owner)
+        return health is not None and not (
+            health.is_paused(now) or health.is_silent(now)
+        )
+
     def _check_all(
         self, service: str, queue: waiting.Queue, now: float
     ) -> None:
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/selection.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/selection.py
@@ -455,7 +455,7 @@
         retry_after_s = admission.retry_after_pause(
             until - clock.now(), baseline.service_s, self.state.rng
         )
-        return Failure(503, 'paused', retry_after_s)
+        return Failure(503, 'paused', retry_after_s, True)
 
     def _is_usable_owner(self, upstream_name: str, now: float) -> bool:
         directory = self.state.directory
