Show that orders avoid a mute upstream that would be preferred

test_silent_upstream_gets_no_orders also passed without the rule, as the mute upstream was the worse choice anyway.

--- a/packages/knapweedhall-router/tests/test_silence.py
+++ b/packages/knapweedhall-router/tests/test_silence.py
@@ -133,8 +133,14 @@
         await self.fleet.wait_until(
             lambda: health.is_mute(time.clock_gettime(time.CLOCK_BOOTTIME))
         )
+        with self.only(self.mute):
+            # It responds to what it can run.
+            self.assertEqual(200, (await self.send('/list/1')).status)
         runs = len(self.mute.runs)
-        for _ in range(20):
+        # The mute one would be preferred.
+        other = self.router.state.healths[self.other.name]
+        other.failures, other.failures_at = 1.0, math.inf
+        for _ in range(5):
             self.assertEqual(200, (await self.send('/order/1')).status)
         self.assertEqual(runs, len(self.mute.runs))
         self.assertEqual(1, len(self.mute.ignored))
