--- a/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
@@ -19,6 +19,7 @@
 from knapweedhall_routing import conditions
 from knapweedhall_routing import load
 from knapweedhall_routing import model
+from knapweedhall_routing import quotas
 from knapweedhall_routing import ranges
 
 _LENGTH = struct.Struct('>I')
@@ -242,6 +243,9 @@
         As in the reports, of all instances.
     offsets : dict of str to int
         Offset up to which the coordinator has read each topic.
+    sharers : int
+        Number of instances that divide the quotas of workspaces; 0 if it is
+        unchanged or not recorded yet, -1 if the coordinator leases no tokens.
     conditions : bytes or None
         Changed conditions of upstreams, see `pack_conditions`; None from a
         coordinator that does not know them.
@@ -259,11 +263,36 @@
     outage_age_s: float
     leaving: list[tuple[str, int]] = []
     offsets: dict[str, int] = {}
+    sharers: int = -1
     conditions: bytes | None = None
     condition_names: list[tuple[int, str]] = []
     all_conditions: bool = False
 
 
+class TokenRequest(msgspec.Struct, tag='ask', array_like=True):
+    """Request of an instance for tokens; the next waits for the answer.
+
+    Attributes
+    ----------
+    asks : list of quotas.Ask
+        Tokens by workspace.
+    """
+
+    asks: list[quotas.Ask]
+
+
+class TokenLease(msgspec.Struct, tag='lease', array_like=True):
+    """Answer to a `TokenRequest`.
+
+    Attributes
+    ----------
+    grants : list of quotas.Grant
+        Tokens by workspace.
+    """
+
+    grants: list[quotas.Grant]
+
+
 class Records(msgspec.Struct, tag='records', array_like=True):
     """Records that the coordinator read from the store and relays.
 
@@ -310,6 +339,8 @@
     | Heartbeat
     | Records
     | PackedRecords
+    | TokenRequest
+    | TokenLease
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
@@ -27,6 +27,7 @@
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import body_budget
 from knapweedhall_routing import model
+from knapweedhall_routing import quotas
 
 # Limit of a line and of a header field in the parser; the configured limits
 # are not known when the server is created.
@@ -124,6 +125,9 @@
         Time limits of the bodies that are being received.
     outcome_counts : dict of str to int
         Number of finished requests by outcome.
+    workspace_counts : dict of tuple of str and str to int
+        Number of ended requests by workspace and outcome; the workspace is ''
+        for requests without a key to public routes.
     registry : aioprometheus.Registry
         Metrics of the process.
     request_seconds : aioprometheus.Histogram
@@ -139,6 +143,7 @@
         self.bodies = body_budget.BodyBudget()
         self.receiving: set[asyncio.Timeout] = set()
         self.outcome_counts: dict[str, int] = {}
+        self.workspace_counts: dict[tuple[str, str], int] = {}
         self.registry = aioprometheus.Registry()
         self.request_seconds = metrics.create_latency_histogram(self.registry)
 
@@ -187,6 +192,37 @@
         route = self.state.routes.find(request.host, request.path)
         if route is None:
             return self._refuse_unread(request, 404, 'no-route', None)
+        directory = self.state.workspaces
+        if directory is None:
+            return await self._serve(request, route, memory, now)
+        caller_key = calls.caller_key(request)
+        if not directory.admits(caller_key, route):
+            reason = 'unknown' if caller_key else 'no'
+            return self._refuse_unread(
+                request,
+                names.UNKNOWN_CALLER_STATUS,
+                f'{reason}-caller-key',
+                None,
+            )
+        workspace = directory.identify(caller_key)
+        outcome = 'caller-left'
+        try:
+            response = await self._serve(request, route, memory, now)
+            outcome = str(response.status)
+            if isinstance(response, ForwardedResponse):
+                outcome = 'answered'
+            return response
+        finally:
+            self._count_for_workspace(workspace, outcome)
+
+    async def _serve(
+        self,
+        request: web.BaseRequest,
+        route: model.Route,
+        memory: body_budget.Reservation,
+        now: float,
+    ) -> web.StreamResponse:
+        """Return the response to a request whose caller is identified."""
         try:
             # A body that is not complete by then could not be answered.
             limit_at = now + calls.time_limit_s(request, route)
@@ -207,11 +243,15 @@
         service = self.state.splitter.choose(route)
         call = calls.Call(request, route, service, body, now)
         try:
-            result = await self.dispatcher.run(call)
+            if call.identify(self.state.workspaces):
+                result = await self._run(call)
+            else:
+                result = dispatch.UNKNOWN_CALLER
         except asyncio.CancelledError:
             logs.info(
                 'caller_left',
                 request=call.request_id,
+                workspace=call.workspace,
                 service=call.service,
                 key=call.key,
                 upstreams=sorted(call.possible_runs),
@@ -237,6 +277,22 @@
         self._record_response(call, result)
         return self._forward_response(result, on_end)
 
+    async def _run(self, call: calls.Call) -> dispatch.Result:
+        """Return the result of a call if the workspace's quota admits it.
+
+        The router's own retries need no other token.
+        """
+        token = await self.state.tokens.acquire(
+            call.workspace, call.route.objective_s * quotas.WAIT_SHARE
+        )
+        if isinstance(token, quotas.Denial):
+            return selection.Failure(429, token.reason, token.retry_after_s)
+        try:
+            return await self.dispatcher.run(call)
+        finally:
+            if token is not None and not call.possible_runs:
+                self.state.tokens.give_back(call.workspace, token)
+
     def limit_work(self, work_until: float, responses_until: float) -> None:
         """Answer all requests by a time.
 
@@ -369,8 +425,10 @@
         request_id = request.headers.get(names.REQUEST_ID_HEADER)
         if request_id is not None:
             response.headers[names.REQUEST_ID_HEADER] = request_id
-        if retry_after_s is not None and response.status == 503:
+        if retry_after_s is not None and response.status in (429, 503):
             response.headers[names.RETRY_AFTER_HEADER] = f'{retry_after_s:.3f}'
+        if response.status == names.UNKNOWN_CALLER_STATUS:
+            response.headers[names.CHALLENGE_HEADER] = names.CHALLENGE
         return response
 
     def _forward_response(
@@ -393,6 +451,12 @@
     def _count(self, outcome: str) -> None:
         self.outcome_counts[outcome] = self.outcome_counts.get(outcome, 0) + 1
 
+    def _count_for_workspace(
+        self, workspace: model.Workspace | None, outcome: str
+    ) -> None:
+        label = (workspace.name if workspace else '', outcome)
+        self.workspace_counts[label] = self.workspace_counts.get(label, 0) + 1
+
     def _record_failure(
         self, call: calls.Call, failure: selection.Failure
     ) -> None:
@@ -403,9 +467,22 @@
             {'route': call.route.name, 'outcome': 'failed'},
             now - call.arrived_at,
         )
+        if failure.status == 429:
+            logs.info(
+                'quota_refused',
+                request=call.request_id,
+                workspace=call.workspace,
+                route=call.route.name,
+                reason=failure.reason,
+                retry_after_s=round(failure.retry_after_s or 0.0, 3),
+                waited_ms=round((now - call.arrived_at) * 1000, 1),
+                configuration=self.state.configuration_version(),
+            )
+            return
         logs.info(
             'request_failed',
             request=call.request_id,
+            workspace=call.workspace,
             route=call.route.name,
             service=call.service,
             key=call.key,
@@ -433,6 +510,7 @@
         logs.info(
             'request_answered',
             request=call.request_id,
+            workspace=call.workspace,
             route=call.route.name,
             service=call.service,
             key=call.key,
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -8,6 +8,7 @@
 
 from knapweedhall_router import clock
 from knapweedhall_router.control import feed
+from knapweedhall_router.links import token_leases
 from knapweedhall_router import logs
 from knapweedhall_router import settings as settings_module
 from knapweedhall_routing import budgets
@@ -18,8 +19,10 @@
 from knapweedhall_routing import load
 from knapweedhall_routing import model
 from knapweedhall_routing import planning
+from knapweedhall_routing import quotas
 from knapweedhall_routing import ranges
 from knapweedhall_routing import routes
+from knapweedhall_routing import workspaces
 
 TIMER_SLACK_S = 0.005
 
@@ -60,6 +63,8 @@
         before the first.
     routes : routes.RouteTable or None
         Routes of the configuration in force.
+    workspaces : workspaces.Directory or None
+        Workspaces of the configuration in force; None if callers need no key.
     splitter : routes.Splitter
         Splits the requests of a route among its services.
     directory : directory.Directory
@@ -108,12 +113,15 @@
         Requests and service times for the reports to the coordinator.
     conditions : conditions.Conditions
         Load and limits of upstreams over all instances.
+    tokens : token_leases.TokenLeases
+        Tokens of the workspaces' quotas.
     """
 
     def __init__(self, settings: settings_module.Settings) -> None:
         self.settings = settings
         self.configuration: model.Configuration | None = None
         self.routes: routes.RouteTable | None = None
+        self.workspaces: workspaces.Directory | None = None
         self.splitter = routes.Splitter()
         self.directory = directory.Directory()
         self.upstreams_listed = False
@@ -137,6 +145,7 @@
         self.responses_until = math.inf
         self.accepts_callers = False
         self.rng = random.Random(settings.name)
+        self.tokens = token_leases.TokenLeases(settings.name, self.rng)
 
     def is_work_over(self) -> bool:
         """Return whether a stopping process ends its requests now."""
@@ -150,13 +159,19 @@
             return False
         # First, so that a fault leaves the configuration in force.
         table = routes.RouteTable(new)
+        directory_of_workspaces = workspaces.from_configuration(new)
         self.configuration, self.routes = new, table
+        self.workspaces = directory_of_workspaces
         self.splitter.keep_only([route.name for route in new.routes])
+        self.tokens.leases.configure(quotas.quotas(new))
         logs.info(
             'configuration_in_force',
             version=new.version,
             routes=len(new.routes),
             services=len(new.services),
+            workspaces=(
+                None if new.workspaces is None else len(new.workspaces)
+            ),
         )
         return True
 
