--- a/packages/knapweedhall-router/tests/test_messages.py
+++ b/packages/knapweedhall-router/tests/test_messages.py
@@ -235,7 +235,7 @@
             ([], True, set()),
         ):
             heartbeat = messages.Heartbeat(
-                1, [], [], False, {}, 9.0, [], {}, raw, names, is_full
+                1, [], [], False, {}, 9.0, [], {}, -1, raw, names, is_full
             )
             link.apply(messages.decode(messages.encode(heartbeat)[4:]))
             self.assertEqual(expected, state.conditions.known.keys())
