Limit what callers hold over all connections

Trailers, requests that wait behind another one, a part of a head behind a request, the listeners for readiness checks and metrics, and the number of connections had no limit.

Change: the parser says when a head is complete, and all bytes that no finished request accounts for are counted. head_budget decides which connection is closed if they take more than head_memory_share of the memory, or if there are more connections than caller_descriptor_share of the descriptors and a tenth of the memory allow. The other listeners use the same server or the same limit. A listener accepts 8 connections in a cycle of the event loop, and a read has 64 KB, as what is received before a connection can be closed counts too.

--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -239,6 +239,9 @@
 a value that is not valid and is not forwarded.
 caller_fault | WARNING | reason | Bytes of a caller were no request, or an \
 internal error kept a response from being written.
+callers_over_limit | INFO | count connections head_bytes | Connections of \
+callers were closed because too many were open or their heads took too much \
+memory; the others are what remains.
 """,
     ),
 )
--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -9,7 +9,6 @@
 import typing
 
 import aiohttp
-from aiohttp import web
 
 from knapweedhall_adapter import orders
 from knapweedhall_adapter import store
@@ -53,6 +52,14 @@
 # caller's host has acknowledged may still be on its way to the caller.
 KERNEL_SEND_S = 0.6
 HOUSEKEEPING_PERIOD_S = 1.0
+# Share of the descriptors for connections to the listener for readiness checks
+# and as many for that for metrics, and the least number: a load balancer and a
+# monitor have a few connections each.
+CHECK_DESCRIPTOR_SHARE = 0.05
+MIN_CHECK_CONNECTIONS = 8
+# Share of the memory for the heads of their requests, which have some hundred
+# bytes.
+CHECK_MEMORY_SHARE = 0.02
 # Name of the listener for callers.
 FRONT = 'front'
 
@@ -73,6 +80,8 @@
         Set when other instances can connect.
     member : membership.Membership or None
         Membership in the store's group; None before `serve`.
+    check_servers : list of caller_connections.CallerServer
+        HTTP servers for readiness checks and metrics.
     """
 
     def __init__(
@@ -89,6 +98,7 @@
         self.stop = asyncio.Event()
         self.peers_accepted = asyncio.Event()
         self.member: membership.Membership | None = None
+        self.check_servers: list[caller_connections.CallerServer] = []
 
     async def run(self) -> None:
         """Serve until a stop signal is received."""
@@ -287,13 +297,11 @@
         open_listeners: listeners.Listeners,
     ) -> None:
         """Open all listeners, each as soon as its address is free."""
-        ready_server = web.Server(
-            functools.partial(frontend.handle_readiness, self.state),
-            access_log=None,
+        ready_server = self._create_check_server(
+            functools.partial(frontend.handle_readiness, self.state)
         )
-        metrics_server = web.Server(
-            metrics.Metrics(self.state, self.frontend).handle,
-            access_log=None,
+        metrics_server = self._create_check_server(
+            metrics.Metrics(self.state, self.frontend).handle
         )
         host = self.settings.address
         metrics_address = model.Address(host, self.settings.metrics_port)
@@ -320,6 +328,29 @@
                 )
         logs.info('started', instance=self.settings.name)
 
+    def _create_check_server(
+        self,
+        handler: caller_connections.Handler,
+    ) -> caller_connections.CallerServer:
+        """Return an HTTP server for the load balancer or for monitoring."""
+        server = caller_connections.CallerServer(
+            caller_connections.answer_at_once(handler),
+            access_log=None,
+            lingering_time=1.0,
+            read_bufsize=caller_connections.READ_BYTES,
+            limits=self._check_limits,
+        )
+        self.check_servers.append(server)
+        return server
+
+    def _check_limits(self) -> caller_connections.Limits:
+        """Return the limits over all connections of such a server."""
+        share = self.settings.descriptors * CHECK_DESCRIPTOR_SHARE
+        return caller_connections.Limits(
+            max(MIN_CHECK_CONNECTIONS, int(share)),
+            self.settings.memory_mb * 1e6 * CHECK_MEMORY_SHARE,
+        )
+
     def _record_front_open(self) -> None:
         self.state.accepts_callers = True
 
@@ -372,11 +403,21 @@
         self, caller_server: caller_connections.CallerServer
     ) -> None:
         configuration = self.state.configuration
-        if configuration is None:
-            return
-        count = caller_server.close_slow(configuration.limits.header_timeout_s)
+        limits = configuration.limits if configuration else model.Limits()
+        count = caller_server.close_slow(limits.header_timeout_s)
+        for server in self.check_servers:
+            count += server.close_slow(limits.header_timeout_s)
         if count:
             logs.info('callers_too_slow', count=count)
+        for server in (caller_server, *self.check_servers):
+            evicted, server.evicted = server.evicted, 0
+            if evicted:
+                logs.info(
+                    'callers_over_limit',
+                    count=evicted,
+                    connections=len(server.limit.open),
+                    head_bytes=server.budget.total,
+                )
 
 
 def _log_callback_fault(
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/listeners.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/listeners.py
@@ -17,10 +17,13 @@
 RETRY_S = 0.1
 # Period of log lines about it.
 REPORT_PERIOD_S = 10.0
+# Connections that are accepted in one cycle of the event loop. The next two
+# set them up and close others for them; until then, all of them are open.
+ACCEPTED_AT_ONCE = 8
 # Cycles of the event loop in which waiting connections are accepted before a
-# listener is closed. One cycle accepts all that wait, the next one sets them
+# listener is closed. One cycle accepts some that wait, the next one sets them
 # up; a process without free descriptors accepts none.
-MAX_LAST_CYCLES = 10
+MAX_LAST_CYCLES = 10 + BACKLOG // ACCEPTED_AT_ONCE
 SET_UP_CYCLES = 2
 
 CreateProtocol = typing.Callable[[], asyncio.BaseProtocol]
@@ -63,9 +66,14 @@
         report_at = clock.now()
         while True:
             try:
-                self.servers[name] = await loop.create_server(
-                    create_protocol, *address, backlog=BACKLOG
+                server = await loop.create_server(
+                    create_protocol, *address, backlog=ACCEPTED_AT_ONCE
                 )
+                # asyncio uses one number for both.
+                for listening in server.sockets:
+                    with listening.dup() as duplicate:
+                        duplicate.listen(BACKLOG)
+                self.servers[name] = server
                 break
             except OSError as error:
                 if clock.now() >= report_at:
--- a/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
@@ -46,6 +46,9 @@
     def in_flight(self) -> int:
         """Number of requests in progress."""
 
+    def read_caller_gauges(self) -> dict[str, float]:
+        """Return what the connections of callers use, by name."""
+
 
 class Metrics:
     """Counters, gauges and histograms of this process.
@@ -95,4 +98,4 @@
             'ready': float(state.is_ready()),
             'coordinates': float(state.feed.relay is not None),
             'log_lines_dropped': logs.dropped_lines(),
-        }
+        } | self.traffic.read_caller_gauges()
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/caller_connections.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import fcntl
+import itertools
 import math
 import select
 import socket
@@ -19,14 +20,15 @@
 from knapweedhall_router import clock
 from knapweedhall_router import logs
 from knapweedhall_router import tasks
+from knapweedhall_routing import head_budget
 
-# Limit of the bytes of a head that is not complete. The platform allows heads
-# of 16 KB.
+# Limit of the bytes of a head that is not complete, with empty lines before
+# it, and of trailers or of one chunk's framing. The platform allows heads of
+# 16 KB.
 MAX_HEAD_BYTES = 65536
-# Limit of bytes received until a request is passed to its handler: its head
-# and, if the caller sends on at once, up to two reads (256 KB each) of its
-# body.
-MAX_PREAMBLE_BYTES = 1024 * 1024
+# Bytes that are read from a socket at once. All connections that have bytes
+# are read before the first one is closed for its share of the memory.
+READ_BYTES = 65536
 END_OF_HEAD = b'\r\n\r\n'
 # Time after the set-up of a connection in which its first request may still be
 # on its way: a round trip, and what waits in front of it on a busy link. The
@@ -34,6 +36,27 @@
 FIRST_REQUEST_S = 1.0
 
 
+_numbers = itertools.count(1)
+
+
+class Limits(typing.NamedTuple):
+    """Limits over all connections.
+
+    Attributes
+    ----------
+    connections : float
+        Maximum number of open connections.
+    head_memory_bytes : float
+        Memory that the heads of their requests may take, bytes.
+    """
+
+    connections: float
+    head_memory_bytes: float
+
+
+NO_LIMITS = Limits(math.inf, math.inf)
+
+
 class CallerConnection(web_protocol.RequestHandler):
     """A connection of a caller.
 
@@ -42,10 +65,24 @@
     head_since : float
         When the first byte of an incomplete head arrived, seconds; inf if
         none is being received.
+    number : int
+        Number of the connection in this process.
     head_bytes : int
-        Bytes received since then.
-    head_complete : bool
-        Whether the end of a head is among them.
+        Bytes received that may belong to an incomplete head, with empty lines
+        before it.
+    framing_bytes : int
+        Bytes received of a chunked body since bytes of the body itself:
+        trailers, or the extensions of a chunk.
+    body : aiohttp.streams.StreamReader or None
+        Body of the last request that was parsed.
+    body_left : int or None
+        Bytes of it that were not received; None if it is chunked.
+    request_bytes : collections.deque of int
+        Bytes received for each request that waits for its handler. Those that
+        arrived together are counted with the last of them.
+    handled_bytes : int
+        Bytes of the head of the last request that got a handler. The server
+        keeps it until the next one.
     last_bytes : bytes
         Last bytes received, which may be the beginning of the end of a head.
     chunked_body : aiohttp.streams.StreamReader or None
@@ -68,9 +105,14 @@
     """
 
     __slots__ = (
+        'number',
         'head_since',
         'head_bytes',
-        'head_complete',
+        'framing_bytes',
+        'body',
+        'body_left',
+        'request_bytes',
+        'handled_bytes',
         'last_bytes',
         'chunked_body',
         'running',
@@ -88,9 +130,14 @@
         **options: typing.Any,
     ) -> None:
         super().__init__(manager, *arguments, **options)
+        self.number = next(_numbers)
         self.head_since = math.inf
         self.head_bytes = 0
-        self.head_complete = False
+        self.framing_bytes = 0
+        self.body: streams.StreamReader | None = None
+        self.body_left: int | None = 0
+        self.request_bytes: collections.deque[int] = collections.deque()
+        self.handled_bytes = 0
         self.last_bytes = b''
         self.chunked_body: streams.StreamReader | None = None
         self.running = False
@@ -104,6 +151,8 @@
         """Keep the transport of a new connection."""
         assert isinstance(transport, asyncio.Transport)
         self.sending = transport
+        # asyncio's transports for sockets take it from this attribute.
+        setattr(transport, 'max_size', READ_BYTES)
         super().connection_made(transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -142,11 +191,19 @@
         self.first_request_until = -math.inf
         self.request_at = clock.now()
         self.content = content
-        self.head_since = math.inf
-        self.head_bytes = 0
-        self.head_complete = False
+        received = self.request_bytes.popleft() if self.request_bytes else 0
+        # The body is counted by its handler.
+        self.handled_bytes = max(0, received - content.total_bytes)
+        self._record_held()
+        if content.is_eof():
+            self.record_body()
         self._end_malformed_body()
 
+    def record_body(self) -> None:
+        """Record that the last request was received whole."""
+        if isinstance(self._manager, CallerServer):
+            self._manager.limit.begin_request(self.number)
+
     def _end_malformed_body(self) -> None:
         """End a body whose framing is not valid; the parser does not go on.
 
@@ -167,6 +224,11 @@
     def record_response(self) -> None:
         """Record that the handler has ended."""
         self.running = False
+        if self.head_bytes:
+            # The time for a head begins when its response could follow.
+            self.head_since = clock.now()
+        if isinstance(self._manager, CallerServer):
+            self._manager.limit.end_request(self.number)
 
     def has_waiting_request(self) -> bool:
         """Return whether a further request was read and awaits its turn."""
@@ -239,29 +301,173 @@
         return bool(poll.poll(0))
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes, unless they are too many for a head.
-
-        Those that follow a waiting request may be its body. They are limited
-        like the others of a handled connection, by the parser.
-        """
-        is_head = not self.is_handling() and not self.has_waiting_request()
-        if data and is_head:
-            if self.head_since == math.inf:
-                self.head_since = clock.now()
-            self.head_bytes += len(data)
-            if not self.head_complete:
-                self.head_complete = END_OF_HEAD in self.last_bytes + data
-            limit = (
-                MAX_PREAMBLE_BYTES if self.head_complete else MAX_HEAD_BYTES
-            )
-            if self.head_bytes > limit:
-                self.force_close()
-                return
+        """Parse received bytes, and count those that are held."""
+        body = self._arriving_body()
+        is_counted = not self._upgraded
+        count = self._request_count
+        body_bytes = body.total_bytes if body is not None else 0
+        before = self.last_bytes
         if data:
             overlap = 1 - len(END_OF_HEAD)
-            self.last_bytes = (self.last_bytes + data[overlap:])[overlap:]
+            self.last_bytes = (before + data[overlap:])[overlap:]
         self._parse(data)
-        self._end_malformed_body()
+        if self.transport is None:
+            return
+        if self._request_count > count:
+            count = self._request_count - count
+            self._count_requests(before, data, count, body)
+        elif body is not None:
+            growth = body.total_bytes - body_bytes
+            self._count_body(before, data, body, growth)
+        elif is_counted:
+            self._count_head(data)
+        if max(self.head_bytes, self.framing_bytes) > MAX_HEAD_BYTES:
+            self.evict()
+            return
+        self._record_held()
+        if self.transport is not None:
+            self._end_malformed_body()
+
+    def _arriving_body(self) -> streams.StreamReader | None:
+        """Return the body to which the next bytes belong, if any."""
+        for body in (self.body, self.content):
+            if body is not None and not body.is_eof():
+                return body
+        return None
+
+    def _count_requests(
+        self,
+        before: bytes,
+        data: bytes,
+        count: int,
+        body: streams.StreamReader | None,
+    ) -> None:
+        """Count bytes that completed the heads of requests.
+
+        Parameters
+        ----------
+        before, data : bytes
+            The last bytes of the read before, and those of this read.
+        count : int
+            Number of these requests.
+        body : aiohttp.streams.StreamReader or None
+            Body of an earlier request that was still arriving.
+        """
+        end = 0
+        if body is not None and body is self.body and self.body_left:
+            end = min(self.body_left, len(data))
+        new = [self._messages[-each] for each in range(count, 0, -1)]
+        for message, self.body in new:
+            end = self._end_of_request(before, data, end, message)
+        rest = self._rest(data, end)
+        received = self.head_bytes + len(data) - rest
+        self.request_bytes.extend([0] * (count - 1) + [received])
+        self.framing_bytes = 0
+        self.head_bytes = 0
+        self.head_since = math.inf
+        self._begin_head(rest)
+
+    def _end_of_request(
+        self, before: bytes, data: bytes, begin: int, message: object
+    ) -> int:
+        """Return where a request ends that begins or goes on in a read.
+
+        For one with a chunked body that is followed by others, this is the
+        end of its head at least.
+        """
+        assert self.body is not None
+        self.body_left = 0
+        if not isinstance(message, http.RawRequestMessage):
+            return len(data)
+        overlap = b''
+        if begin or not self.head_bytes:
+            # Empty lines before a head end like one.
+            begin = len(data) - len(data[begin:].lstrip(END_OF_HEAD))
+        else:
+            overlap = before
+        end = (overlap + data).find(END_OF_HEAD, begin)
+        if end < 0:
+            return len(data)
+        end += len(END_OF_HEAD) - len(overlap)
+        if message.chunked:
+            self.body_left = None
+            if not self.body.is_eof():
+                return len(data)
+        length = int(message.headers.get('Content-Length', 0))
+        if not length:
+            # What follows the last empty line is no whole head.
+            end = max(end, data.rfind(END_OF_HEAD) + len(END_OF_HEAD))
+        elif not self._reading_paused:
+            self.body_left = length - self.body.total_bytes
+        else:
+            self.body_left = max(0, end + length - len(data))
+        return min(end + length, len(data))
+
+    def _count_body(
+        self,
+        before: bytes,
+        data: bytes,
+        body: streams.StreamReader,
+        growth: int,
+    ) -> None:
+        """Count bytes that belong to a body, or follow its end."""
+        if self.request_bytes:
+            self.request_bytes[-1] += len(data)
+        if body is not self.body:
+            return
+        if self.body_left is not None:
+            rest = len(data) - self.body_left
+            self.body_left = max(0, -rest)
+            self._begin_head(self._rest(data, len(data) - max(0, rest)))
+        elif not body.is_eof():
+            self.framing_bytes = (
+                0 if growth else (self.framing_bytes + len(data))
+            )
+        else:
+            self.framing_bytes = 0
+            end = (before + data).rfind(END_OF_HEAD)
+            if end >= 0:
+                end += len(END_OF_HEAD) - len(before)
+                self._begin_head(self._rest(data, end))
+
+    def _count_head(self, data: bytes) -> None:
+        """Count bytes of a head that is not complete."""
+        if self.is_handling() or self.has_waiting_request():
+            # Some callers send an empty line after a body.
+            self._begin_head(self._rest(data, 0))
+        else:
+            self._begin_head(len(data))
+
+    def _begin_head(self, size: int) -> None:
+        """Count bytes of a head; its time begins with the first of them."""
+        if size and self.head_since == math.inf:
+            self.head_since = clock.now()
+        self.head_bytes += size
+
+    @staticmethod
+    def _rest(data: bytes, end: int) -> int:
+        """Return how many bytes follow a request, except empty lines."""
+        if not data[end:].strip(END_OF_HEAD):
+            return 0
+        return len(data) - end
+
+    def _record_held(self) -> None:
+        """Record how many bytes the connection holds."""
+        if not isinstance(self._manager, CallerServer):
+            return
+        held = self.head_bytes + self.framing_bytes + self.handled_bytes
+        held += len(self._message_tail)
+        self._manager.record_held(self, held + sum(self.request_bytes))
+
+    def evict(self) -> None:
+        """Close the connection as its caller uses too much."""
+        transport = self.transport
+        self.force_close()
+        # Its memory is free before other connections are read.
+        self._parser = None
+        if transport is not None and self.unsent_bytes():
+            # A caller that does not read would keep it open.
+            transport.abort()
 
     def _parse(self, data: bytes) -> None:
         count = self._request_count
@@ -309,13 +515,77 @@
     closed : collections.deque of socket.socket
         Sockets of these connections. Once they are closed, the kernel resets
         a connection on which bytes arrive, and drops what it has not sent.
+    budget : head_budget.HeadBudget
+        Memory of the heads of requests.
+    limit : head_budget.ConnectionLimit
+        The open connections.
+    limits : callable
+        Returns the limits in force.
+    by_number : dict of int to CallerConnection
+        The open connections by their number.
+    evicted : int
+        Number of connections that were closed for one of the limits.
     """
 
-    def __init__(self, *arguments: typing.Any, **options: typing.Any) -> None:
+    def __init__(
+        self,
+        *arguments: typing.Any,
+        limits: typing.Callable[[], Limits] = lambda: NO_LIMITS,
+        **options: typing.Any,
+    ) -> None:
         super().__init__(*arguments, **options)
+        self.budget = head_budget.HeadBudget()
+        self.limit = head_budget.ConnectionLimit()
+        self.limits = limits
+        self.by_number: dict[int, CallerConnection] = {}
+        self.evicted = 0
         self.is_stopping = False
         self.closed: collections.deque[socket.socket] = collections.deque()
 
+    def connection_made(
+        self,
+        handler: web_protocol.RequestHandler,
+        transport: asyncio.Transport,
+    ) -> None:
+        """Record a connection, and close one if there are too many."""
+        super().connection_made(handler, transport)
+        assert isinstance(handler, CallerConnection)
+        self.by_number[handler.number] = handler
+        self.limit.add(handler.number)
+        number = self.limit.find_excess(self.limits().connections)
+        if number is not None:
+            self._evict(number)
+
+    def connection_lost(
+        self,
+        handler: web_protocol.RequestHandler,
+        exc: BaseException | None = None,
+    ) -> None:
+        """Drop a connection that is closed."""
+        assert isinstance(handler, CallerConnection)
+        self.by_number.pop(handler.number, None)
+        self.limit.remove(handler.number)
+        self.budget.hold(handler.number, 0)
+        super().connection_lost(handler, exc)
+
+    def record_held(self, connection: CallerConnection, held: int) -> None:
+        """Record what a connection holds; close others if it is too much."""
+        if connection.number not in self.by_number:
+            return
+        self.budget.hold(connection.number, held)
+        while True:
+            number = self.budget.find_excess(self.limits().head_memory_bytes)
+            if number is None:
+                return
+            self._evict(number)
+
+    def _evict(self, number: int) -> None:
+        """Close a connection, and count it no longer."""
+        self.evicted += 1
+        self.limit.remove(number)
+        self.budget.hold(number, 0)
+        self.by_number.pop(number).evict()
+
     def record_closed(self, connection: socket.socket) -> None:
         """Keep the socket of a connection that is closed in a stop."""
         if not self.is_stopping:
@@ -400,3 +670,23 @@
         return True
     # Size of the kernel's send queue (tcp(7), SIOCOUTQ).
     return not any(fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(4)))
+
+
+Handler = typing.Callable[
+    [web.BaseRequest], typing.Awaitable[web.StreamResponse]
+]
+
+
+def answer_at_once(handler: Handler) -> Handler:
+    """Return a handler that records its requests for their connections."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        connection = request.protocol
+        assert isinstance(connection, CallerConnection)
+        connection.record_request(request.content)
+        try:
+            return await handler(request)
+        finally:
+            connection.record_response()
+
+    return handle
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
@@ -26,6 +26,7 @@
 from knapweedhall_router.serving import selection
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import body_budget
+from knapweedhall_routing import head_budget
 from knapweedhall_routing import model
 
 # Limit of a line and of a header field in the parser; the configured limits
@@ -122,6 +123,8 @@
         Memory of the bodies of the requests in progress.
     receiving : set of asyncio.Timeout
         Time limits of the bodies that are being received.
+    server : caller_connections.CallerServer or None
+        The HTTP server; None before `create_server`.
     outcome_counts : dict of str to int
         Number of finished requests by outcome.
     registry : aioprometheus.Registry
@@ -138,6 +141,7 @@
         self.busy_connections: set[web.RequestHandler] = set()
         self.bodies = body_budget.BodyBudget()
         self.receiving: set[asyncio.Timeout] = set()
+        self.server: caller_connections.CallerServer | None = None
         self.outcome_counts: dict[str, int] = {}
         self.registry = aioprometheus.Registry()
         self.request_seconds = metrics.create_latency_histogram(self.registry)
@@ -149,7 +153,7 @@
 
     def create_server(self) -> caller_connections.CallerServer:
         """Return the HTTP server for requests of callers."""
-        return caller_connections.CallerServer(
+        self.server = caller_connections.CallerServer(
             self.handle,
             access_log=None,
             handler_cancellation=True,
@@ -157,6 +161,31 @@
             max_line_size=MAX_REQUEST_FIELD_BYTES,
             max_field_size=MAX_REQUEST_FIELD_BYTES,
             lingering_time=1.0,
+            read_bufsize=caller_connections.READ_BYTES,
+            limits=self._caller_limits,
+        )
+        return self.server
+
+    def read_caller_gauges(self) -> dict[str, float]:
+        """Return what the connections of callers use, by name."""
+        if self.server is None:
+            return {}
+        return {
+            'caller_connections': len(self.server.limit.open),
+            'caller_head_bytes': self.server.budget.total,
+        }
+
+    def _caller_limits(self) -> caller_connections.Limits:
+        """Return the limits over all connections of callers."""
+        settings = self.state.settings
+        memory_bytes = settings.memory_mb * 1e6
+        return caller_connections.Limits(
+            head_budget.max_connections(
+                settings.descriptors,
+                settings.caller_descriptor_share,
+                memory_bytes,
+            ),
+            memory_bytes * settings.head_memory_share,
         )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -204,6 +233,10 @@
             return self._refuse_unread(request, 408, 'body-timeout', None)
         if isinstance(body, web.Response):
             return body
+        assert isinstance(
+            request.protocol, caller_connections.CallerConnection
+        )
+        request.protocol.record_body()
         service = self.state.splitter.choose(route)
         call = calls.Call(request, route, service, body, now)
         try:
--- a/packages/knapweedhall-router/src/knapweedhall_router/settings.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/settings.py
@@ -50,6 +50,10 @@
         stop signal until the process is killed.
     response_mb : float
         Largest body of a response that is accepted from an upstream, in MB.
+    head_memory_share : float
+        Share of `memory_mb` for the heads of callers' requests.
+    caller_descriptor_share : float
+        Share of `descriptors` for connections of callers.
     """
 
     name: str
@@ -73,6 +77,8 @@
     drain_s: float
     grace_s: float
     response_mb: float
+    head_memory_share: float = 0.1
+    caller_descriptor_share: float = 0.4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -120,6 +126,13 @@
     return value
 
 
+def _share(text: str) -> float:
+    value = float(text)
+    if not 0 < value <= 1:
+        raise ValueError('expected a number above 0, up to 1')
+    return value
+
+
 def _whole(text: str) -> int:
     value = float(text)
     if not 1 <= value < math.inf or value != int(value):
@@ -150,6 +163,8 @@
     ('limits', 'drain_s', _positive),
     ('limits', 'grace_s', _positive),
     ('limits', 'response_mb', _positive),
+    ('limits', 'head_memory_share', _share),
+    ('limits', 'caller_descriptor_share', _share),
 )
 
 
@@ -171,6 +186,10 @@
     ('limits', 'grace_s'): '6',
     # A response is held in memory until the caller has received it.
     ('limits', 'response_mb'): '16',
+    # 434 whole heads of 16 KB on the smallest machine (160 MB), and 655
+    # connections (1,638 descriptors); an instance gets 30 requests/s.
+    ('limits', 'head_memory_share'): '0.1',
+    ('limits', 'caller_descriptor_share'): '0.4',
 }
 
 
@@ -239,6 +258,8 @@
     'retry_extra',
     'drain_s',
     'grace_s',
+    'head_memory_share',
+    'caller_descriptor_share',
 )
 
 
--- a/packages/knapweedhall-router/tests/test_caller_connections.py
+++ b/packages/knapweedhall-router/tests/test_caller_connections.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import random
 import unittest
 
 from aiohttp import web
@@ -20,12 +22,8 @@
 MAX_KEPT = 10
 
 
-class WaitingRequestTest(unittest.IsolatedAsyncioTestCase):
-    """A request that waits while the one before it is handled.
-
-    The server takes it out of its queue one cycle of the event loop before
-    its handler begins.
-    """
+class ConnectionCase(unittest.IsolatedAsyncioTestCase):
+    """A connection whose first request is handled."""
 
     async def asyncSetUp(self) -> None:
         """Start a server and send it the first request."""
@@ -62,6 +60,14 @@
             length = head.lower().split(b'content-length: ')[1].split()[0]
             return await self.reader.readexactly(int(length))
 
+
+class WaitingRequestTest(ConnectionCase):
+    """A request that waits while the one before it is handled.
+
+    The server takes it out of its queue one cycle of the event loop before
+    its handler begins.
+    """
+
     async def test_idle_connections_are_closed(self) -> None:
         """Guards against whole requests that a stop leaves unanswered."""
         self.writer.write(HEAD % 0)
@@ -92,6 +98,65 @@
         self.assertEqual(str(BODY_BYTES).encode(), await self.read_response())
 
 
+class CountTest(ConnectionCase):
+    """Bytes that count as a part of a head."""
+
+    seeds = range(40)
+    parts = (
+        (HEAD % 0, b''),
+        (HEAD % 9, b'\r\n\r\nwork.'),
+        (HEAD % 3, b'abc\r\n'),
+        (HEAD % BODY_BYTES, bytes(BODY_BYTES)),
+        (
+            HEAD.replace(b'Content-Length: %d', b'Transfer-Encoding: chunked'),
+            b'6\r\na\r\n\r\nb\r\n0\r\n\r\n',
+        ),
+    )
+
+    async def test_requests_in_random_parts(self) -> None:
+        """Guards against bytes of bodies that count as a head.
+
+        The connection would be closed: for its bytes, or as its head takes
+        too long.
+        """
+        for seed in self.seeds:
+            rng = random.Random(seed)
+            with self.subTest(seed=seed):
+                head, body = rng.choice(self.parts)
+                raw = head + body
+                cuts = {len(head) - rng.randrange(5), rng.randrange(len(raw))}
+                begin = 0
+                for end in (*sorted(cuts), len(raw)):
+                    self.writer.write(raw[begin:end])
+                    begin = end
+                    await asyncio.sleep(0.005)
+                await self.read_response()
+                while self.connection.running:
+                    await asyncio.sleep(0)
+                self.assertEqual(0, self.connection.head_bytes)
+                self.assertEqual(math.inf, self.connection.head_since)
+                self.assertEqual(0, sum(self.connection.request_bytes))
+
+    async def asyncSetUp(self) -> None:
+        """Read the response of the first request."""
+        await super().asyncSetUp()
+        await self.read_response()
+
+    async def test_part_of_a_head_behind_a_request(self) -> None:
+        """Guards against a head without a limit of its time."""
+        part = (HEAD % 0)[:20]
+        for head, body in self.parts:
+            with self.subTest(head=head):
+                await self.asyncSetUp()
+                self.writer.write(head + body + part)
+                await self.read_response()
+                while self.connection.running:
+                    await asyncio.sleep(0)
+                self.assertFalse(self.connection.is_idle())
+                self.assertEqual(0, self.server.close_slow(TIMEOUT_S))
+                self.assertEqual(1, self.server.close_slow(-1))
+
+
 class StopTest(unittest.IsolatedAsyncioTestCase):
     """Connections that are closed in a stop."""
 
