Add knapweedhallctl explain

Cause: why a request went to an upstream could only be found from logs.

Change: an instance answers on its port for other instances where a request would go now and why.

--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/connection.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/connection.py
@@ -106,12 +106,40 @@
 
 
 async def _request_overview(address: model.Address) -> messages.Overview:
+    response = await _ask(address, messages.OverviewRequest())
+    if not isinstance(response, messages.Overview):
+        raise ConnectionError('the peer is not the coordinator')
+    return response
+
+
+async def query_explanation(
+    address: model.Address, request: messages.ExplainRequest
+) -> messages.Explanation:
+    """Return where a request would go from an instance.
+
+    Raises
+    ------
+    Unanswered
+        If the instance does not answer.
+    """
+    try:
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            response = await _ask(address, request)
+    except (OSError, EOFError, TimeoutError, errors.DecodeError) as error:
+        raise Unanswered(
+            f'the query to {address} failed: {type(error).__name__}'
+        ) from error
+    if not isinstance(response, messages.Explanation):
+        raise Unanswered(f'{address} is not the port for other instances')
+    return response
+
+
+async def _ask(
+    address: model.Address, request: messages.Message
+) -> messages.Message:
     reader, writer = await asyncio.open_connection(*address)
     try:
-        writer.write(messages.encode(messages.OverviewRequest()))
-        response = await messages.read(reader)
+        writer.write(messages.encode(request))
+        return await messages.read(reader)
     finally:
         writer.transport.abort()
-    if not isinstance(response, messages.Overview):
-        raise ConnectionError('the peer is not the coordinator')
-    return response
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/main.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/main.py
@@ -6,6 +6,7 @@
 import sys
 
 from knapweedhall_ctl import connection
+from knapweedhall_ctl import explain
 from knapweedhall_ctl import mark
 from knapweedhall_ctl import owners
 from knapweedhall_ctl import publish
@@ -15,7 +16,7 @@
 from knapweedhall_ctl import timeline
 from knapweedhall_ctl import validate
 
-COMMANDS = (publish, validate, mark, show, status, owners, timeline)
+COMMANDS = (publish, validate, mark, show, status, owners, explain, timeline)
 
 
 def build_parser() -> argparse.ArgumentParser:
--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -22,6 +22,7 @@
 from knapweedhall_router import metrics
 from knapweedhall_router.serving import caller_connections
 from knapweedhall_router.serving import dispatch
+from knapweedhall_router.serving import explanation
 from knapweedhall_router.serving import frontend
 from knapweedhall_router import settings as settings_module
 from knapweedhall_router import startup
@@ -191,7 +192,13 @@
         listening = asyncio.create_task(
             self._listen(
                 caller_server,
-                peer_listener.PeerListener(member, link),
+                peer_listener.PeerListener(
+                    member,
+                    link,
+                    functools.partial(
+                        explanation.explain, self.state, self.dispatcher.pools
+                    ),
+                ),
                 open_listeners,
             )
         )
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
@@ -268,6 +268,111 @@
     raw: bytes
 
 
+class ExplainRequest(msgspec.Struct, tag='explain', array_like=True):
+    """Question where a request would go now; sent by knapweedhallctl.
+
+    Attributes
+    ----------
+    host, path, method : str
+        Host, path and method of the request.
+    key : str
+        Key that selects the owner in a divided service; '' for none.
+    workspace : str
+        Name of the workspace of its caller; '' for none.
+    body_bytes : int
+        Size of its body.
+    """
+
+    host: str
+    path: str
+    method: str = 'GET'
+    key: str = ''
+    workspace: str = ''
+    body_bytes: int = 0
+
+
+class ExplainedCandidate(msgspec.Struct, array_like=True):
+    """An upstream that could run a request, with what decides.
+
+    Attributes
+    ----------
+    upstream, failure_domain : str
+        Its name and failure domain.
+    state : str
+        'chosen', 'eligible', or why it is not: 'leaving', 'paused',
+        'unreachable', 'silent' or 'cold'.
+    cost_ms, latency_ms : float
+        Expected cost of sending the request there, and expected time until
+        the response, milliseconds.
+    load : float
+        Estimated number of requests there, running and waiting.
+    slots : int
+        Requests that it runs concurrently.
+    outstanding, max_outstanding : int
+        Requests of the instance there, and how many it may have.
+    failure_share : float
+        Share of recent requests that failed, 0 to 1.
+    connected : bool
+        Whether an idle connection can carry the request.
+    pause_s : float
+        Time left for which it wants no requests, seconds.
+    """
+
+    upstream: str
+    failure_domain: str
+    state: str
+    cost_ms: float
+    latency_ms: float
+    load: float
+    slots: int
+    outstanding: int
+    max_outstanding: int
+    failure_share: float
+    connected: bool
+    pause_s: float
+
+
+class Explanation(msgspec.Struct, tag='explanation', array_like=True):
+    """Where a request would go now, and why.
+
+    Attributes
+    ----------
+    instance : str
+        Name of the instance that answers.
+    version : int
+        Version of its configuration.
+    route, service : str
+        Route and service of the request; '' if it is refused before.
+    priority : int
+        Priority of the request.
+    divided : bool
+        Whether each key of the service has an owner.
+    upstream : str
+        Where it would be sent; '' if it would be refused.
+    status : int
+        Status of the refusal; 0 if it would be sent.
+    reason : str
+        Reason of the choice or of the refusal.
+    retry_after_s : float
+        When its caller would be asked to retry, seconds.
+    candidates : list of ExplainedCandidate
+        Upstreams of the service, or the owner of the key; the chosen one is
+        first, then by cost.
+    """
+
+    instance: str
+    version: int
+    route: str = ''
+    service: str = ''
+    priority: int = 0
+    divided: bool = False
+    upstream: str = ''
+    status: int = 0
+    reason: str = ''
+    retry_after_s: float = 0.0
+    candidates: list[ExplainedCandidate] = []
+
+
 Message = (
     Hello
     | Takeover
@@ -281,6 +386,8 @@
     | Heartbeat
     | Records
     | PackedRecords
+    | ExplainRequest
+    | Explanation
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/peer_listener.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/peer_listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import typing
 
 import msgspec
 
@@ -31,11 +32,18 @@
 MEMORY_SHARE = 0.1
 
 
+Explain = typing.Callable[
+    [messages.ExplainRequest], typing.Awaitable[messages.Explanation]
+]
+
+
 class PeerListener:
     """Accepts connections and handles their first message.
 
     Attributes
     ----------
+    explain : callable or None
+        Returns where a request would go.
     limit : head_budget.ConnectionLimit
         Connections whose first message is not complete, by number.
     writers : dict of int to asyncio.StreamWriter
@@ -46,9 +54,11 @@
         self,
         member: membership.Membership,
         link: coordinator_link.CoordinatorLink,
+        explain: Explain | None = None,
     ) -> None:
         self.membership = member
         self.link = link
+        self.explain = explain
         self.limit = head_budget.ConnectionLimit()
         self.writers: dict[int, asyncio.StreamWriter] = {}
         self._numbers = itertools.count(1)
@@ -96,6 +106,10 @@
             if isinstance(message, messages.Takeover):
                 await self._step_down(message, writer)
                 return
+            if isinstance(message, messages.ExplainRequest):
+                if self.explain is not None:
+                    await self._respond(await self.explain(message), writer)
+                return
             coordinator = self.membership.coordinator
             if coordinator is None:
                 if isinstance(message, messages.Hello):
