--- a/packages/knapweedhall-router/tests/test_settings.py
+++ b/packages/knapweedhall-router/tests/test_settings.py
@@ -121,6 +121,8 @@
             ('retry_extra = 62', 'retry_extra = inf'),
             ('cpu_share = 0.86', 'cpu_share = 0'),
             ('memory_mb = 300', 'memory_mb = 0'),
+            ('grace_s = 6', 'head_memory_share = 1.1'),
+            ('grace_s = 6', 'caller_descriptor_share = 0'),
         ):
             with self.subTest(new=new):
                 self.assertIn(old, TEXT)
@@ -197,6 +199,8 @@
             ('grace_s = 6', 'grace_s ='),
         )
         self.assertEqual((1024, 300), (loaded.descriptors, loaded.memory_mb))
+        shares = (loaded.head_memory_share, loaded.caller_descriptor_share)
+        self.assertEqual((0.1, 0.4), shares)
         self.assertEqual(0.0, loaded.retry_extra)
 
     def test_whole_number_as_a_fraction(self) -> None:
