--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -251,6 +251,9 @@
 request_dequeued | INFO | request service reason waited_ms | A request no \
 longer waits for room; `reason` is `room` if it is sent, `changed` if its \
 upstream is selected again, `caller-left`, or why it is refused.
+callers_over_limit | INFO | count connections head_bytes | Connections of \
+callers were closed because too many were open or their heads took too much \
+memory; the others are what remains.
 """,
     ),
 )
--- a/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
@@ -69,6 +69,9 @@
     def queued(self) -> int:
         """Number of requests that wait for room at an upstream."""
 
+    def read_caller_gauges(self) -> dict[str, float]:
+        """Return what the connections of callers use, by name."""
+
 
 class Metrics:
     """Counters, gauges and histograms of this process.
@@ -142,4 +145,4 @@
             'quota_admitted': state.tokens.admitted,
             'quota_messages': state.tokens.asked,
             'log_lines_dropped': logs.dropped_lines(),
-        }
+        } | self.traffic.read_caller_gauges()
