--- a/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
+++ b/packages/knapweedhall-events/src/knapweedhall_events/catalogue.py
@@ -254,6 +254,10 @@
 callers_over_limit | INFO | count connections head_bytes | Connections of \
 callers were closed because too many were open or their heads took too much \
 memory; the others are what remains.
+deputy_found | INFO | deputy | Without a coordinator, this instance leases \
+tokens for workspaces from a deputy in its failure domain.
+deputy_lost | INFO | deputy reason | The deputy does not answer; this \
+instance uses its own share of the quotas.
 """,
     ),
 )
--- a/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
@@ -381,6 +381,11 @@
         fresh = self.links.fresh(quotas.MAX_HEARTBEAT_AGE_S)
         self.pool.set_share(self.sharers.pooled_share(fresh, now), now)
 
+    def _deputies(self) -> dict[str, str]:
+        return self.links.deputies(
+            coordinator_link.member_id(self.state.settings)
+        )
+
     def _lost_instances(self, now: float) -> list[str]:
         self._update_pool(now)
         return sorted(self.sharers.lost) if self.sharers is not None else []
@@ -465,6 +470,7 @@
                 if change.name
             ],
             is_full,
+            self._deputies() if joined or left else {},
         )
 
     def _learn(self, now: float) -> list[announcements.Change]:
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
@@ -56,12 +56,30 @@
         Address at which it listens for other instances, as `host:port`.
     packs : bool
         Whether it understands `PackedRecords`.
+    failure_domain : str
+        Failure domain in which it runs.
     """
 
     instance: str
     topics: list[str]
     address: str = ''
     packs: bool = False
+    failure_domain: str = ''
+
+
+class DeputyHello(msgspec.Struct, tag='deputy', array_like=True):
+    """First message of an instance to the deputy of its failure domain.
+
+    Attributes
+    ----------
+    instance : str
+        Its name.
+    sharers : int
+        Number of instances that divide the quotas of workspaces, as it knows.
+    """
+
+    instance: str
+    sharers: int
 
 
 class Takeover(msgspec.Struct, tag='takeover', array_like=True):
@@ -253,6 +271,9 @@
         Numbers and names of upstreams that were not named before.
     all_conditions : bool
         Whether the conditions and names are complete.
+    deputies : dict of str to str
+        Member IDs of the instances that pool quotas between two terms, by
+        failure domain; empty if they are unchanged.
     """
 
     number: int
@@ -267,6 +288,7 @@
     conditions: bytes | None = None
     condition_names: list[tuple[int, str]] = []
     all_conditions: bool = False
+    deputies: dict[str, str] = {}
 
 
 class TokenRequest(msgspec.Struct, tag='ask', array_like=True):
@@ -433,6 +455,7 @@
 
 Message = (
     Hello
+    | DeputyHello
     | Takeover
     | Redirect
     | SteppedDown
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/peer_listener.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/peer_listener.py
@@ -11,6 +11,7 @@
 from knapweedhall_router.control import membership
 from knapweedhall_router.links import coordinator_link
 from knapweedhall_router.links import messages
+from knapweedhall_router.links import token_deputies
 from knapweedhall_router import logs
 from knapweedhall_router import tasks
 from knapweedhall_routing import head_budget
@@ -62,6 +63,7 @@
         self.limit = head_budget.ConnectionLimit()
         self.writers: dict[int, asyncio.StreamWriter] = {}
         self._numbers = itertools.count(1)
+        self.deputy = token_deputies.TokenDeputy(link.state)
 
     def create_protocol(self) -> asyncio.StreamReaderProtocol:
         """Return the protocol of a new connection."""
@@ -110,6 +112,9 @@
                 if self.explain is not None:
                     await self._respond(await self.explain(message), writer)
                 return
+            if isinstance(message, messages.DeputyHello):
+                await self.deputy.attach(message, reader, writer)
+                return
             coordinator = self.membership.coordinator
             if coordinator is None:
                 if isinstance(message, messages.Hello):
