Let the fixed shares of the queue's tests know the measurements

With the shared conditions merged, whether an upstream is silent is decided there, by the instance's measurements. test_silence_of_the_owner gave the conditions none.

--- a/packages/knapweedhall-router/tests/test_queues.py
+++ b/packages/knapweedhall-router/tests/test_queues.py
@@ -12,6 +12,7 @@
 from knapweedhall_router import clock
 from knapweedhall_router.serving import queues as queues_module
 from knapweedhall_routing import conditions
+from knapweedhall_routing import health
 from knapweedhall_standins import upstream
 from tests import fleet
 from tests import fleet_case
@@ -35,8 +36,12 @@
         Shares by upstream; others are far from their limits.
     """
 
-    def __init__(self, shares: dict[str, int]) -> None:
-        super().__init__()
+    def __init__(
+        self,
+        shares: dict[str, int],
+        healths: typing.Mapping[str, health.Health],
+    ) -> None:
+        super().__init__(healths)
         self.shares = shares
         self.known = {
             name: conditions.Condition(
@@ -90,7 +95,7 @@
     def limit(self, *upstreams: upstream.FakeUpstream) -> None:
         """Let upstreams take one request at a time."""
         self.router.state.conditions = FixedShares(
-            {each.name: 1 for each in upstreams}
+            {each.name: 1 for each in upstreams}, self.router.state.healths
         )
 
     def queues(self) -> queues_module.Queues:
@@ -174,7 +179,9 @@
     async def test_knowledge_that_ends_releases_what_waits(self) -> None:
         """Guards against requests held back by outdated knowledge."""
         long_one, *_ = await self.fill('/view/x', '/view/x', first=LONGER)
-        self.router.state.conditions = conditions.Conditions()
+        self.router.state.conditions = conditions.Conditions(
+            self.router.state.healths
+        )
         await self.wait_for(0)
         await self.fleet.wait_until(lambda: len(self.owner().runs) == 4)
         self.assertFalse(long_one.done())
@@ -251,9 +258,9 @@
         owner = self.owner()
         self.assertEqual(200, (await self.begin('/view/x')).status)
         tasks = await self.fill('/view/x', '/view/x')
-        health = self.router.state.healths[owner.name]
-        health.sent_at = {number: 0.0 for number in health.sent_at}
-        health.responded_at = -math.inf
+        measured = self.router.state.healths[owner.name]
+        measured.sent_at = {number: 0.0 for number in measured.sent_at}
+        measured.responded_at = -math.inf
         for task in tasks[1:]:
             self.assertEqual((503, b'silent-owner\n'), (await task)[:2])
 
