Count a response until the kernel has taken it

Cause: a connection could buffer up to 64 KB of responses that counted as sent, besides the one in progress, if its caller did not read. 655 connections of the smallest machine would hold 42 MB that no limit counts.

Change: writing waits until the connection's buffer is empty, so that the memory of responses counts them.

--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/caller_connections.py
@@ -153,6 +153,8 @@
         self.sending = transport
         # asyncio's transports for sockets take it from this attribute.
         setattr(transport, 'max_size', READ_BYTES)
+        # A response counts as sent only once the kernel has taken it.
+        transport.set_write_buffer_limits(0)
         super().connection_made(transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/packages/knapweedhall-router/tests/test_caller_connections.py
+++ b/packages/knapweedhall-router/tests/test_caller_connections.py
@@ -157,6 +157,37 @@
                 self.assertEqual(1, self.server.close_slow(-1))
 
 
+class UnreadResponseTest(ConnectionCase):
+    """A caller that sends requests and does not read the responses."""
+
+    body = bytes(60000)
+    # More than the buffers of the kernel take.
+    request_count = 400
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Respond at once."""
+        self.count += 1
+        return web.Response(body=self.body)
+
+    async def test_responses_are_not_added_up(self) -> None:
+        """Guards against responses that are held and no longer counted.
+
+        Up to 64 KB of them were kept besides the one being sent.
+        """
+        self.writer.transport.pause_reading()
+        self.writer.write(HEAD % 0 * self.request_count)
+        async with asyncio.timeout(TIMEOUT_S):
+            while not self.connection.unsent_bytes():
+                await asyncio.sleep(0)
+        known = 0
+        while known < self.count:
+            known = self.count
+            await asyncio.sleep(HANDLER_S)
+        self.assertLess(known, self.request_count)
+        size = len(self.body) + 1000
+        self.assertLess(self.connection.unsent_bytes(), size)
+
+
 class StopTest(unittest.IsolatedAsyncioTestCase):
     """Connections that are closed in a stop."""
 
