--- a/packages/knapweedhall-router/src/knapweedhall_router/links/token_deputies.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/token_deputies.py
@@ -105,9 +105,12 @@
             try:
                 await self._run_connection(member)
             except coordinator_link.CONNECTION_ERRORS as error:
-                logs.info(
-                    'deputy_lost', deputy=member, reason=type(error).__name__
-                )
+                if tokens.alone.is_set():
+                    logs.info(
+                        'deputy_lost',
+                        deputy=member,
+                        reason=type(error).__name__,
+                    )
             await asyncio.sleep(self.state.rng.uniform(*PAUSE_S))
 
     async def _run_connection(self, member: str) -> None:
