Ask again for tokens that expired during a standstill

A request that waited was refused though its workspace was within its quota. It also waits no longer than its caller. test_answer_after_a_standstill passes.

--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
@@ -243,9 +243,11 @@
 
         The router's own retries need no other token.
         """
-        token = await self.state.tokens.acquire(
-            call.workspace, call.route.objective_s * quotas.WAIT_SHARE
+        max_wait_s = min(
+            call.route.objective_s * quotas.WAIT_SHARE,
+            call.deadline - clock.now(),
         )
+        token = await self.state.tokens.acquire(call.workspace, max_wait_s)
         if isinstance(token, quotas.Denial):
             return selection.Failure(429, token.reason, token.retry_after_s)
         try:
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/quotas.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/quotas.py
@@ -834,6 +834,10 @@
             if token is not None:
                 results.append((waiter.request, token))
                 continue
+            if now - asked_at > TOKEN_LIFETIME_S:
+                # The tokens expired while the process stood still.
+                account.waiters.append(waiter)
+                continue
             wait_s = max(0.0, waiter.until - now)
             account.ask_at = max(
                 now + DENIAL_S, account.retry_from - wait_s, account.ask_at
--- a/packages/knapweedhall-routing/tests/test_quotas.py
+++ b/packages/knapweedhall-routing/tests/test_quotas.py
@@ -444,6 +444,19 @@
         ]
         self.assertEqual(list(range(20, 74)), served)
 
+    def test_answer_after_a_standstill(self) -> None:
+        """Guards against a request within its quota that is refused."""
+        leases = quotas.Leases('a', random.Random(1))
+        leases.configure({'w': quotas.Quota(10.0, 10.0)})
+        leases.connect(0.0)
+        self.assertIsNone(leases.request('w', 1, 0.0, 0.1))
+        self.assertEqual(1, leases.ask(0.0)[0].needed)
+        grant = quotas.Grant('w', 1, 1, 0.1, 0.1, 0.1, 0.1)
+        self.assertEqual([], leases.receive([grant], 2.0))
+        self.assertEqual(1, leases.ask(2.0)[0].needed)
+        ((number, token),) = leases.receive([grant], 2.01)
+        self.assertEqual((1, 2.01), (number, token.due_at))
+
     def test_lower_quota(self) -> None:
         """Guards against leased tokens that outlast their quota."""
         leases = quotas.Leases('a', random.Random(1))
