Count only instances that know the number of sharers as lost

An instance of the former term that was lost before this term told a number was not counted. test_instance_is_lost_before_it_knows_the_number checks both.

--- a/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
@@ -224,10 +224,12 @@
         assignments = await self.store.begin(self.initial_checkpoint)
         self.sender.fences = holdings.FencingTokens(self.store.epoch)
         now = clock.now()
-        # A store that lost the record knows no instance.
-        self.sharers = quotas.Sharers(
-            self.store.lost or self.state.instances, now
-        )
+        # A store that lost the record knows no instance, but others of the
+        # former term may use their own shares.
+        former = {*(self.store.lost or self.state.instances)}
+        if former == {self.state.settings.name}:
+            former = set()
+        self.sharers = quotas.Sharers(former, now)
         for name in self._known_services() - assignments.keys():
             # The store came back from a copy that lacks the assignment.
             assignments[name] = None
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/quotas.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/quotas.py
@@ -187,6 +187,9 @@
         Instances that are connected.
     lost : dict of str to _Lost
         Instances that are not connected and may use their own shares.
+    informed : set of str
+        Instances that may know a number of sharers. Others use no share when
+        they are lost.
     told, told_before : int
         Number of sharers that the instances were last told, and before that;
         0 for none.
@@ -200,14 +203,15 @@
         self.lost: dict[str, _Lost] = {}
         for name in former:
             self.lost[name] = _Lost(1 / len(former), now + LOST_S)
-        self.told = self.told_before = 0
+        self.informed = set(former)
+        self.told, self.told_before = len(former), 0
         self.told_at = -math.inf
 
     def update(self, connected: typing.Collection[str], now: float) -> None:
         """Record which instances are connected."""
         for name in self.connected.difference(connected):
-            share = self._own_share(now)
-            if share:
+            if name in self.informed:
+                share = self._own_share(now)
                 self.lost[name] = _Lost(share, now + LOST_S)
         self.connected = set(connected)
         self.lost = {
@@ -237,6 +241,7 @@
         if len(recorded) != self.told:
             self.told_before, self.told = self.told, len(recorded)
             self.told_at = now
+        self.informed |= self.connected
         return self.told
 
     def pooled_share(self, fresh: typing.Collection[str], now: float) -> float:
@@ -251,9 +256,9 @@
         """
         if not fresh:
             return 0.0
-        silent = len(self.connected.difference(fresh))
+        silent = (self.connected & self.informed).difference(fresh)
         elsewhere = sum(lost.share for lost in self.lost.values())
-        elsewhere += silent * self._own_share(now)
+        elsewhere += len(silent) * self._own_share(now)
         # Sums of shares are inexact.
         return max(0.0, 1 - elsewhere) if elsewhere < 1 - 1e-9 else 0.0
 
--- a/packages/knapweedhall-routing/tests/test_quotas.py
+++ b/packages/knapweedhall-routing/tests/test_quotas.py
@@ -429,6 +429,24 @@
         sharers.update(['a', 'b'], 95.0)
         self.assertAlmostEqual(1.0, sharers.pooled_share(['a', 'b'], 95.0))
 
+    def test_instance_is_lost_before_it_knows_the_number(self) -> None:
+        """Guards against a new instance that takes the whole quota.
+
+        The coordinator was alone, and had told itself that it is.
+        """
+        sharers = quotas.Sharers((), 0.0)
+        sharers.update(['a'], 0.0)
+        self.assertEqual(1, sharers.tell(['a'], 1.0))
+        sharers.update(['a', 'b', 'c'], 2.0)
+        sharers.update(['a', 'c'], 2.1)
+        self.assertAlmostEqual(1.0, sharers.pooled_share(['a', 'c'], 2.1))
+        self.assertEqual(2, sharers.tell(['a', 'c'], 2.2))
+        # An instance of the former term knows the number of that term.
+        sharers = quotas.Sharers(['a', 'b'], 0.0)
+        sharers.update(['a', 'b'], 0.1)
+        sharers.update(['a'], 0.2)
+        self.assertAlmostEqual(0.5, sharers.pooled_share(['a'], 0.2))
+
     def test_instance_alone(self) -> None:
         """Guards against an own share that is used too long or too early."""
         leases = quotas.Leases('a', random.Random(1))
