--- a/packages/knapweedhall-routing/tests/test_quotas.py
+++ b/packages/knapweedhall-routing/tests/test_quotas.py
@@ -429,6 +429,24 @@
         sharers.update(['a', 'b'], 95.0)
         self.assertAlmostEqual(1.0, sharers.pooled_share(['a', 'b'], 95.0))
 
+    def test_instance_is_lost_before_it_knows_the_number(self) -> None:
+        """Guards against a new instance that takes the whole quota.
+
+        The coordinator was alone, and had told itself that it is.
+        """
+        sharers = quotas.Sharers((), 0.0)
+        sharers.update(['a'], 0.0)
+        self.assertEqual(1, sharers.tell(['a'], 1.0))
+        sharers.update(['a', 'b', 'c'], 2.0)
+        sharers.update(['a', 'c'], 2.1)
+        self.assertAlmostEqual(1.0, sharers.pooled_share(['a', 'c'], 2.1))
+        self.assertEqual(2, sharers.tell(['a', 'c'], 2.2))
+        # An instance of the former term knows the number of that term.
+        sharers = quotas.Sharers(['a', 'b'], 0.0)
+        sharers.update(['a', 'b'], 0.1)
+        sharers.update(['a'], 0.2)
+        self.assertAlmostEqual(0.5, sharers.pooled_share(['a'], 0.2))
+
     def test_instance_alone(self) -> None:
         """Guards against an own share that is used too long or too early."""
         leases = quotas.Leases('a', random.Random(1))
@@ -444,6 +462,19 @@
         ]
         self.assertEqual(list(range(20, 74)), served)
 
+    def test_answer_after_a_standstill(self) -> None:
+        """Guards against a request within its quota that is refused."""
+        leases = quotas.Leases('a', random.Random(1))
+        leases.configure({'w': quotas.Quota(10.0, 10.0)})
+        leases.connect(0.0)
+        self.assertIsNone(leases.request('w', 1, 0.0, 0.1))
+        self.assertEqual(1, leases.ask(0.0)[0].needed)
+        grant = quotas.Grant('w', 1, 1, 0.1, 0.1, 0.1, 0.1)
+        self.assertEqual([], leases.receive([grant], 2.0))
+        self.assertEqual(1, leases.ask(2.0)[0].needed)
+        ((number, token),) = leases.receive([grant], 2.01)
+        self.assertEqual((1, 2.01), (number, token.due_at))
+
     def test_lower_quota(self) -> None:
         """Guards against leased tokens that outlast their quota."""
         leases = quotas.Leases('a', random.Random(1))
