Show learned limits, and describe shared load

Change: the metric knapweedhall_upstream has the conditions that an instance was told; knapweedhallctl status lists upstreams that are near their limit or have a low one, from a new field at the end of Overview.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/costs.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/costs.py
@@ -10,7 +10,10 @@
 
 from knapweedhall_router.links import messages
 from knapweedhall_router import logs
+from knapweedhall_routing import announcements
+from knapweedhall_routing import concurrency
 from knapweedhall_routing import holdings
+from knapweedhall_routing import load
 from knapweedhall_routing import model
 from knapweedhall_routing import planning
 from knapweedhall_routing import rates
@@ -19,6 +22,11 @@
 UPSTREAM_COUNTS = (20, 100, 400)
 RANGES_PER_UPSTREAM = 4
 CAPACITY_PER_S = 40.0
+# Instances, upstreams and requests per second of fleets whose upstreams are
+# all near their limits.
+FLEETS = ((72, 160, 1000), (195, 480, 2700), (450, 1000, 6000))
+REPORT_PERIOD_S = 0.3
+LIMIT_PERIODS = 100
 # Number of log lines in one measurement.
 LOG_LINES = 2000
 
@@ -86,6 +94,55 @@
     ]
 
 
+def create_reports(
+    instances: int, names: list[str], per_s: int, rng: random.Random
+) -> list[load.Samples]:
+    """Return what each instance reports of the upstreams in one period."""
+    reports: list[load.Samples] = [{} for _ in range(instances)]
+    for _ in range(int(per_s * REPORT_PERIOD_S)):
+        sample = load.Sample(
+            1, rng.randrange(200, 600), rng.randrange(3, 9), 6, 100
+        )
+        rng.choice(reports)[rng.choice(names)] = sample
+    return reports
+
+
+def measure_limits(
+    instances: int, upstreams: int, per_s: int
+) -> list[tuple[str, float]]:
+    """Return the mean costs of limits in one period, ms, and bytes."""
+    rng = random.Random(1)
+    names = [f'i-{number:010x}' for number in range(upstreams)]
+    address = model.Address('10.200.1.7', 8541)
+    limits = concurrency.Limits()
+    limits.list_upstreams(
+        {
+            name: model.Upstream(name, address, 's', 'a', 6, False, 0.0, 1)
+            for name in names
+        }
+    )
+    told = announcements.Announcements()
+    spent = dict.fromkeys(('merge', 'learn', 'announce', 'bytes'), 0.0)
+    for number in range(LIMIT_PERIODS):
+        now = number * REPORT_PERIOD_S
+        reports = create_reports(instances, names, per_s, rng)
+        begun_at = time.process_time()
+        for instance, samples in enumerate(reports):
+            limits.add_report(f'r{instance}', samples, {}, False, now)
+        merged_at = time.process_time()
+        limits.learn(now)
+        learned_at = time.process_time()
+        changes = told.changes(limits, instances, now)
+        raw = messages.pack_conditions(changes, now)
+        spent['announce'] += time.process_time() - learned_at
+        spent['learn'] += learned_at - merged_at
+        spent['merge'] += merged_at - begun_at
+        spent['bytes'] += len(raw) / 1000
+    return [
+        (name, 1000 * total / LIMIT_PERIODS) for name, total in spent.items()
+    ]
+
+
 def measure_logging() -> list[tuple[str, float]]:
     """Return the costs of a request's log line, ms of CPU time."""
     logs.configure('costs', os.open(os.devnull, os.O_WRONLY))
@@ -146,6 +203,13 @@
     for upstreams in UPSTREAM_COUNTS:
         for name, cost_ms in measure_planning(upstreams):
             print(f'{upstreams:4} upstreams  {name:20} {cost_ms:8.2f} ms')
+    for instances, upstreams, per_s in FLEETS:
+        for name, cost in measure_limits(instances, upstreams, per_s):
+            print(
+                f'{instances} instances, {upstreams} upstreams, limits each'
+                f' 0.3 s: {name:8} {cost:8.2f}'
+                f' {"bytes" if name == "bytes" else "ms"}'
+            )
     for name, cost_ms in measure_logging():
         print(f'{name:37} {cost_ms:10.4f} ms')
     for name, size in measure_sizes():
--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/status.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/status.py
@@ -10,6 +10,10 @@
 from knapweedhall_ctl import report
 from knapweedhall_router.links import messages
 
+# Share of its limit from which an upstream is listed; at lower loads, requests
+# are not limited.
+LISTED_SHARE = 0.75
+
 EXAMPLE = """example:
   knapweedhallctl status --store 10.200.1.7:8541"""
 
@@ -58,6 +62,11 @@
             ),
         )
     )
+    limited = _limited(overview)
+    if limited:
+        text += '\n\n' + report.table(
+            ('upstream', 'limit', 'slots', 'load', 'service ms'), limited
+        )
     return report.Report(
         exit_codes.OK if agree else exit_codes.NEGATIVE,
         text,
@@ -67,10 +76,24 @@
             'blind': overview.lease_expired,
             'versions': overview.versions,
             'unowned': unowned,
+            'limits': overview.limits,
         },
     )
 
 
+def _limited(
+    overview: messages.Overview,
+) -> list[tuple[str, float, int, float, int]]:
+    """Return the upstreams that are near their limit or have a lower one."""
+    return [
+        (name, limit, slots, load, round(1000 * service_s))
+        for name, (limit, load, service_s, slots) in sorted(
+            overview.limits.items()
+        )
+        if load >= LISTED_SHARE * limit or limit < LISTED_SHARE * slots
+    ]
+
+
 async def _overview(arguments: argparse.Namespace) -> messages.Overview:
     async with connection.connect(arguments) as client:
         return await connection.query_overview(client)
--- a/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
@@ -508,6 +508,15 @@
             self.lease.is_expired(),
             self.links.versions(),
             {table.service: table.owned_ranges for table in self.tables()},
+            {
+                name: (
+                    round(known.limit, 2),
+                    round(known.load, 2),
+                    round(known.service_s, 4),
+                    known.slots,
+                )
+                for name, known in self.limits.upstreams.items()
+            },
         )
 
     def tables(self) -> list[messages.Table]:
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
@@ -130,6 +130,9 @@
         Version of the configuration in force, by connected instance.
     services : dict of str to list of WireRange
         Owners of the keys of each divided service.
+    limits : dict of str to tuple of float, float, float and int
+        Limit, load, service time in seconds, and slots of each upstream that
+        responded in this term, by name.
     """
 
     coordinator: str
@@ -137,6 +140,7 @@
     lease_expired: bool
     versions: dict[str, int]
     services: dict[str, list[WireRange]]
+    limits: dict[str, tuple[float, float, float, int]] = {}
 
 
 class Report(msgspec.Struct, tag='report', array_like=True):
--- a/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
@@ -63,6 +63,8 @@
         Requests without a token, by workspace.
     gauges : aioprometheus.Gauge
         State of the instance by name.
+    upstreams : aioprometheus.Gauge
+        Conditions of upstreams near their limit, as the coordinator told them.
     """
 
     def __init__(self, state: state_module.State, traffic: Traffic) -> None:
@@ -89,6 +91,11 @@
             'State of the instance by name',
             registry=self.registry,
         )
+        self.upstreams = aioprometheus.Gauge(
+            'knapweedhall_upstream',
+            'Condition of an upstream near its limit over all instances',
+            registry=self.registry,
+        )
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Return all metrics in a format that the request accepts."""
@@ -102,6 +109,15 @@
             self.quota_refusals.set({'workspace': workspace}, count)
         for name, value in self.read_gauges().items():
             self.gauges.set({'name': name}, value)
+        self.upstreams.values.clear()
+        for upstream, known in self.state.conditions.known.items():
+            for name, value in (
+                ('limit', known.limit),
+                ('load', known.load),
+                ('service_seconds', known.service_s),
+                ('users', known.users),
+            ):
+                self.upstreams.set({'upstream': upstream, 'name': name}, value)
         content, headers = renderer.render(
             self.registry, request.headers.getall('Accept', [])
         )
