--- a/packages/knapweedhall-router/tests/test_queues.py
+++ b/packages/knapweedhall-router/tests/test_queues.py
@@ -45,7 +45,7 @@
         self.shares = shares
         self.known = {
             name: conditions.Condition(
-                limit=share, load=share, service_s=0.1, users=1, at=math.inf
+                limit=share, load=share, service_s=0.1, users=1, at=-math.inf
             )
             for name, share in shares.items()
         }
