Read bodies of requests in progress in parts of 256 KB

Cause: reads of 64 KB and a stream that pauses at 128 KB made uploads slower; beside other work, six uploads of 29.5 MB ended in 408 instead of 504 in two runs of test_uploads_to_a_silent_upstream.

Change: a connection reads 64 KB at once while a head may arrive, and 256 KB, as before, while the body of a request with a handler arrives.

Measured: the test passes in two runs at a load of 22.

--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/caller_connections.py
@@ -26,9 +26,12 @@
 # it, and of trailers or of one chunk's framing. The platform allows heads of
 # 16 KB.
 MAX_HEAD_BYTES = 65536
-# Bytes that are read from a socket at once. All connections that have bytes
-# are read before the first one is closed for its share of the memory.
+# Bytes that are read from a socket at once while a head may arrive. What
+# follows a head in the same read is held before the request can be refused.
 READ_BYTES = 65536
+# The same while the body of a request with a handler arrives. Smaller reads
+# made uploads of 30 MB exceed a time limit of 1 s.
+BODY_READ_BYTES = 256 * 1024
 END_OF_HEAD = b'\r\n\r\n'
 # Time after the set-up of a connection in which its first request may still be
 # on its way: a round trip, and what waits in front of it on a busy link. The
@@ -199,6 +202,8 @@
         self._record_held()
         if content.is_eof():
             self.record_body()
+        elif self.sending is not None:
+            setattr(self.sending, 'max_size', BODY_READ_BYTES)
         self._end_malformed_body()
 
     def record_body(self) -> None:
@@ -226,6 +231,8 @@
     def record_response(self) -> None:
         """Record that the handler has ended."""
         self.running = False
+        if self.sending is not None:
+            setattr(self.sending, 'max_size', READ_BYTES)
         if self.head_bytes:
             # The time for a head begins when its response could follow.
             self.head_since = clock.now()
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
@@ -161,7 +161,6 @@
             max_line_size=MAX_REQUEST_FIELD_BYTES,
             max_field_size=MAX_REQUEST_FIELD_BYTES,
             lingering_time=1.0,
-            read_bufsize=caller_connections.READ_BYTES,
             limits=self._caller_limits,
         )
         return self.server
