Tell instances of shared load in large fleets only

Conditions are announced while the mean time between two responses of one upstream to one instance is over 2 s. test_small_fleet_is_told_nothing fails without it.

--- a/packages/knapweedhall-router/tests/test_coordinator.py
+++ b/packages/knapweedhall-router/tests/test_coordinator.py
@@ -111,6 +111,9 @@
             {}, {}, 1, 0.1, 3, loads={'u': load.Sample(1, 90, 9, 4, 100)}
         )
         term.record_report('i', report)
+        # Instances are told once the term has measured the rate of responses.
+        term.limits.counted_s = 100.0
+        term.links.active.add(mock.Mock(instance='i'))
         first = term.make_heartbeat(1, [], [], True)
         self.assertEqual((b'', True), (first.conditions, first.all_conditions))
         # The connections of a former term have other numbers.
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/announcements.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/announcements.py
@@ -76,11 +76,13 @@
         now : float
             Current time, seconds.
         """
-        current = {
-            name: known.condition(now)
-            for name, known in limits.upstreams.items()
-            if known.notable_until > now
-        }
+        current = {}
+        if limits.is_shared(instances):
+            current = {
+                name: known.condition(now)
+                for name, known in limits.upstreams.items()
+                if known.notable_until > now
+            }
         ranked: list[tuple[float, str]] = []
         for name, condition in current.items():
             told = self.told.get(name)
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/concurrency.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/concurrency.py
@@ -90,6 +90,16 @@
 NOTABLE_S = 4.0
 # Age from which the load of an upstream that does not respond is not known.
 STALE_S = 5.0
+# Time between two responses of one upstream to one instance from which the
+# instances are told of conditions. What it learned itself says nothing after
+# that (`health.Health.load`); in smaller fleets it is newer than what the
+# coordinator can send, and instances that act on the same knowledge choose the
+# same upstreams.
+SHARED_FROM_S = 2.0
+# Time constant of the rate of responses, and time for which it has to be
+# measured in a term.
+RESPONSE_RATE_S = 5.0
+MIN_RATE_S = 1.0
 # Bounds of what reports may state; a damaged one must not spoil the means.
 MAX_SERVICE_S = 60.0
 MAX_COUNT = 10000
@@ -421,6 +431,11 @@
         Limits that this instance knows from the term before, by upstream.
     bits : dict of str to int
         Bit of each instance in the sets of users.
+    responses, counted_s : float
+        Decaying number of responses of all upstreams, and the time in which
+        they were counted, seconds.
+    counted_at : float
+        When they last decayed, seconds; inf before.
     """
 
     def __init__(
@@ -430,6 +445,8 @@
         self.listed: typing.Mapping[str, model.Upstream] = {}
         self.initial = dict(initial or {})
         self.bits: dict[str, int] = {}
+        self.responses = self.counted_s = 0.0
+        self.counted_at = math.inf
 
     def add_report(
         self,
@@ -466,6 +483,8 @@
                 known = self._find(name, sample.slots, now)
                 if known is not None:
                     known.add(sample, bit, is_recent, now)
+                    if not is_recent:
+                        self.responses += sample.responses
         for name, age_s in overdue.items():
             known = self.upstreams.get(name)
             if known is None or not 0 < age_s < MAX_SERVICE_S:
@@ -502,8 +521,26 @@
         known = self.upstreams.get(upstream)
         return known.capacity() if known is not None else 0.0
 
+    def is_shared(self, instances: int) -> bool:
+        """Return whether instances know less of upstreams than all together.
+
+        Parameters
+        ----------
+        instances : int
+            Number of connected instances.
+        """
+        if self.counted_s < MIN_RATE_S:
+            return False
+        pairs = instances * len(self.upstreams)
+        return pairs * self.counted_s > SHARED_FROM_S * self.responses
+
     def learn(self, now: float) -> None:
         """Estimate the limits, and which upstreams instances are told of."""
+        elapsed_s = max(0.0, now - self.counted_at)
+        self.counted_at = now
+        keep = math.exp(-elapsed_s / RESPONSE_RATE_S)
+        self.responses *= keep
+        self.counted_s = self.counted_s * keep + elapsed_s
         times: dict[str, list[float]] = {}
         for name, known in self.upstreams.items():
             known.learn(now)
