Don't offer a mute upstream to an order that waits

The rule was applied to the offered upstream alone, which was then used as the only one that responds to others.

--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/selection.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/selection.py
@@ -197,8 +197,6 @@
     ) -> model.Upstream | Failure | NoRoom:
         now = clock.now()
         usable = self.state.directory.usable(call.service)
-        if offered:
-            usable = [each for each in usable if each.name == offered]
         allowed = [
             upstream
             for upstream in usable
@@ -227,6 +225,8 @@
             allowed = self._without_silent(allowed, now)
             if not allowed:
                 return self.refuse(call, SILENT)
+        if offered:
+            allowed = [each for each in allowed if each.name == offered]
         warm = [upstream for upstream in allowed if upstream.cold_until <= now]
         if not offered and allowed and self.state.conditions.known:
             with_room = [
--- a/packages/knapweedhall-router/tests/test_silence.py
+++ b/packages/knapweedhall-router/tests/test_silence.py
@@ -10,9 +10,11 @@
 
 from aiohttp import web
 
+from knapweedhall_router import clock
 from knapweedhall_standins import upstream
 from tests import fleet
 from tests import fleet_case
+from tests import test_queues
 
 TIME_LIMIT_S = 3.0
 
@@ -130,9 +132,7 @@
         await self.warm_up()
         silent = await self.silence_one('/order/1')
         health = self.router.state.healths[self.mute.name]
-        await self.fleet.wait_until(
-            lambda: health.is_mute(time.clock_gettime(time.CLOCK_BOOTTIME))
-        )
+        await self.fleet.wait_until(lambda: health.is_mute(clock.now()))
         with self.only(self.mute):
             # It responds to what it can run.
             self.assertEqual(200, (await self.send('/list/1')).status)
@@ -146,6 +146,35 @@
         self.assertEqual(1, len(self.mute.ignored))
         self.assertEqual(504, (await silent).status)
 
+    async def test_waiting_order_avoids_it(self) -> None:
+        """Guards against an order that waits and is sent to a mute upstream.
+
+        The mute one has room, the other one has none yet.
+        """
+        await self.warm_up()
+        with self.only(self.other):
+            # So that it does not count as silent meanwhile.
+            for _ in range(20):
+                await self.send('/order/1?work_s=0.1')
+        await self.silence_one('/order/1')
+        with self.only(self.mute):
+            self.assertEqual(200, (await self.send('/list/1')).status)
+        shares = {self.mute.name: 1, self.other.name: 1}
+        self.router.state.conditions = test_queues.FixedShares(shares)
+        health = self.router.state.healths[self.mute.name]
+        await self.fleet.wait_until(lambda: health.is_mute(clock.now()))
+        first = asyncio.create_task(self.send('/order/1?work_s=0.4'))
+        await self.fleet.wait_until(lambda: self.other.running == 1)
+        second = asyncio.create_task(self.send('/order/1'))
+        queues = self.router.dispatcher.selector.queues
+        await self.fleet.wait_until(lambda: len(queues) == 1)
+        runs = len(self.mute.runs)
+        shares[self.mute.name] = 5
+        for response in await asyncio.gather(first, second):
+            self.assertEqual(200, response.status)
+        self.assertEqual(runs, len(self.mute.runs))
+        self.assertEqual(1, len(self.mute.ignored))
+
     async def test_silent_connection_is_not_reused(self) -> None:
         """Guards against requests over a connection that stays silent."""
         await self.warm_up()
