--- a/packages/knapweedhall-routing/src/knapweedhall_routing/head_budget.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/head_budget.py
@@ -5,8 +5,8 @@
 # Memory that a byte of a head takes: the parser keeps each field as it was
 # received and decoded. Measured: 400 heads of 60,000 bytes took 54 MB.
 MEMORY_PER_BYTE = 2.25
-# Memory of a connection without a request: its parser, task and transport.
-# Measured: 12 KB.
+# Memory that a connection without a request is assumed to take: its parser,
+# task and transport.
 CONNECTION_BYTES = 16384
 # Share of the process's memory for connections besides what they hold.
 CONNECTION_MEMORY_SHARE = 0.1
