--- a/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
@@ -740,10 +740,7 @@
         warm = [upstream for upstream in usable if upstream.cold_until <= now]
         cold_per_s = self.state.service(name).cold_per_s
         capacity = {
-            upstream.name: (
-                self.limits.capacity(upstream.name)
-                or self.load.service_times.capacity(upstream)
-            )
+            upstream.name: self.load.service_times.capacity(upstream)
             for upstream in warm
         }
         if not warm:
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/concurrency.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/concurrency.py
@@ -51,10 +51,6 @@
 PROBE_S = 4.0
 # Weight of one response in the current service time: the last five count.
 TIME_SMOOTHING = 0.2
-# Weight of one estimate in the service time that keys are assigned by. Those
-# of the last five seconds count, as moving a key costs more than a late
-# response.
-STEADY_SMOOTHING = 0.2
 # Weight of one report in the stated slowdown, and in its mean.
 SLOWDOWN_SMOOTHING = 0.3
 MEAN_SLOWDOWN_SMOOTHING = 0.02
@@ -125,8 +121,6 @@
         When the last response was reported, seconds.
     service_s : float
         Current service time, seconds; 0 if it is not known.
-    steady_s : float
-        Service time over several seconds; 0 if it is not known.
     responses : int
         Number of responses that were reported since `measured_at`.
     measured_at : float
@@ -173,7 +167,6 @@
         self.loaded_at = -math.inf
         self.responded_at = -math.inf
         self.service_s = 0.0
-        self.steady_s = 0.0
         self.responses = 0
         self.measured_at = math.inf
         self.loads = [0.0]
@@ -341,8 +334,6 @@
         if elapsed_s < ESTIMATE_PERIOD_S:
             return
         self.learned_at = now
-        weight = STEADY_SMOOTHING if self.steady_s else 1.0
-        self.steady_s += weight * (self.service_s - self.steady_s)
         if not 1 / CHANGED_FACTOR <= self.change <= CHANGED_FACTOR:
             self._forget_levels()
         target = min(self._target(), self._probe(now))
@@ -413,9 +404,9 @@
             self.responded_at,
         )
 
-    def capacity(self) -> float:
-        """Return the requests per second that it serves; 0 if not known."""
-        return self.limit / self.steady_s if self.steady_s else 0.0
+    def drain_per_s(self) -> float:
+        """Return the requests per second that it serves at its limit."""
+        return self.limit / self.service_s if self.service_s else 0.0
 
 
 class Limits:
@@ -516,11 +507,6 @@
                 del self.upstreams[name]
                 self.initial.pop(name, None)
 
-    def capacity(self, upstream: str) -> float:
-        """Return the requests per second of an upstream; 0 if not known."""
-        known = self.upstreams.get(upstream)
-        return known.capacity() if known is not None else 0.0
-
     def is_shared(self, instances: int) -> bool:
         """Return whether instances know less of upstreams than all together.
 
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/planning.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/planning.py
@@ -15,14 +15,6 @@
 OVERLOAD_FACTOR = 1.3
 # ... and exceeds this value; below it, requests hardly wait.
 MIN_OVERLOAD_USAGE = 0.45
-# Number of upstreams for which `Rules.max_moves` is meant. Larger services get
-# more in proportion: with 6 moves of one plan, 200 hot keys of a service of
-# 106 upstreams were not distributed in 7 s.
-MOVES_UPSTREAMS = 24
-# Load of an upstream in relation to the mean from which more than
-# `Rules.max_moves` begin. With it, the number of moves under even load is that
-# of before, although rates are measured from some dozens of requests.
-HOT_FACTOR = 1.5
 # Requests per second of a service up to which its keys are distributed evenly
 # instead of by load.
 IDLE_RATE_PER_S = 2.0
@@ -65,9 +57,7 @@
         Time for which a moved range is not moved again; the rates that led to
         the move take this long to settle.
     max_moves : int
-        Maximum number of rebalancing moves that one plan begins; more in
-        proportion for services of more than `MOVES_UPSTREAMS` upstreams, from
-        those that have by far the highest load.
+        Maximum number of rebalancing moves that one plan begins.
     """
 
     hot_key_share: float = 0.6
@@ -254,8 +244,7 @@
         overload = max(overload, MIN_OVERLOAD_USAGE)
     exhausted: set[str] = set()
     moves: list[Move] = []
-    max_moves = _max_moves(inputs)
-    while len(moves) < max_moves:
+    while len(moves) < inputs.rules.max_moves:
         sources = [name for name in usage if name not in exhausted]
         if not sources or len(planned.items) > MAX_RANGES_PER_UPSTREAM * len(
             usage
@@ -267,11 +256,6 @@
         }
         if usage[source] < overload and used >= set(usage):
             break
-        if (
-            len(moves) >= inputs.rules.max_moves
-            and usage[source] < HOT_FACTOR * mean
-        ):
-            break
         target = min(usage, key=lambda name: usage[name])
         move = _hot_bucket(planned.items, inputs, now, source) or _hot_window(
             planned.items, inputs, now, source, target, usage
@@ -281,19 +265,11 @@
             continue
         part = planned.split(move.first, move.last)
         part.moving, part.target = True, move.target
-        load = _load(inputs, move.first, move.last)
-        usage[source] -= load / inputs.capacity[source]
-        usage[move.target] += load / inputs.capacity[move.target]
+        usage = _usage(planned.items, inputs)
         moves.append(move)
     return moves
 
 
-def _max_moves(inputs: Inputs) -> int:
-    """Return the maximum number of moves that one plan begins."""
-    factor = max(1.0, len(inputs.capacity) / MOVES_UPSTREAMS)
-    return int(inputs.rules.max_moves * factor)
-
-
 def _may_move(holding: holdings.Holding, source: str, now: float) -> bool:
     """Return whether a range may be moved away from a busy upstream."""
     return (
--- a/packages/knapweedhall-routing/tests/test_concurrency.py
+++ b/packages/knapweedhall-routing/tests/test_concurrency.py
@@ -192,9 +192,6 @@
                 known = replay.limits.upstreams[name]
                 self.assertGreater(known.service_s, base_s[name] / 1.5)
                 self.assertLess(known.service_s, base_s[name] * 1.5)
-                capacity = known.capacity() * base_s[name] / SLOTS
-                self.assertGreater(capacity, 0.6)
-                self.assertLess(capacity, 1.6)
 
     def test_slower_from_half_of_its_slots_on(self) -> None:
         """Guards against load at which an upstream gets nothing more done.
--- a/packages/knapweedhall-routing/tests/test_planning.py
+++ b/packages/knapweedhall-routing/tests/test_planning.py
@@ -4,7 +4,6 @@
 
 import random
 import unittest
-from unittest import mock
 
 from knapweedhall_routing import holdings
 from knapweedhall_routing import model
@@ -323,61 +322,3 @@
         del inputs.capacity['u1']
         moves = planning.place_orphans(self.assigned.items, inputs, orphans)
         self.assertNotIn('u0', {move.target for move in moves})
-
-
-class HotKeysTest(unittest.TestCase):
-    """200 neighboring keys that suddenly get 38% of the requests."""
-
-    def plans(self, upstreams: int, per_s: float, seed: int) -> int:
-        """Return the number of plans until no upstream has twice the mean."""
-        rng = random.Random(seed)
-        measured = rates.KeyRates()
-        inputs = planning.Inputs(
-            {f'u{number}': 6 / 0.372 for number in range(upstreams)}, measured
-        )
-        assigned = holdings.Holdings('s')
-        for move in planning.place_orphans(
-            assigned.items, inputs, assigned.items
-        ):
-            assign(assigned, move)
-        now = 0.0
-        for number in range(-10, 30):
-            counts: dict[int, int] = {}
-            for _ in range(round(per_s * 0.3)):
-                key = rng.randrange(model.KEY_COUNT)
-                if number >= 0 and rng.random() < 0.38:
-                    key = 30000 + rng.randrange(200)
-                bucket = rates.bucket_of(key)
-                counts[bucket] = counts.get(bucket, 0) + 1
-            now += 0.3
-            measured.add(counts)
-            measured.decay(now)
-            for move in planning.rebalance(assigned.items, inputs, now):
-                assign(assigned, move)
-            if number >= 0:
-                shares = dict.fromkeys(inputs.capacity, 0.0)
-                for holding in assigned.items:
-                    first, last = holding.first, holding.last
-                    hot = min(last, 30199) - max(first, 30000) + 1
-                    shares[holding.upstream] += (
-                        0.62 * (last - first + 1) / model.KEY_COUNT
-                        + 0.38 * max(0, hot) / 200
-                    )
-                if max(shares.values()) * upstreams < 2:
-                    return number + 1
-        return 99
-
-    def test_moves_follow_the_number_of_upstreams(self) -> None:
-        """Guards against hot keys that stay together in a large service.
-
-        At 106 upstreams, the busiest one got 2.66 times the mean.
-        """
-        for seed in 1, 2, 3:
-            with self.subTest(seed=seed):
-                after = self.plans(106, 678, seed)
-                with mock.patch.object(planning, 'MOVES_UPSTREAMS', 106):
-                    before = self.plans(106, 678, seed)
-                self.assertLess(after, before)
-        for count, expected in ((12, 6), (24, 6), (106, 26)):
-            inputs = plan_inputs(count, rates.KeyRates())
-            self.assertEqual(expected, planning._max_moves(inputs))
