--- a/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/coordinator.py
@@ -23,8 +23,11 @@
 from knapweedhall_router.links import instance_links
 from knapweedhall_router.links import messages
 from knapweedhall_router import logs
+from knapweedhall_router import settings
 from knapweedhall_router import state as state_module
 from knapweedhall_router import tasks
+from knapweedhall_routing import announcements
+from knapweedhall_routing import concurrency
 from knapweedhall_routing import holdings
 from knapweedhall_routing import load as load_module
 from knapweedhall_routing import planning
@@ -66,6 +69,12 @@
         Divided services, by name.
     load : load.Load
         Load of the services and service times of the upstreams.
+    limits : concurrency.Limits
+        Learned limits of all upstreams.
+    announcements : announcements.Announcements
+        Conditions of upstreams that the instances were told.
+    announces : bool
+        Whether conditions were sent in this term.
     pauses : dict of str to float
         Until when upstreams want no requests, by name, seconds.
     links : instance_links.InstanceLinks
@@ -140,6 +149,10 @@
         self.sharers: quotas.Sharers | None = None
         self.pool_updated_at = -math.inf
         self.load = load or load_module.Load(len(state.instances), clock.now())
+        self.limits = concurrency.Limits(state.conditions.limits(clock.now()))
+        self.limits.list_upstreams(state.directory.entries)
+        self.announcements = announcements.Announcements()
+        self.announces = False
         self.load_was_known = False
         self.tasks: set[asyncio.Task[None]] = set()
         self.mover = moves.Mover(
@@ -224,10 +237,12 @@
         assignments = await self.store.begin(self.initial_checkpoint)
         self.sender.fences = holdings.FencingTokens(self.store.epoch)
         now = clock.now()
-        # A store that lost the record knows no instance.
-        self.sharers = quotas.Sharers(
-            self.store.lost or self.state.instances, now
-        )
+        # A store that lost the record knows no instance, but others of the
+        # former term may use their own shares.
+        former = {*(self.store.lost or self.state.instances)}
+        if former == {self.state.settings.name}:
+            former = set()
+        self.sharers = quotas.Sharers(former, now)
         for name in self._known_services() - assignments.keys():
             # The store came back from a copy that lacks the assignment.
             assignments[name] = None
@@ -369,6 +384,11 @@
         fresh = self.links.fresh(quotas.MAX_HEARTBEAT_AGE_S)
         self.pool.set_share(self.sharers.pooled_share(fresh, now), now)
 
+    def _deputies(self) -> dict[str, str]:
+        return self.links.deputies(
+            coordinator_link.member_id(self.state.settings)
+        )
+
     def _lost_instances(self, now: float) -> list[str]:
         self._update_pool(now)
         return sorted(self.sharers.lost) if self.sharers is not None else []
@@ -415,10 +435,27 @@
         ]
 
     def make_heartbeat(
-        self, number: int, joined: list[str], left: list[str]
+        self, number: int, joined: list[str], left: list[str], is_first: bool
     ) -> messages.Heartbeat:
-        """Return a heartbeat; `joined` and `left` are member IDs."""
+        """Return a heartbeat.
+
+        Parameters
+        ----------
+        number : int
+            Its number.
+        joined, left : list of str
+            Member IDs of the instances that joined and left.
+        is_first : bool
+            Whether it is the first one of a connection.
+        """
         now = clock.now()
+        # Connections that outlast a term have the numbers of the last one.
+        is_full = is_first or not self.announces
+        if is_first:
+            changes = self.announcements.all()
+        else:
+            self.announces = True
+            changes = self._learn(now)
         return messages.Heartbeat(
             number,
             joined,
@@ -429,8 +466,34 @@
             self.state.directory.unlisted_leaving(),
             self.state.feed.read_offsets,
             self._tell_sharers(now),
+            messages.pack_conditions(changes, now),
+            [
+                (change.number, change.name)
+                for change in changes
+                if change.name
+            ],
+            is_full,
+            self._deputies() if joined or left else {},
         )
 
+    def _learn(self, now: float) -> list[announcements.Change]:
+        """Learn limits from the reports; return what instances are told.
+
+        A failure leaves the heartbeat and the term alone.
+        """
+        try:
+            self.limits.list_upstreams(self.state.directory.entries)
+            self.limits.learn(now)
+            use = self.state.settings.upstream_limits
+            return self.announcements.changes(
+                self.limits,
+                0 if use == settings.LIMITS_OFF else len(self.links.active),
+                now,
+            )
+        except Exception as error:
+            logs.warning('coordinator_fault', reason=tasks.describe(error))
+            return []
+
     def relay_records(self, topic: str, records: feed.Records) -> None:
         """Send records that were read from the store to all instances."""
         now = clock.now()
@@ -457,6 +520,15 @@
             self.lease.is_expired(),
             self.links.versions(),
             {table.service: table.owned_ranges for table in self.tables()},
+            {
+                name: (
+                    round(known.limit, 2),
+                    round(known.load, 2),
+                    round(known.service_s, 4),
+                    known.slots,
+                )
+                for name, known in self.limits.upstreams.items()
+            },
         )
 
     def tables(self) -> list[messages.Table]:
@@ -480,6 +552,13 @@
         for upstream, born_ms in report.leaving:
             self.state.record_leaving(upstream, 'report', born_ms)
         now = clock.now()
+        self.limits.add_report(
+            instance,
+            report.loads,
+            report.overdue,
+            report.recent is not None,
+            now,
+        )
         for upstream, left_s in report.pauses.items():
             until = now + left_s
             self.pauses[upstream] = max(until, self.pauses.get(upstream, 0.0))
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/coordinator_link.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/coordinator_link.py
@@ -90,6 +90,8 @@
         Upper bound of the random pause before the next search.
     writer : asyncio.StreamWriter or None
         Writes to the coordinator; None without a connection.
+    condition_names : dict of int to str
+        Upstreams by the number that stands for them in heartbeats.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         self.found = asyncio.Event()
         self.pause_s = INITIAL_PAUSE_S
         self.writer: asyncio.StreamWriter | None = None
+        self.condition_names: dict[int, str] = {}
 
     async def run(self) -> None:
         """Find the coordinator and connect to it, until cancelled."""
@@ -195,6 +198,7 @@
                 feed.outdated_topics(now),
                 member_id(self.state.settings).rpartition('@')[2],
                 packs=True,
+                failure_domain=self.state.settings.failure_domain,
             )
             writer.write(messages.encode(hello))
             self.writer = writer
@@ -252,18 +256,22 @@
         # unread report with the coordinator's name.
         await self.found.wait()
         now = clock.now()
-        recent, times = self.state.measurements.take_recent(now)
-        report = self._report({}, times, now)
+        recent, times, loads = self.state.measurements.take_recent(now)
+        report = self._report({}, times, loads, now)
         report.recent = recent
         while True:
             writer.write(messages.encode(report))
             await asyncio.sleep(REPORT_PERIOD_S)
             now = clock.now()
-            keys, times = self.state.measurements.take(now)
-            report = self._report(keys, times, now)
+            keys, times, loads = self.state.measurements.take(now)
+            report = self._report(keys, times, loads, now)
 
     def _report(
-        self, keys: load.Counts, times: load.Times, now: float
+        self,
+        keys: load.Counts,
+        times: load.Times,
+        loads: load.Samples,
+        now: float,
     ) -> messages.Report:
         return messages.Report(
             keys,
@@ -273,6 +281,8 @@
             self.state.configuration_version(),
             self.state.directory.unlisted_leaving(),
             self.state.pauses(),
+            loads=loads,
+            overdue=self.state.overdue(),
         )
 
     def _apply_heartbeat(self, message: messages.Heartbeat) -> None:
@@ -293,6 +303,7 @@
         self.state.feed.coordinator_outage_at = now - message.outage_age_s
         for name, born_ms in message.leaving:
             self.state.record_leaving(name, 'heartbeat', born_ms)
+        self._apply_conditions(message, now)
         self.announced.update(message.joined, message.left)
         self.members = set(self.announced.current)
         alive = self.announced.members(now)
@@ -301,14 +312,32 @@
             self.state.instances = tuple(sorted(names))
         if message.sharers >= 0:
             leases = self.state.tokens.leases
-            if not leases.connected:
+            if not leases.connected or self.state.tokens.alone.is_set():
                 self.state.tokens.connect(self._ask_for_tokens)
             leases.set_sharers(message.sharers, self.state.instances)
+            if message.deputies:
+                self.state.tokens.deputies = message.deputies
 
     def _ask_for_tokens(self, asks: list[quotas.Ask]) -> None:
         if self.writer is not None:
             self.writer.write(messages.encode(messages.TokenRequest(asks)))
 
+    def _apply_conditions(
+        self, message: messages.Heartbeat, now: float
+    ) -> None:
+        if message.conditions is None:
+            return
+        if message.all_conditions:
+            self.condition_names.clear()
+        self.condition_names.update(message.condition_names)
+        self.state.conditions.update(
+            messages.unpack_conditions(
+                message.conditions, self.condition_names, now
+            ),
+            message.all_conditions,
+            now,
+        )
+
     def apply(self, message: messages.Message) -> None:
         """Update the state from a message of the coordinator.
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/instance_links.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/instance_links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import typing
+import zlib
 
 from knapweedhall_adapter import errors
 from knapweedhall_router import clock
@@ -33,8 +34,8 @@
 
     Attributes
     ----------
-    instance, member : str
-        Name and member ID of the instance.
+    instance, member, failure_domain : str
+        Name, member ID and failure domain of the instance.
     connected_at : float
         When it connected, seconds.
     report : quorum.Report or None
@@ -50,6 +51,7 @@
     ) -> None:
         self.instance = hello.instance
         self.member = f'{hello.instance}@{hello.address}'
+        self.failure_domain = hello.failure_domain
         self.writer = writer
         self.connected_at = clock.now()
         self.report: quorum.Report | None = None
@@ -78,8 +80,8 @@
     on_report : callable
         Called with the name of an instance and its report.
     make_heartbeat : callable
-        Returns a heartbeat from its number, the members that joined, and
-        those that left.
+        Returns a heartbeat from its number, the members that joined, those
+        that left, and whether it is the first one of a connection.
     grant_tokens : callable or None
         Returns the answer to a request for tokens; None if the coordinator
         leases none.
@@ -98,7 +100,7 @@
         initial_messages: typing.Callable[[list[str]], list[messages.Message]],
         on_report: typing.Callable[[str, messages.Report], None],
         make_heartbeat: typing.Callable[
-            [int, list[str], list[str]], messages.Heartbeat
+            [int, list[str], list[str], bool], messages.Heartbeat
         ],
     ) -> None:
         self.initial_messages = initial_messages
@@ -146,7 +148,7 @@
         self.number += 1
         self.sent_at[self.number] = clock.now()
         self.sent_at.pop(self.number - MAX_SENT_HEARTBEATS, None)
-        self.send(self.make_heartbeat(self.number, joined, left))
+        self.send(self.make_heartbeat(self.number, joined, left, False))
 
     def reports(self) -> dict[str, quorum.Report]:
         """Return the last report of each connected instance, by name."""
@@ -164,6 +166,14 @@
         """Return when each connected instance connected, seconds."""
         return {link.instance: link.connected_at for link in self.active}
 
+    def deputies(self, own: str) -> dict[str, str]:
+        """Return a connected member of each failure domain, except `own`."""
+        return {
+            link.failure_domain: link.member
+            for link in sorted(self.active, key=_deputy_order)
+            if link.member != own
+        }
+
     def fresh(self, max_age_s: float) -> set[str]:
         """Return the instances that are known to be connected.
 
@@ -202,7 +212,7 @@
         link = InstanceLink(hello, writer)
         try:
             heartbeat = self.make_heartbeat(
-                self.number, sorted(self.announced), []
+                self.number, sorted(self.announced), [], True
             )
             # It does not count this instance yet.
             heartbeat.sharers = min(0, heartbeat.sharers)
@@ -232,3 +242,8 @@
             elif isinstance(message, messages.TokenRequest):
                 if self.grant_tokens is not None:
                     link.send(messages.encode(self.grant_tokens(message)))
+
+
+def _deputy_order(link: InstanceLink) -> tuple[int, str]:
+    """Return the place of an instance, which no other one changes."""
+    return zlib.crc32(link.member.encode()), link.member
--- a/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/links/messages.py
@@ -9,11 +9,14 @@
 
 import asyncio
 import struct
+import typing
 import zlib
 
 import msgspec
 
 from knapweedhall_adapter import errors
+from knapweedhall_routing import announcements
+from knapweedhall_routing import conditions
 from knapweedhall_routing import load
 from knapweedhall_routing import model
 from knapweedhall_routing import quotas
@@ -28,6 +31,14 @@
 # The fastest level; records are compressed once for all instances.
 COMPRESSION_LEVEL = 1
 
+# Number of the upstream, limit, load, service time, number of instances that
+# use it, and age of the measurement.
+_CONDITION = struct.Struct('>HHHHHB')
+# Units of the limit, of the service time and of the age.
+LIMITS_PER_REQUEST = 16
+SERVICE_UNIT_S = 0.001
+AGE_UNIT_S = 0.02
+
 # First key, last key, upstream, host, port.
 WireRange = tuple[int, int, str, str, int]
 
@@ -45,12 +56,30 @@
         Address at which it listens for other instances, as `host:port`.
     packs : bool
         Whether it understands `PackedRecords`.
+    failure_domain : str
+        Failure domain in which it runs.
     """
 
     instance: str
     topics: list[str]
     address: str = ''
     packs: bool = False
+    failure_domain: str = ''
+
+
+class DeputyHello(msgspec.Struct, tag='deputy', array_like=True):
+    """First message of an instance to the deputy of its failure domain.
+
+    Attributes
+    ----------
+    instance : str
+        Its name.
+    sharers : int
+        Number of instances that divide the quotas of workspaces, as it knows.
+    """
+
+    instance: str
+    sharers: int
 
 
 class Takeover(msgspec.Struct, tag='takeover', array_like=True):
@@ -119,6 +148,9 @@
         Version of the configuration in force, by connected instance.
     services : dict of str to list of WireRange
         Owners of the keys of each divided service.
+    limits : dict of str to tuple of float, float, float and int
+        Limit, load, service time in seconds, and slots of each upstream that
+        responded in this term, by name.
     """
 
     coordinator: str
@@ -126,6 +158,7 @@
     lease_expired: bool
     versions: dict[str, int]
     services: dict[str, list[WireRange]]
+    limits: dict[str, tuple[float, float, float, int]] = {}
 
 
 class Report(msgspec.Struct, tag='report', array_like=True):
@@ -153,6 +186,12 @@
         Requests of the last seconds by service and bucket, with the time
         since the begin of the period in which they were counted; only in the
         first report of a connection, whose `keys` are empty.
+    loads : dict of str to load.Sample
+        What upstreams stated with their responses, by name; that of the last
+        seconds in the first report of a connection.
+    overdue : dict of str to float
+        Age of the oldest request of upstreams that respond late, by name,
+        seconds.
     """
 
     keys: dict[str, dict[int, int]]
@@ -163,6 +202,8 @@
     leaving: list[tuple[str, int]] = []
     pauses: dict[str, float] = {}
     recent: load.RecentCounts | None = None
+    loads: dict[str, load.Sample] = {}
+    overdue: dict[str, float] = {}
 
 
 class Table(msgspec.Struct, tag='table', array_like=True):
@@ -227,6 +268,16 @@
     sharers : int
         Number of instances that divide the quotas of workspaces; 0 if it is
         unchanged or not recorded yet, -1 if the coordinator leases no tokens.
+    conditions : bytes or None
+        Changed conditions of upstreams, see `pack_conditions`; None from a
+        coordinator that does not know them.
+    condition_names : list of tuple of int and str
+        Numbers and names of upstreams that were not named before.
+    all_conditions : bool
+        Whether the conditions and names are complete.
+    deputies : dict of str to str
+        Member IDs of the instances that pool quotas between two terms, by
+        failure domain; empty if they are unchanged.
     """
 
     number: int
@@ -238,6 +289,10 @@
     leaving: list[tuple[str, int]] = []
     offsets: dict[str, int] = {}
     sharers: int = -1
+    conditions: bytes | None = None
+    condition_names: list[tuple[int, str]] = []
+    all_conditions: bool = False
+    deputies: dict[str, str] = {}
 
 
 class TokenRequest(msgspec.Struct, tag='ask', array_like=True):
@@ -297,8 +352,114 @@
     raw: bytes
 
 
+class ExplainRequest(msgspec.Struct, tag='explain', array_like=True):
+    """Question where a request would go now; sent by knapweedhallctl.
+
+    Attributes
+    ----------
+    host, path, method : str
+        Host, path and method of the request.
+    key : str
+        Key that selects the owner in a divided service; '' for none.
+    workspace : str
+        Name of the workspace of its caller; '' for none.
+    body_bytes : int
+        Size of its body.
+    """
+
+    host: str
+    path: str
+    method: str = 'GET'
+    key: str = ''
+    workspace: str = ''
+    body_bytes: int = 0
+
+
+class ExplainedCandidate(msgspec.Struct, array_like=True):
+    """An upstream that could run a request, with what decides.
+
+    Attributes
+    ----------
+    upstream, failure_domain : str
+        Its name and failure domain.
+    state : str
+        'chosen', 'eligible', or why it is not: 'leaving', 'paused',
+        'unreachable', 'silent' or 'cold'.
+    cost_ms, latency_ms : float
+        Expected cost of sending the request there, and expected time until
+        the response, milliseconds.
+    load : float
+        Estimated number of requests there, running and waiting.
+    slots : int
+        Requests that it runs concurrently.
+    outstanding, max_outstanding : int
+        Requests of the instance there, and how many it may have.
+    failure_share : float
+        Share of recent requests that failed, 0 to 1.
+    connected : bool
+        Whether an idle connection can carry the request.
+    pause_s : float
+        Time left for which it wants no requests, seconds.
+    """
+
+    upstream: str
+    failure_domain: str
+    state: str
+    cost_ms: float
+    latency_ms: float
+    load: float
+    slots: int
+    outstanding: int
+    max_outstanding: int
+    failure_share: float
+    connected: bool
+    pause_s: float
+
+
+class Explanation(msgspec.Struct, tag='explanation', array_like=True):
+    """Where a request would go now, and why.
+
+    Attributes
+    ----------
+    instance : str
+        Name of the instance that answers.
+    version : int
+        Version of its configuration.
+    route, service : str
+        Route and service of the request; '' if it is refused before.
+    priority : int
+        Priority of the request.
+    divided : bool
+        Whether each key of the service has an owner.
+    upstream : str
+        Where it would be sent; '' if it would be refused.
+    status : int
+        Status of the refusal; 0 if it would be sent.
+    reason : str
+        Reason of the choice or of the refusal.
+    retry_after_s : float
+        When its caller would be asked to retry, seconds.
+    candidates : list of ExplainedCandidate
+        Upstreams of the service, or the owner of the key; the chosen one is
+        first, then by cost.
+    """
+
+    instance: str
+    version: int
+    route: str = ''
+    service: str = ''
+    priority: int = 0
+    divided: bool = False
+    upstream: str = ''
+    status: int = 0
+    reason: str = ''
+    retry_after_s: float = 0.0
+    candidates: list[ExplainedCandidate] = []
+
+
 Message = (
     Hello
+    | DeputyHello
     | Takeover
     | Redirect
     | SteppedDown
@@ -312,6 +473,8 @@
     | PackedRecords
     | TokenRequest
     | TokenLease
+    | ExplainRequest
+    | Explanation
 )
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
@@ -406,3 +569,78 @@
 def version(message: Table | TableChange) -> ranges.Version:
     """Return the version of the table after a message is applied."""
     return ranges.Version(message.epoch, message.number)
+
+
+def pack_conditions(
+    changes: typing.Iterable[announcements.Change], now: float
+) -> bytes:
+    """Return conditions in the form for heartbeats.
+
+    An upstream that is not near its limit any more has the limit 0.
+
+    Parameters
+    ----------
+    changes : iterable of announcements.Change
+        What to tell the instances.
+    now : float
+        Current time, seconds.
+    """
+    packed = []
+    for number, _, condition in changes:
+        if condition is None:
+            packed.append(_CONDITION.pack(number, 0, 0, 0, 0, 0))
+            continue
+        packed.append(
+            _CONDITION.pack(
+                number,
+                _limited(condition.limit * LIMITS_PER_REQUEST, 1, 65535),
+                _limited(condition.load, 0, 65535),
+                _limited(condition.service_s / SERVICE_UNIT_S, 0, 65535),
+                _limited(condition.users, 0, 65535),
+                _limited((now - condition.at) / AGE_UNIT_S, 0, 255),
+            )
+        )
+    return b''.join(packed)
+
+
+def _limited(value: float, lowest: int, highest: int) -> int:
+    return round(min(max(value, lowest), highest))
+
+
+@errors.decoder('conditions')
+def unpack_conditions(
+    raw: bytes, names: typing.Mapping[int, str], now: float
+) -> dict[str, conditions.Condition | None]:
+    """Return the conditions in a heartbeat by upstream.
+
+    Parameters
+    ----------
+    raw : bytes
+        What the heartbeat contains.
+    names : mapping of int to str
+        Names of the upstreams by number; others are left out.
+    now : float
+        When the heartbeat came, seconds.
+
+    Raises
+    ------
+    errors.DecodeError
+        If it is malformed.
+    """
+    changed: dict[str, conditions.Condition | None] = {}
+    for number, limit, load_, service, users, age in _CONDITION.iter_unpack(
+        raw
+    ):
+        if number in names:
+            changed[names[number]] = (
+                conditions.Condition(
+                    limit / LIMITS_PER_REQUEST,
+                    load_,
+                    service * SERVICE_UNIT_S,
+                    users,
+                    now - age * AGE_UNIT_S,
+                )
+                if limit
+                else None
+            )
+    return changed
--- a/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
@@ -15,6 +15,10 @@
 # 2.2 s and time limits of up to 5.6 s.
 BUCKET_BOUNDS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 6.0]
 
+# Bounds of the histogram of waits, which last an eighth of the objective, or
+# up to the objective for the next one in order.
+WAIT_BOUNDS_S = [0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0]
+
 
 def create_latency_histogram(
     registry: aioprometheus.Registry,
@@ -28,6 +32,18 @@
     )
 
 
+def create_wait_histogram(
+    registry: aioprometheus.Registry,
+) -> aioprometheus.Histogram:
+    """Return a histogram of the time that requests wait for room."""
+    return aioprometheus.Histogram(
+        'knapweedhall_wait_seconds',
+        'Time that requests waited for room at an upstream, by priority',
+        buckets=WAIT_BOUNDS_S,
+        registry=registry,
+    )
+
+
 class Traffic(typing.Protocol):
     """Counters of the requests of callers.
 
@@ -49,6 +65,13 @@
     def in_flight(self) -> int:
         """Number of requests in progress."""
 
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait for room at an upstream."""
+
+    def read_caller_gauges(self) -> dict[str, float]:
+        """Return what the connections of callers use, by name."""
+
 
 class Metrics:
     """Counters, gauges and histograms of this process.
@@ -63,6 +86,8 @@
         Requests without a token, by workspace.
     gauges : aioprometheus.Gauge
         State of the instance by name.
+    upstreams : aioprometheus.Gauge
+        Conditions of upstreams near their limit, as the coordinator told them.
     """
 
     def __init__(self, state: state_module.State, traffic: Traffic) -> None:
@@ -89,6 +114,11 @@
             'State of the instance by name',
             registry=self.registry,
         )
+        self.upstreams = aioprometheus.Gauge(
+            'knapweedhall_upstream',
+            'Condition of an upstream near its limit over all instances',
+            registry=self.registry,
+        )
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Return all metrics in a format that the request accepts."""
@@ -102,6 +132,15 @@
             self.quota_refusals.set({'workspace': workspace}, count)
         for name, value in self.read_gauges().items():
             self.gauges.set({'name': name}, value)
+        self.upstreams.values.clear()
+        for upstream, known in self.state.conditions.known.items():
+            for name, value in (
+                ('limit', known.limit),
+                ('load', known.load),
+                ('service_seconds', known.service_s),
+                ('users', known.users),
+            ):
+                self.upstreams.set({'upstream': upstream, 'name': name}, value)
         content, headers = renderer.render(
             self.registry, request.headers.getall('Accept', [])
         )
@@ -112,6 +151,7 @@
         state = self.state
         return {
             'running': self.traffic.in_flight,
+            'queued': self.traffic.queued,
             'configuration': state.configuration_version(),
             'upstreams': len(state.directory.entries),
             'instances': len(state.instances),
@@ -121,4 +161,4 @@
             'quota_admitted': state.tokens.admitted,
             'quota_messages': state.tokens.asked,
             'log_lines_dropped': logs.dropped_lines(),
-        }
+        } | self.traffic.read_caller_gauges()
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
@@ -17,6 +17,7 @@
 from knapweedhall_router.serving import exchange
 from knapweedhall_router.serving import response_buffers
 from knapweedhall_router.serving import selection
+from knapweedhall_router.serving import silences
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import admission
 from knapweedhall_routing import buffer_budget
@@ -74,7 +75,11 @@
         self.running: dict[calls.Call, asyncio.Timeout] = {}
 
     def limit_work(self) -> None:
-        """Shorten the running calls to the time until which they may run."""
+        """Shorten the running calls to the time until which they may run.
+
+        Those that wait for room are refused, as other instances can run them.
+        """
+        self.selector.queues.clear()
         for call, timeout in self.running.items():
             call.deadline = min(call.deadline, self.state.work_until)
             calls.limit_timeout(timeout, call.deadline)
@@ -82,6 +87,7 @@
     async def run(self, call: calls.Call) -> Result:
         """Return the upstream's response to a call, or why there is none."""
         self.state.retry_budget(call.service).earn(clock.now())
+        self.selector.count_request(call)
         if call.key is not None and self.selector.is_divided(call):
             self.state.count_request(call.service, call.key)
         # In a stop, the upstream gets the end of the work as its time limit.
@@ -89,7 +95,8 @@
         response_until = min(call.deadline, self.state.responses_until)
         call.deadline = min(call.deadline, self.state.work_until)
         timeout = asyncio.timeout(max(0.0, response_until - clock.now()))
-        last: Result = selection.Failure(503, 'no-upstream', 0.1)
+        last: Result = self.selector.refuse_soon(call, 'no-upstream')
+        is_first = True
         try:
             async with timeout:
                 self.running[call] = timeout
@@ -98,6 +105,9 @@
                     is_final = not isinstance(result, Retry)
                     if isinstance(result, Retry):
                         result = result.fallback
+                    if is_first:
+                        self._record_first(call, result)
+                        is_first = False
                     if not (
                         isinstance(last, exchange.Response)
                         and isinstance(result, selection.Failure)
@@ -112,6 +122,11 @@
         finally:
             self.running.pop(call, None)
 
+    def _record_first(self, call: calls.Call, result: Result) -> None:
+        """Shrink the budget of retries if a first attempt is refused."""
+        if isinstance(result, selection.Failure) and result.full:
+            self.state.retry_budget(call.service).record_refused()
+
     def _time_out(self, call: calls.Call, last: Result) -> Result:
         """Return the result of a call whose time is over."""
         if isinstance(last, exchange.Response):
@@ -143,12 +158,59 @@
             return False
         if not call.send_count:
             return len(call.excluded_at) <= MAX_SENDS
+        if call.has_paid_retry:
+            call.has_paid_retry = False
+            return True
         return self.state.retry_budget(call.service).spend(now)
 
+    def _may_resend(self, call: calls.Call) -> bool:
+        """Return whether a call may run at another upstream as well."""
+        return (
+            call.idempotent
+            and not self.selector.is_divided(call)
+            and self._has_runs_left(call)
+            and call.send_count < MAX_SENDS
+        )
+
+    def _resend(
+        self,
+        call: calls.Call,
+        upstream: model.Upstream,
+        connection: connections.Connection,
+    ) -> bool:
+        """Give up an exchange without a response to send the call elsewhere.
+
+        Returns
+        -------
+        bool
+            Whether the exchange needs to be watched no longer.
+        """
+        if connection.received_bytes:
+            return True
+        now = clock.now()
+        health = self.state.health(upstream)
+        if not (health.is_silent(now) or health.is_mute(now)):
+            return False
+        if not self.selector.can_resend(call):
+            return False
+        if not self.state.retry_budget(call.service).spend(now):
+            return False
+        call.has_paid_retry = True
+        connection.fail('silent')
+        return True
+
     async def _attempt(self, call: calls.Call) -> Result | Retry:
         upstream = await self.selector.select(call)
         if isinstance(upstream, selection.Failure):
             return self._final_failure(call, upstream)
+        try:
+            return await self._attempt_at(call, upstream)
+        finally:
+            self.selector.end_attempt(call, upstream)
+
+    async def _attempt_at(
+        self, call: calls.Call, upstream: model.Upstream
+    ) -> Result | Retry:
         pool = self.pools.get(upstream.address)
         connection = pool.take(self.selector.max_idle_s(call), call.request_id)
         if connection is None:
@@ -171,7 +233,7 @@
         that the request has not run.
         """
         if call.possible_runs:
-            return selection.Failure(502, failure.reason)
+            return selection.Failure(502, failure.reason, full=failure.full)
         return failure
 
     def _handle_connect_failure(
@@ -211,8 +273,20 @@
         call.send_count += 1
         call.last_upstream = upstream.name
         health.record_sent(call.number, sent_at)
+        self.state.conditions.record_sent(upstream.name, sent_at)
         may_have_run_before = upstream.name in call.possible_runs
         call.possible_runs.add(upstream.name)
+        silence = silences.Silence(
+            clock.now,
+            functools.partial(self._resend, call, upstream, connection),
+        )
+        if self._may_resend(call):
+            silence.watch(
+                min(
+                    sent_at + health.silence_limit_s(sent_at),
+                    self.selector.resend_by(call),
+                )
+            )
         try:
             outcome = await exchange.run(
                 connection,
@@ -229,6 +303,9 @@
                 ),
             )
         finally:
+            silence.end()
+            if not connection.received_bytes:
+                health.record_unanswered(sent_at, clock.now())
             health.record_ended(call.number)
             self.buffers.finish(call.number)
         pool.put_back(connection)
@@ -238,7 +315,7 @@
             if not may_have_run_before:
                 call.possible_runs.discard(upstream.name)
             return self._handle_not_executed(call, upstream, outcome)
-        if outcome.sent:
+        if outcome.sent and not call.has_paid_retry:
             self._record_reset(call, upstream, pool, connection, sent_at)
         return self._handle_broken(
             call, upstream, outcome, may_have_run_before
@@ -326,8 +403,10 @@
         failed = response.status >= 500
         health.record_result(failed, now)
         if not failed:
-            health.record_response(now - sent_at, report, now)
+            service_s = health.record_response(now - sent_at, report, now)
             self.state.add_service_time(upstream.name, health.mean_service_s)
+            if report is not None:
+                self.state.add_load(upstream.name, report, service_s)
             return response
         logs.info(
             'upstream_failed',
@@ -374,14 +453,17 @@
         )
         if report is not None:
             health.record_load(report, now)
-        time_left_s = call.deadline - now
-        retry_after_s = admission.retry_after(
-            health.expected_latency_s(now) / 2, time_left_s, self.state.rng
-        )
+            self.state.add_load(upstream.name, report)
         reason = f'upstream-refused-{outcome.status}'
-        failure = self._final_failure(
-            call, selection.Failure(503, reason, retry_after_s)
-        )
+        if (
+            outcome.status == names.WRONG_UPSTREAM_STATUS
+            or admission.is_spurious_refusal(report)
+        ):
+            refusal = self.selector.refuse_soon(call, reason)
+        else:
+            lane = upstream.name if self.selector.is_divided(call) else ''
+            refusal = self.selector.refuse_full(call, reason, lane)
+        failure = self._final_failure(call, refusal)
         logs.info(
             'request_refused_by_upstream',
             request=call.request_id,
@@ -426,7 +508,7 @@
             call.send_count -= 1
             return Retry(
                 self._final_failure(
-                    call, selection.Failure(503, outcome.reason, 0.1)
+                    call, self.selector.refuse_soon(call, outcome.reason)
                 )
             )
         self.state.health(upstream).record_result(True, now)
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
@@ -26,6 +26,7 @@
 from knapweedhall_router.serving import selection
 from knapweedhall_router import state as state_module
 from knapweedhall_routing import body_budget
+from knapweedhall_routing import head_budget
 from knapweedhall_routing import model
 from knapweedhall_routing import quotas
 
@@ -123,6 +124,8 @@
         Memory of the bodies of the requests in progress.
     receiving : set of asyncio.Timeout
         Time limits of the bodies that are being received.
+    server : caller_connections.CallerServer or None
+        The HTTP server; None before `create_server`.
     outcome_counts : dict of str to int
         Number of finished requests by outcome.
     workspace_counts : dict of tuple of str and str to int
@@ -142,19 +145,28 @@
         self.busy_connections: set[web.RequestHandler] = set()
         self.bodies = body_budget.BodyBudget()
         self.receiving: set[asyncio.Timeout] = set()
+        self.server: caller_connections.CallerServer | None = None
         self.outcome_counts: dict[str, int] = {}
         self.workspace_counts: dict[tuple[str, str], int] = {}
         self.registry = aioprometheus.Registry()
         self.request_seconds = metrics.create_latency_histogram(self.registry)
+        dispatcher.selector.queues.wait_seconds = (
+            metrics.create_wait_histogram(self.registry)
+        )
 
     @property
     def in_flight(self) -> int:
         """Number of requests in progress, one per busy connection."""
         return len(self.busy_connections)
 
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait for room at an upstream."""
+        return len(self.dispatcher.selector.queues)
+
     def create_server(self) -> caller_connections.CallerServer:
         """Return the HTTP server for requests of callers."""
-        return caller_connections.CallerServer(
+        self.server = caller_connections.CallerServer(
             self.handle,
             access_log=None,
             handler_cancellation=True,
@@ -162,6 +174,30 @@
             max_line_size=MAX_REQUEST_FIELD_BYTES,
             max_field_size=MAX_REQUEST_FIELD_BYTES,
             lingering_time=1.0,
+            limits=self._caller_limits,
+        )
+        return self.server
+
+    def read_caller_gauges(self) -> dict[str, float]:
+        """Return what the connections of callers use, by name."""
+        if self.server is None:
+            return {}
+        return {
+            'caller_connections': len(self.server.limit.open),
+            'caller_head_bytes': self.server.budget.total,
+        }
+
+    def _caller_limits(self) -> caller_connections.Limits:
+        """Return the limits over all connections of callers."""
+        settings = self.state.settings
+        memory_bytes = settings.memory_mb * 1e6
+        return caller_connections.Limits(
+            head_budget.max_connections(
+                settings.descriptors,
+                settings.caller_descriptor_share,
+                memory_bytes,
+            ),
+            memory_bytes * settings.head_memory_share,
         )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -240,6 +276,10 @@
             return self._refuse_unread(request, 408, 'body-timeout', None)
         if isinstance(body, web.Response):
             return body
+        assert isinstance(
+            request.protocol, caller_connections.CallerConnection
+        )
+        request.protocol.record_body()
         service = self.state.splitter.choose(route)
         call = calls.Call(request, route, service, body, now)
         try:
@@ -282,9 +322,11 @@
 
         The router's own retries need no other token.
         """
-        token = await self.state.tokens.acquire(
-            call.workspace, call.route.objective_s * quotas.WAIT_SHARE
+        max_wait_s = min(
+            call.route.objective_s * quotas.WAIT_SHARE,
+            call.deadline - clock.now(),
         )
+        token = await self.state.tokens.acquire(call.workspace, max_wait_s)
         if isinstance(token, quotas.Denial):
             return selection.Failure(429, token.reason, token.retry_after_s)
         try:
@@ -491,6 +533,8 @@
             sends=call.send_count,
             upstreams=sorted(call.possible_runs),
             waited_ms=round((now - call.arrived_at) * 1000, 1),
+            queued_ms=round(call.queued_s * 1000, 1),
+            retry_after_s=round(failure.retry_after_s or 0.0, 3),
             configuration=self.state.configuration_version(),
             owner_version=(
                 '.'.join(map(str, table.version)) if owned_range else ''
--- a/packages/knapweedhall-router/src/knapweedhall_router/settings.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/settings.py
@@ -14,6 +14,11 @@
 # Part of a faulty value that is shown in a message.
 MAX_SHOWN_CHARS = 60
 SOURCES = ('platform', 'records')
+# Uses of the learned limits of upstreams.
+LIMITS_OFF = 'off'
+LIMITS_SHARED = 'shared'
+LIMITS_ENFORCED = 'enforced'
+LIMIT_USES = (LIMITS_OFF, LIMITS_SHARED, LIMITS_ENFORCED)
 
 
 class Settings(typing.NamedTuple):
@@ -50,6 +55,14 @@
         stop signal until the process is killed.
     response_mb : float
         Largest body of a response that is accepted from an upstream, in MB.
+    head_memory_share : float
+        Share of `memory_mb` for the heads of callers' requests.
+    caller_descriptor_share : float
+        Share of `descriptors` for connections of callers.
+    upstream_limits : str
+        Use of the learned limits of upstreams: 'off', 'shared' if instances of
+        large fleets choose upstreams by their load over all instances, or
+        'enforced' if requests also wait while an upstream is at its limit.
     """
 
     name: str
@@ -73,6 +86,9 @@
     drain_s: float
     grace_s: float
     response_mb: float
+    head_memory_share: float = 0.1
+    caller_descriptor_share: float = 0.4
+    upstream_limits: str = LIMITS_OFF
 
 
 @dataclasses.dataclass(frozen=True)
@@ -106,6 +122,12 @@
     return text
 
 
+def _limit_use(text: str) -> str:
+    if text not in LIMIT_USES:
+        raise ValueError(f'expected one of {", ".join(LIMIT_USES)}')
+    return text
+
+
 def _number(text: str) -> float:
     value = float(text)
     if not 0 <= value < math.inf:
@@ -120,6 +142,13 @@
     return value
 
 
+def _share(text: str) -> float:
+    value = float(text)
+    if not 0 < value <= 1:
+        raise ValueError('expected a number above 0, up to 1')
+    return value
+
+
 def _whole(text: str) -> int:
     value = float(text)
     if not 1 <= value < math.inf or value != int(value):
@@ -150,6 +179,9 @@
     ('limits', 'drain_s', _positive),
     ('limits', 'grace_s', _positive),
     ('limits', 'response_mb', _positive),
+    ('limits', 'head_memory_share', _share),
+    ('limits', 'caller_descriptor_share', _share),
+    ('limits', 'upstream_limits', _limit_use),
 )
 
 
@@ -171,6 +203,12 @@
     ('limits', 'grace_s'): '6',
     # A response is held in memory until the caller has received it.
     ('limits', 'response_mb'): '16',
+    # 434 whole heads of 16 KB on the smallest machine (160 MB), and 655
+    # connections (1,638 descriptors); an instance gets 30 requests/s.
+    ('limits', 'head_memory_share'): '0.1',
+    ('limits', 'caller_descriptor_share'): '0.4',
+    # Requests were served worse with the others in the fleets measured so far.
+    ('limits', 'upstream_limits'): LIMITS_OFF,
 }
 
 
@@ -239,6 +277,9 @@
     'retry_extra',
     'drain_s',
     'grace_s',
+    'head_memory_share',
+    'caller_descriptor_share',
+    'upstream_limits',
 )
 
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/state.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/state.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+import typing
 
 from knapweedhall_router import clock
 from knapweedhall_router.control import feed
@@ -28,13 +29,22 @@
 
 
 class Signal:
-    """Wakes all tasks that wait for a change."""
+    """Wakes all tasks that wait for a change.
+
+    Attributes
+    ----------
+    listeners : list of callable
+        Called with each change.
+    """
 
     def __init__(self) -> None:
         self.waiters: set[asyncio.Future[None]] = set()
+        self.listeners: list[typing.Callable[[], None]] = []
 
     def notify(self) -> None:
         """Wake all waiting tasks."""
+        for listener in self.listeners:
+            listener()
         for waiter in self.waiters:
             if not waiter.done():
                 waiter.set_result(None)
@@ -136,7 +146,7 @@
         self.cold_budgets: dict[str, budgets.ColdBudget] = {}
         self.idle_limits: dict[str, idle_limits.IdleLimit] = {}
         self.measurements = load.Measurements()
-        self.conditions = conditions.Conditions()
+        self.conditions = conditions.Conditions(self.healths)
         self.movement_rules: dict[str, planning.Rules] = {}
         self.owners_changed = Signal()
         self.out_of_service = False
@@ -251,6 +261,25 @@
         """Add a service time to those reported to the coordinator."""
         self.measurements.add_service_time(upstream, service_s, clock.now())
 
+    def add_load(
+        self,
+        upstream: str,
+        report: model.LoadReport,
+        service_s: float | None = None,
+    ) -> None:
+        """Add the load that an upstream stated to the next report.
+
+        Parameters
+        ----------
+        upstream : str
+            Its name.
+        report : model.LoadReport
+            What it stated.
+        service_s : float or None
+            Service time of the request, seconds; None if it was refused.
+        """
+        self.measurements.add_load(upstream, report, service_s, clock.now())
+
     def record_leaving(
         self, upstream: str, source: str, born_ms: int | None = None
     ) -> None:
@@ -279,6 +308,16 @@
             if measured.is_paused(now)
         }
 
+    def overdue(self) -> dict[str, float]:
+        """Return the age of overdue requests by upstream, seconds."""
+        now = clock.now()
+        ages = {
+            name: round(measured.overdue_s(now), 2)
+            for name, measured in self.healths.items()
+            if measured.sent_at
+        }
+        return {name: age_s for name, age_s in ages.items() if age_s}
+
     def drop_measurements(self, upstream: str) -> None:
         """Drop the measurements of a removed upstream.
 
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/health.py
@@ -35,6 +35,9 @@
 # An upstream with outstanding requests is silent if it has sent no response
 # for this many times the expected latency under its load.
 SILENT_FACTOR = 6.0
+# A request is overdue after this many times the expected latency. An upstream
+# that became five times slower is noticed before it responds.
+OVERDUE_FACTOR = 2.0
 # Longest pause that an upstream may ask for. A garbled value must not exclude
 # an upstream for ever; one that is overloaded for longer asks again.
 MAX_PAUSE_S = 60.0
@@ -97,6 +100,9 @@
         Last reported slowdown and the moving average of all reports.
     reported_at, responded_at : float
         When the last load report and the last response arrived, seconds.
+    mute_until : float
+        Until when it counts as mute because a request got no response until
+        its end, seconds.
     """
 
     def __init__(self, slots: int, baseline: Baseline | None = None) -> None:
@@ -116,6 +122,7 @@
         self.mean_slowdown = 1.0
         self.reported_at = -math.inf
         self.responded_at = -math.inf
+        self.mute_until = -math.inf
 
     def record_sent(self, number: int, now: float) -> None:
         """Record that a request was sent."""
@@ -129,8 +136,14 @@
 
     def record_response(
         self, latency_s: float, report: model.LoadReport | None, now: float
-    ) -> None:
-        """Record the response to a request that ran."""
+    ) -> float:
+        """Record the response to a request that ran.
+
+        Returns
+        -------
+        float
+            Time to process it once it had a slot, seconds.
+        """
         self.responded_at = now
         self.connect_blocked_until = self.connect_backoff_s = 0.0
         service_s = latency_s
@@ -141,6 +154,7 @@
         weight = max(SMOOTHING, 1 / self.samples)
         self.mean_service_s += weight * (service_s - self.mean_service_s)
         self.baseline.add(service_s)
+        return service_s
 
     @property
     def service_s(self) -> float:
@@ -197,19 +211,66 @@
         """Return whether the upstream wants no requests now."""
         return now < self.paused_until
 
-    def is_silent(self, now: float) -> bool:
+    def is_silent(
+        self, now: float, heard_elsewhere_at: float = -math.inf
+    ) -> bool:
         """Return whether the upstream has sent no response for too long.
 
         Without outstanding requests it is never silent.
+
+        Parameters
+        ----------
+        now : float
+            Current time, seconds.
+        heard_elsewhere_at : float
+            When another instance last got a response from it, seconds.
         """
         if not self.sent_at:
             return False
         oldest = next(iter(self.sent_at.values()))
-        silent_since = max(oldest, self.responded_at)
+        silent_since = max(oldest, self.responded_at, heard_elsewhere_at)
+        return now - silent_since > self.silence_limit_s(now)
+
+    def silence_limit_s(self, now: float) -> float:
+        """Return after which time without a response it counts as silent."""
         queue_factor = 1 + self.load(now) / self.slots
-        return (
-            now - silent_since > SILENT_FACTOR * self.service_s * queue_factor
-        )
+        return SILENT_FACTOR * self.service_s * queue_factor
+
+    def is_mute(self, now: float) -> bool:
+        """Return whether a request gets no response although others do.
+
+        Some upstreams never respond to what they can't queue.
+        """
+        if now < self.mute_until:
+            return True
+        if not self.sent_at:
+            return False
+        oldest = next(iter(self.sent_at.values()))
+        return now - oldest > self.silence_limit_s(now)
+
+    def record_unanswered(self, sent_at: float, now: float) -> None:
+        """Record that a request ended without any byte of a response.
+
+        If it was silent for too long, the upstream could not queue it, and
+        counts as mute for the time in which its queue becomes shorter.
+        """
+        if now - sent_at > self.silence_limit_s(now):
+            self.mute_until = now + self.expected_latency_s(now)
+
+    def overdue_s(self, now: float) -> float:
+        """Return for how long the oldest request is late without a response.
+
+        Returns
+        -------
+        float
+            Time since it was sent if that is `OVERDUE_FACTOR` times the
+            expected latency or more, seconds; 0 otherwise.
+        """
+        if not self.sent_at:
+            return 0.0
+        age_s = now - next(iter(self.sent_at.values()))
+        late_s = OVERDUE_FACTOR * self.expected_latency_s(now)
+        return age_s if age_s >= late_s else 0.0
 
     def load(self, now: float) -> float:
         """Return the estimated number of requests, running and waiting."""
