Review: endless bodies take a router over its memory (case 9)

Cause: the received parts of responses that were given up are no longer counted but stay in memory until the garbage collector runs. Change: case 9; the back end of the harness can answer without end, ids of requests name the router.

--- a/review/lib-2/backend.py
+++ b/review/lib-2/backend.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import json
+import random
 import signal
 import time
 
@@ -28,6 +29,8 @@
         self.running = []
         self.slots = asyncio.Semaphore(4)
         self.waiting = 0
+        # When the next part without end is due, by router.
+        self.send_at = {}
         self.address = options.address or f'{options.host}:{options.port}'
 
     def event(self, kind, **fields):
@@ -126,6 +129,10 @@
                     headers[name.strip().lower()] = value.strip()
                 size = int(headers.get('content-length', 0))
                 body = await reader.readexactly(size) if size else b''
+                identity = headers.get('x-attempt-id')
+                if identity and random.random() < self.options.endless_share:
+                    await self.send_endless(identity, writer)
+                    return
                 status, extra, answer = await self.answer(
                     method, target, headers, body
                 )
@@ -143,6 +150,25 @@
         finally:
             writer.close()
 
+    async def send_endless(self, identity, writer):
+        """Send a body without end until the caller closes.
+
+        The rate is limited for each router, which the request's id names.
+        """
+        router = identity.partition('-')[0]
+        self.event('endless', request=identity)
+        writer.write((f'HTTP/1.1 200 X\r\nX-Attempt-Id: {identity}\r\n'
+                      f'X-Response-Signature: {self.name}.{identity}\r\n'
+                      '\r\n').encode())
+        part = b'x' * 65536
+        while True:
+            now = time.monotonic()
+            due = max(self.send_at.get(router, now), now - 0.02)
+            self.send_at[router] = due + len(part) / self.options.endless_rate
+            await asyncio.sleep(due - now)
+            writer.write(part)
+            await writer.drain()
+
     async def answer(self, method, target, headers, body):
         expected = headers.get('x-expected-instance', self.name)
         refused = ['X-Not-Executed: 1']
@@ -228,6 +254,9 @@
     # Monotonic time at which its start has ended; 0: at once.
     parser.add_argument('--serve-at', type=float, default=0.0)
     parser.add_argument('--register-after-s', type=float, default=0.0)
+    # Share of the answers whose body has no end, and bytes per second of them.
+    parser.add_argument('--endless-share', type=float, default=0.0)
+    parser.add_argument('--endless-rate', type=float, default=1e6)
     parser.add_argument('--drain-s', type=float, default=3.0)
     asyncio.run(Backend(parser.parse_args()).run())
 
--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -279,7 +279,7 @@
     async def request(self, router, method, path, key=None, body=b'',
                       time_limit_s=1.0):
         self.number += 1
-        identity = f'q{self.number}'
+        identity = f'{router}-{self.number}'
         headers = {'Host': HOST, 'X-Attempt-Id': identity,
                    'X-Deadline-Ms': str(int(time_limit_s * 1000))}
         if key is not None:
