--- a/review/lib-2/backend.py
+++ b/review/lib-2/backend.py
@@ -151,16 +151,18 @@
             writer.close()
 
     async def send_endless(self, identity, writer):
-        """Send a body without end until the caller closes.
+        """Send bytes without end until the caller closes.
 
-        The rate is limited for each router, which the request's id names.
+        They are a body, or empty lines in place of a head. The rate is limited for each router, which the request's id names.
         """
         router = identity.partition('-')[0]
         self.event('endless', request=identity)
-        writer.write((f'HTTP/1.1 200 X\r\nX-Attempt-Id: {identity}\r\n'
-                      f'X-Response-Signature: {self.name}.{identity}\r\n'
-                      '\r\n').encode())
-        part = b'x' * 65536
+        part = b'\r\n' * 32768
+        if self.options.endless_kind == 'body':
+            writer.write((f'HTTP/1.1 200 X\r\nX-Attempt-Id: {identity}\r\n'
+                          f'X-Response-Signature: {self.name}.{identity}\r\n'
+                          '\r\n').encode())
+            part = b'x' * 65536
         while True:
             now = time.monotonic()
             due = max(self.send_at.get(router, now), now - 0.02)
@@ -254,8 +256,10 @@
     # Monotonic time at which its start has ended; 0: at once.
     parser.add_argument('--serve-at', type=float, default=0.0)
     parser.add_argument('--register-after-s', type=float, default=0.0)
-    # Share of the answers whose body has no end, and bytes per second of them.
+    # Share of the answers without end, their bytes per second and kind.
     parser.add_argument('--endless-share', type=float, default=0.0)
+    parser.add_argument('--endless-kind', choices=('body', 'lines'),
+                        default='body')
     parser.add_argument('--endless-rate', type=float, default=1e6)
     parser.add_argument('--drain-s', type=float, default=3.0)
     asyncio.run(Backend(parser.parse_args()).run())
