Skip empty lines before a head, and limit what parsing a response takes

Cause: each part of the received bytes that ends like a head is parsed on its own, and two empty lines end like a head, so a read of 64 KB became 16,384 parts. The limits were in bytes, and were checked after the read.

ParseBudget also limits the parts and the framing of a response, and is checked after each part. Broken exchanges are counted by reason in a metric.

--- a/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/metrics.py
@@ -65,6 +65,10 @@
     def in_flight(self) -> int:
         """Number of requests in progress."""
 
+    @property
+    def broken_counts(self) -> dict[str, int]:
+        """Number of exchanges without a complete response, by reason."""
+
     @property
     def queued(self) -> int:
         """Number of requests that wait for room at an upstream."""
@@ -80,6 +84,8 @@
     ----------
     requests : aioprometheus.Counter
         Finished requests by outcome.
+    broken_exchanges : aioprometheus.Counter
+        Exchanges without a complete response of an upstream, by reason.
     workspace_requests : aioprometheus.Counter
         Ended requests by workspace and outcome.
     quota_refusals : aioprometheus.Counter
@@ -99,6 +105,11 @@
             'Requests by outcome',
             registry=self.registry,
         )
+        self.broken_exchanges = aioprometheus.Counter(
+            'knapweedhall_broken_exchanges_total',
+            'Exchanges without a complete response of an upstream, by reason',
+            registry=self.registry,
+        )
         self.workspace_requests = aioprometheus.Counter(
             'knapweedhall_workspace_requests_total',
             'Requests by workspace and outcome',
@@ -124,6 +135,8 @@
         """Return all metrics in a format that the request accepts."""
         for outcome, count in self.traffic.outcome_counts.items():
             self.requests.set({'outcome': outcome}, count)
+        for reason, count in self.traffic.broken_counts.items():
+            self.broken_exchanges.set({'reason': reason}, count)
         counts = self.traffic.workspace_counts
         for (workspace, outcome), count in counts.items():
             labels = {'workspace': workspace, 'outcome': outcome}
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/connections.py
@@ -13,6 +13,7 @@
 import fcntl
 import math
 import os
+import re
 import select
 import socket
 import struct
@@ -28,6 +29,7 @@
 from knapweedhall_router import clock
 from knapweedhall_routing import body_budget
 from knapweedhall_routing import model
+from knapweedhall_routing import parse_budget
 
 READ_BUFFER_BYTES = 65536
 # Limit of a line and of a field in the head of a response.
@@ -54,14 +56,6 @@
 MAX_FIRST_USE_RESET_DELAY_S = 0.015
 # Share of the timeout in a Keep-Alive header for which a connection is reused.
 KEEP_ALIVE_SHARE = 0.8
-# Limit of what an upstream sends for one response besides its body: heads,
-# late responses to other requests, and framing such as chunk extensions. Bytes
-# that are received and not yet parsed (one read) count too.
-MAX_OVERHEAD_BYTES = 128 * 1024
-# The limit grows by this share of the body, so that a body in chunks of 60
-# bytes or more has no other limit than its size. Chunks of a few bytes take
-# about 7 us of processor time each.
-MAX_FRAMING_SHARE = 0.125
 # Bytes that are read from a socket at once; other connections wait while they
 # are parsed.
 READ_BYTES = 65536
@@ -77,6 +71,7 @@
 HEAD_BEGIN = b'HTTP/1.'
 # End of the head of a response.
 HEAD_END = b'\r\n\r\n'
+EMPTY_LINES = re.compile(rb'[\r\n]+')
 # Bytes of the end of a head that may arrive before the rest of it.
 HEAD_OVERLAP = len(HEAD_END) - 1
 # Makes `close` send a reset and discard the data that is not yet sent.
@@ -97,8 +92,8 @@
         belong to no request.
     request_id : str
         ID of the last request that was sent; '' before the first.
-    received_bytes : int
-        Bytes received in the current exchange.
+    budget : parse_budget.ParseBudget
+        What was received in the current exchange.
     stream : aiohttp.StreamReader or None
         Body that is being read.
     last_stream : aiohttp.StreamReader or None
@@ -132,7 +127,7 @@
         super().__init__(loop)
         self.exchanging = False
         self.request_id = ''
-        self.received_bytes = 0
+        self.budget = parse_budget.ParseBudget()
         self.stream: streams.StreamReader | None = None
         self.last_stream: streams.StreamReader | None = None
         self.last_length: int | None = None
@@ -159,7 +154,7 @@
         """
         self.exchanging = True
         self.request_id = request_id
-        self.received_bytes = 0
+        self.budget = parse_budget.ParseBudget()
         self.stream = None
         self.last_stream = None
         self.last_bytes = b''
@@ -220,41 +215,77 @@
         """Parse received bytes within the limits of the exchange."""
         if not data:
             # The parser continues with bytes that it has received before.
-            super().data_received(data)
+            self._feed(data)
+            self._end_excessive_response()
             return
         if not self.exchanging:
             # Nobody would read them, and they could go on without end.
             self.reset()
             return
-        self.received_bytes += len(data)
         begin = 0
         while begin < len(data):
-            end = self._end_of_part(data, begin)
-            if not self._is_body_due() and not self._is_head(data[begin:end]):
-                self.fail('no-http')
+            if not self.head_begin and not self._is_body_due():
+                begin = self._skip_empty_lines(data, begin)
+            part = data[begin : self._end_of_part(data, begin)]
+            if part and not self._parse_part(part):
                 return
-            super().data_received(data[begin:end])
-            if self.transport is None:
+            begin += len(part)
+            if self._end_excessive_response():
                 return
-            if self.last_is_late and not self._is_body_due():
-                # The parser adds a trailer field to the head that follows.
-                self.last_is_late = False
-                self._renew_parser(True)
-            begin = end
         self.last_bytes = (self.last_bytes + data[-HEAD_OVERLAP:])[
             -HEAD_OVERLAP:
         ]
+
+    def _end_excessive_response(self) -> bool:
+        """Fail the exchange if a limit is exceeded; return whether it is."""
         body_bytes = 0 if self.stream is None else self.stream.total_bytes
-        max_bytes = MAX_OVERHEAD_BYTES + body_bytes * MAX_FRAMING_SHARE
-        if self.received_bytes - body_bytes > max_bytes:
-            self.fail('too-many-bytes')
+        # While its reader is behind, the parser holds bytes of a body that
+        # the stream does not count.
+        excess = self.budget.find_excess(body_bytes, self._reading_paused)
+        if excess:
+            self.fail(excess)
+        return bool(excess)
+
+    def _skip_empty_lines(self, data: bytes, begin: int) -> int:
+        """Return where the next head may begin.
+
+        The parser would skip empty lines too, but as each of them could end a
+        head, it would get them one by one.
+        """
+        match = EMPTY_LINES.match(data, begin)
+        if match is None:
+            return begin
+        self.budget.add_empty_lines(match.end() - begin)
+        return match.end()
+
+    def _parse_part(self, part: bytes) -> bool:
+        """Parse a part; return whether the exchange goes on."""
+        if not self._is_body_due() and not self._is_head(part):
+            self.fail('no-http')
+            return False
+        self.budget.add_part(len(part))
+        self._feed(part)
+        if self.transport is None:
+            return False
+        if self.last_is_late and not self._is_body_due():
+            # The parser adds a trailer field to the head that follows.
+            self.last_is_late = False
+            self._renew_parser(True)
+        return True
+
+    def _feed(self, part: bytes) -> None:
+        """Hand bytes to the parser, and count those that frame a body."""
+        body = self.last_stream if self._is_body_due() else None
+        before = body.total_bytes if body is not None else 0
+        super().data_received(part)
+        if body is not None:
+            body_bytes = body.total_bytes - before
+            self.budget.add_framing(len(part) - body_bytes)
 
     def _is_head(self, data: bytes) -> bool:
         """Return whether bytes may be a part of the head of a response."""
         if len(self.head_begin) < len(HEAD_BEGIN):
-            # Empty lines before a head are allowed (RFC 9112, 2.2).
-            head = (self.head_begin + data).lstrip(b'\r\n')
-            self.head_begin = head[: len(HEAD_BEGIN)]
+            self.head_begin = (self.head_begin + data)[: len(HEAD_BEGIN)]
         return HEAD_BEGIN.startswith(self.head_begin)
 
     def _end_of_part(self, data: bytes, begin: int) -> int:
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/dispatch.py
@@ -60,6 +60,8 @@
         remove the call from it.
     running : dict of calls.Call to asyncio.Timeout
         Calls in progress and their time limits.
+    broken_counts : dict of str to int
+        Number of exchanges without a complete response, by reason.
     """
 
     def __init__(self, state: state_module.State) -> None:
@@ -73,6 +75,7 @@
             )
         )
         self.running: dict[calls.Call, asyncio.Timeout] = {}
+        self.broken_counts: dict[str, int] = {}
 
     def limit_work(self) -> None:
         """Shorten the running calls to the time until which they may run.
@@ -185,7 +188,7 @@
         bool
             Whether the exchange needs to be watched no longer.
         """
-        if connection.received_bytes:
+        if connection.budget.received_bytes:
             return True
         now = clock.now()
         health = self.state.health(upstream)
@@ -304,7 +307,7 @@
             )
         finally:
             silence.end()
-            if not connection.received_bytes:
+            if not connection.budget.received_bytes:
                 health.record_unanswered(sent_at, clock.now())
             health.record_ended(call.number)
             self.buffers.finish(call.number)
@@ -495,6 +498,8 @@
         may_have_run_before: bool,
     ) -> Retry | selection.Failure:
         now = clock.now()
+        count = self.broken_counts.get(outcome.reason, 0)
+        self.broken_counts[outcome.reason] = count + 1
         logs.info(
             'exchange_broken',
             request=call.request_id,
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/frontend.py
@@ -178,6 +178,11 @@
         )
         return self.server
 
+    @property
+    def broken_counts(self) -> dict[str, int]:
+        """Number of exchanges without a complete response, by reason."""
+        return self.dispatcher.broken_counts
+
     def read_caller_gauges(self) -> dict[str, float]:
         """Return what the connections of callers use, by name."""
         if self.server is None:
--- a/packages/knapweedhall-router/tests/test_endless.py
+++ b/packages/knapweedhall-router/tests/test_endless.py
@@ -154,6 +154,27 @@
                 (200, b'GET /order/1 0'), (response.status, response.body)
             )
 
+    async def test_endless_upstream_is_avoided(self) -> None:
+        """Guards against first attempts that keep going to such an upstream.
+
+        The metric tells the failures from those of other causes.
+        """
+        running = self.fleet
+        running.configure(
+            [running.route('order', '/order/', 'safe', 'orders')]
+        )
+        router = running.routers[0]
+        await running.wait_until(
+            lambda: router.state.configuration.version == running.version
+        )
+        self.orders_upstreams()[0].endless = endless.Kind.EMPTY_LINES
+        for _ in range(20):
+            response = await running.send_request(router, '/order/1')
+            self.assertEqual(200, response.status)
+        counts = router.dispatcher.broken_counts
+        self.assertEqual(['too-many-empty-lines'], list(counts))
+        self.assertLessEqual(sum(counts.values()), 5)
+
     async def test_large_response_is_passed_on(self) -> None:
         """Guards against limits that cut proper responses."""
         body = bytes(range(256)) * 32768
--- a/packages/knapweedhall-standins/src/knapweedhall_standins/endless.py
+++ b/packages/knapweedhall-standins/src/knapweedhall_standins/endless.py
@@ -24,6 +24,9 @@
     UNTIL_CLOSE = 'until-close'
     NO_HTTP = 'no-http'
     SURPLUS = 'surplus'
+    EMPTY_LINES = 'empty-lines'
+    TINY_CHUNKS = 'tiny-chunks'
+    LATE = 'late'
 
 
 def prefix(kind: Kind, request_id: str, response: bytes) -> bytes:
@@ -53,9 +56,14 @@
         return head + b'\r\n'
     if kind is Kind.SURPLUS:
         return response
-    if kind in (Kind.CHUNKS, Kind.EXTENSION, Kind.TRAILERS):
+    if kind is Kind.LATE:
+        head = head.replace(request_id.encode(), b'earlier')
+        return head + b'Transfer-Encoding: chunked\r\n\r\n'
+    chunked = (Kind.CHUNKS, Kind.TINY_CHUNKS, Kind.EXTENSION, Kind.TRAILERS)
+    if kind in chunked:
         begin = {
             Kind.CHUNKS: b'',
+            Kind.TINY_CHUNKS: b'',
             Kind.EXTENSION: b'5;x=',
             Kind.TRAILERS: b'5\r\nhello\r\n0\r\n',
         }
@@ -72,6 +80,10 @@
         Kind.RESPONSES: b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n',
         Kind.SURPLUS: b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n',
         Kind.CHUNKS: b'5\r\nhello\r\n',
+        Kind.EMPTY_LINES: b'\r\n',
+        Kind.TINY_CHUNKS: b'1\r\nx\r\n',
+        # The chunk ends like a head.
+        Kind.LATE: b'2\r\n\r\n\r\n',
         Kind.NO_HTTP: b'\x00\xff\x16\x03',
     }.get(kind, b'x')
     return unit * (BLOCK_BYTES // len(unit))
