Give each merged range a new fencing token, and never lower a token

Cause: a renewal that fails set the token of its range to 0, to ask for a new one, and left the range confirmed. Holdings.merge took the higher token of two neighbors, here the older one of the neighbor. A holder that starts again under its ID before the merged range is renewed accepts it.

Change: the token of a range only rises, and needs_token tells whether the next grant needs a new one. A range that is merged from two grants always does, so a token is never sent for other keys than those of its grant. Holdings chooses the token where a grant is recorded.

--- a/packages/knapweedhall-bench/src/knapweedhall_bench/costs.py
+++ b/packages/knapweedhall-bench/src/knapweedhall_bench/costs.py
@@ -64,6 +64,7 @@
         holding.upstream = f'u{number % upstreams}'
         holding.confirmed = True
         holding.fence = number + 1
+        holding.needs_token = False
     return holdings_
 
 
--- a/packages/knapweedhall-model/src/knapweedhall_model/main.py
+++ b/packages/knapweedhall-model/src/knapweedhall_model/main.py
@@ -19,7 +19,7 @@
     """One exploration to run."""
 
     title: str
-    scenario: scenarios.Scenario
+    scenario: scenarios.Scenario | scenarios.MergeScenario
     removed: str = ''
 
 
--- a/packages/knapweedhall-model/tests/test_scenarios.py
+++ b/packages/knapweedhall-model/tests/test_scenarios.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from knapweedhall_model import merging
 from knapweedhall_model import scenarios
 from knapweedhall_model import tenure
 
@@ -20,6 +21,8 @@
     'evidence': 14,
     'left': 13,
     'lease': 12,
+    'holder': 3,
+    'merge': 9,
 }
 
 
@@ -35,7 +38,8 @@
     def test_every_safeguard_can_be_removed(self) -> None:
         """Guards against a safeguard without a variant that omits it."""
         removed = [removal.guard for removal in scenarios.REMOVALS]
-        self.assertEqual(sorted(tenure.GUARDS), sorted(removed))
+        guards = tenure.GUARDS + merging.GUARDS
+        self.assertEqual(sorted(guards), sorted(removed))
 
     def test_number_of_states(self) -> None:
         """Guards against actions that are lost or added by a change."""
--- a/packages/knapweedhall-router/src/knapweedhall_router/control/moves.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/moves.py
@@ -171,7 +171,7 @@
         holding.born_ms = target.born_ms
         holding.confirmed = holding.inherited = False
         holding.handover = handover
-        holding.fence = self.sender.fences.next()
+        holding.needs_token = True
         holding.held_until = holding.unanswered_until = 0.0
         rules = self.state.movement_rules_for(service)
         holding.cooldown_until = clock.now() + rules.cooldown_s
@@ -180,5 +180,5 @@
         """Abort a move; the recorded holder may or may not hold the range."""
         holding.moving, holding.target = False, ''
         holding.confirmed = holding.inherited = False
-        holding.fence = 0
+        holding.needs_token = True
         holding.renew_at = 0.0
--- a/packages/knapweedhall-router/src/knapweedhall_router/control/order_sender.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/order_sender.py
@@ -119,9 +119,7 @@
         self, service_holdings: holdings.Holdings, holding: holdings.Holding
     ) -> bool:
         """Send a grant or its renewal; return whether it was accepted."""
-        if not holding.fence:
-            holding.fence = self.fences.next()
-        grant = service_holdings.record_sent(holding, clock.now())
+        grant = service_holdings.record_sent(holding, self.fences, clock.now())
         deadline = asyncio.get_running_loop().time() + GRANT_TIMEOUT_S
         outcome = await self.client.grant(
             holding.address,
--- a/packages/knapweedhall-router/tests/test_order_sender.py
+++ b/packages/knapweedhall-router/tests/test_order_sender.py
@@ -28,6 +28,87 @@
         return self.outcome
 
 
+class _Recorder:
+    """Test double of the order client that records the tokens of orders.
+
+    Attributes
+    ----------
+    outcome : outcomes.GrantOutcome
+        Outcome of all orders.
+    tokens : list of int
+        Tokens in the order in which they were sent.
+    """
+
+    def __init__(self) -> None:
+        self.outcome: outcomes.GrantOutcome = outcomes.Granted()
+        self.tokens: list[int] = []
+
+    async def grant(
+        self,
+        address: model.Address,
+        upstream: str,
+        keys: model.KeyRange,
+        token: int,
+        *others: object,
+    ) -> outcomes.GrantOutcome:
+        """Record the token of a grant."""
+        self.tokens.append(token)
+        return self.outcome
+
+    release = grant
+
+
+class MergedRangeTest(unittest.IsolatedAsyncioTestCase):
+    """Neighboring ranges of one upstream, granted one after the other."""
+
+    def setUp(self) -> None:
+        """Create two ranges whose holder has accepted no grant yet."""
+        self.client = _Recorder()
+        self.sender = order_sender.OrderSender(
+            typing.cast(typing.Any, self.client), holdings.FencingTokens(0)
+        )
+        self.holdings = holdings.Holdings('s')
+        self.holdings.items[0].upstream = 'u'
+        self.left = self.holdings.split(0, 99)
+        self.right = self.holdings.items[1]
+
+    async def _renew(self) -> None:
+        self.holdings.merge(clock.now())
+        for holding in self.holdings.items:
+            await self.sender.grant(self.holdings, holding)
+
+    async def test_range_whose_renewal_failed(self) -> None:
+        """Guards against a merged range under its neighbor's older token.
+
+        Another upstream had the range in between, under a token that lies
+        between the two (review/7).
+        """
+        await self.sender.grant(self.holdings, self.right)
+        between = self.sender.fences.next()
+        await self.sender.grant(self.holdings, self.left)
+        self.client.outcome = outcomes.Unconfirmed('refused', in_doubt=False)
+        await self.sender.grant(self.holdings, self.left)
+        self.client.outcome = outcomes.Granted()
+        await self._renew()
+        self.assertEqual(1, len(self.holdings.items))
+        self.assertGreater(self.client.tokens[-1], between)
+
+    async def test_merged_range_has_a_token_of_its_own(self) -> None:
+        """Guards against one token for different ranges.
+
+        A holder that started again under its ID would accept it for keys that
+        its earlier life had under the same token.
+        """
+        await self.sender.grant(self.holdings, self.left)
+        await self.sender.grant(self.holdings, self.right)
+        earlier = max(self.client.tokens)
+        await self._renew()
+        self.assertEqual(1, len(self.holdings.items))
+        self.assertGreater(self.client.tokens[-1], earlier)
+        await self._renew()
+        self.assertEqual(self.client.tokens[-2], self.client.tokens[-1])
+
+
 class GrantTest(unittest.IsolatedAsyncioTestCase):
     """Renewals of a grant that expires soon."""
 
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
@@ -50,8 +50,11 @@
     born_ms : int
         Incarnation of the holder that the grant is for; 0 if unknown.
     fence : int
-        Fencing token of the grant in the current term; 0 before a grant was
-        sent.
+        Highest fencing token of the grants of any of its keys in the current
+        term; it never falls. 0 before the first.
+    needs_token : bool
+        Whether the next grant needs a higher token, because the last one was
+        not accepted or the range has another holder now.
     held_until : float
         Latest time at which the holder loses the range unless the grant is
         renewed, seconds.
@@ -88,6 +91,7 @@
     address: model.Address = model.Address('', 0)
     born_ms: int = 0
     fence: int = 0
+    needs_token: bool = True
     held_until: float = 0.0
     unanswered_until: float = 0.0
     confirmed: bool = False
@@ -250,8 +254,23 @@
                 holding.held_until = min(holding.held_until, until)
                 holding.unanswered_until = min(holding.unanswered_until, until)
 
-    def record_sent(self, holding: Holding, now: float) -> SentGrant:
-        """Record that a grant or its renewal is sent."""
+    def record_sent(
+        self, holding: Holding, fences: FencingTokens, now: float
+    ) -> SentGrant:
+        """Record that a grant or its renewal is sent.
+
+        Parameters
+        ----------
+        holding : Holding
+            The range.
+        fences : FencingTokens
+            Generator of the term, for a grant that needs a new token.
+        now : float
+            Current time, seconds.
+        """
+        if holding.needs_token:
+            holding.fence = fences.next()
+            holding.needs_token = False
         grant = SentGrant(
             holding.first, holding.last, holding.fence, now, holding.held_until
         )
@@ -294,7 +313,7 @@
                 )
             else:
                 part.held_until = grant.previous_held_until
-            part.fence = 0
+            part.needs_token = True
             part.renew_at = retry_at
 
     def _remove_in_flight(self, grant: SentGrant) -> list[Holding]:
@@ -320,7 +339,7 @@
             if is_held and not holding.moving and not holding.in_flight:
                 holding.confirmed = holding.inherited = False
                 holding.held_until = holding.unanswered_until = 0.0
-                holding.fence = 0
+                holding.needs_token = True
 
     def to_stored(self) -> list[StoredRange]:
         """Return the ranges in their form for the store."""
@@ -371,15 +390,17 @@
     def merge(self, now: float) -> None:
         """Merge neighbors that one upstream holds under confirmed tokens.
 
-        The merged grant is renewed under the higher of the two tokens. It is
-        above all tokens that other upstreams had for any of the keys.
+        Parts of different grants need a new token, which is above all tokens
+        that any upstream had for any of the keys.
         """
         merged: list[Holding] = []
         for holding in self.items:
             previous = merged[-1] if merged else None
             if previous is not None and _can_merge(previous, holding, now):
                 if previous.fence != holding.fence:
+                    previous.needs_token = True
                     previous.renew_at = now
+                previous.needs_token |= holding.needs_token
                 previous.fence = max(previous.fence, holding.fence)
                 previous.last = holding.last
                 previous.held_until = max(
--- a/packages/knapweedhall-routing/tests/test_holdings.py
+++ b/packages/knapweedhall-routing/tests/test_holdings.py
@@ -13,7 +13,7 @@
 def held(first: int, last: int, upstream: str, fence: int) -> holdings.Holding:
     """Return a confirmed holding."""
     return holdings.Holding(
-        first, last, upstream, ADDRESS, 1, fence, 10.0, confirmed=True
+        first, last, upstream, ADDRESS, 1, fence, False, 10.0, confirmed=True
     )
 
 
@@ -148,7 +148,10 @@
         self.holdings = holdings.Holdings('s')
         holding = self.holdings.items[0]
         holding.upstream, holding.fence, holding.held_until = 'u', 7, 11.0
-        self.grant = self.holdings.record_sent(holding, 10.0)
+        holding.needs_token = False
+        self.grant = self.holdings.record_sent(
+            holding, holdings.FencingTokens(0), 10.0
+        )
         self.holdings.split(100, 199)
 
     def test_all_parts_are_confirmed(self) -> None:
@@ -165,7 +168,7 @@
         for part in self.holdings.items:
             self.assertFalse(part.is_free(holdings.grant_expiry(10.0) - 0.01))
             self.assertTrue(part.is_free(holdings.grant_expiry(10.0)))
-            self.assertEqual((0, 0, 10.5), _state(part))
+            self.assertEqual((0, True, 10.5), _state(part))
 
     def test_grant_that_was_not_sent_does_not_extend_the_hold(self) -> None:
         """Guards against keys waiting for a grant that was never sent."""
@@ -188,5 +191,5 @@
         self.assertEqual([True, True, False], free)
 
 
-def _state(part: holdings.Holding) -> tuple[int, int, float]:
-    return part.in_flight, part.fence, part.renew_at
+def _state(part: holdings.Holding) -> tuple[int, bool, float]:
+    return part.in_flight, part.needs_token, part.renew_at
