Give a range a new token after each release that is sent for it

A coordinator's term could end by a rejection of its own renewal; until the next term no key moves.

Cause: before keys go to an upstream that did not answer, a release of them checks whether it answers again. If the upstream was the last holder, executed the release and its answer was lost, the range kept its token, which is below that of the release. The next renewal was rejected, as by a later term.

Change: a release asks for a new token for the next grant of its range.

--- a/packages/knapweedhall-router/src/knapweedhall_router/control/moves.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/moves.py
@@ -97,8 +97,7 @@
         announce: Announce,
     ) -> None:
         source = holding.upstream
-        keys = model.KeyRange(holding.first, holding.last)
-        has_recovered = await self.sender.has_recovered(target, keys)
+        has_recovered = await self.sender.has_recovered(target, holding)
         # Checked directly before the release: upstreams obey releases of any
         # coordinator, so one that was replaced in the meantime would take
         # keys from an upstream to which its successor has granted them.
--- a/packages/knapweedhall-router/src/knapweedhall_router/control/order_sender.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/control/order_sender.py
@@ -86,19 +86,23 @@
         return backoff is not None and now > backoff.since + GIVE_UP_S
 
     async def has_recovered(
-        self, target: model.Upstream, keys: model.KeyRange
+        self, target: model.Upstream, holding: holdings.Holding
     ) -> bool:
         """Return whether an upstream in `backoffs` answers again; else True.
 
-        The check is a release of keys that the upstream does not hold, which
-        has no effect. A grant to an upstream that is down would leave its
-        keys without an owner until the grant expires.
+        The check is a release of the range, which has no effect, as the
+        upstream does not hold it. A grant to an upstream that is down would
+        leave its keys without an owner until the grant expires.
         """
         if target.name not in self.backoffs:
             return True
         deadline = asyncio.get_running_loop().time() + GRANT_TIMEOUT_S
         outcome = await self.client.release(
-            target.address, target.name, keys, self.fences.next(), deadline
+            target.address,
+            target.name,
+            model.KeyRange(holding.first, holding.last),
+            self._next_release_token(holding),
+            deadline,
         )
         if isinstance(outcome, outcomes.Released):
             self.backoffs.pop(target.name, None)
@@ -106,6 +110,16 @@
         self._record_unanswered(target.name, clock.now())
         return False
 
+    def _next_release_token(self, holding: holdings.Holding) -> int:
+        """Return the token of a release.
+
+        It is higher than that of the grant, so that an upstream that has seen
+        the release rejects grants that arrive late. It would also reject a
+        renewal under the earlier token.
+        """
+        holding.needs_token = True
+        return self.fences.next()
+
     def _record_unanswered(self, upstream: str, now: float) -> None:
         backoff = self.backoffs.get(upstream)
         if backoff is None:
@@ -191,9 +205,7 @@
         self, holding: holdings.Holding
     ) -> outcomes.ReleaseOutcome:
         """Release a range at its holder."""
-        # A higher token than that of the grant, so that an upstream that has
-        # seen the release rejects grants that arrive late.
-        fence = self.fences.next()
+        fence = self._next_release_token(holding)
         deadline = asyncio.get_running_loop().time() + RELEASE_TIMEOUT_S
         outcome = await self.client.release(
             holding.address,
--- a/packages/knapweedhall-router/tests/test_moves.py
+++ b/packages/knapweedhall-router/tests/test_moves.py
@@ -4,6 +4,7 @@
 
 import typing
 import unittest
+from unittest import mock
 
 from knapweedhall_adapter import outcomes
 from knapweedhall_router import clock
@@ -109,6 +110,59 @@
         self.assertFalse(holding.moving)
 
 
+class UnansweredCheckTest(unittest.IsolatedAsyncioTestCase):
+    """An upstream whose check is executed, but not answered."""
+
+    async def test_grant_after_the_check(self) -> None:
+        """Guards against a renewal that its holder rejects as too old.
+
+        The keys had expired at their holder, which was to get them again. It
+        had seen the check's token; its rejection ended the term.
+        """
+        tokens: list[int] = []
+
+        async def execute(
+            address: model.Address,
+            upstream: str,
+            keys: model.KeyRange,
+            token: int,
+            *others: object,
+        ) -> outcomes.Unconfirmed:
+            tokens.append(token)
+            return outcomes.Unconfirmed('answer lost')
+
+        sender = order_sender.OrderSender(
+            mock.Mock(release=execute, grant=execute),
+            holdings.FencingTokens(0),
+        )
+        state = state_module.State(fleet.Fleet().new_settings())
+        state.store_answered_at = clock.now() + 60.0
+        mover = moves.Mover(
+            mock.AsyncMock(),
+            sender,
+            state,
+            lease.Lease(state, clock.now() + 60.0),
+        )
+        service_holdings = holdings.Holdings('s')
+        holding = service_holdings.items[0]
+        holding.upstream = 'u'
+        await sender.grant(service_holdings, holding)
+        holding.held_until = holding.unanswered_until = 0.0
+        service_holdings.record_accepted(
+            service_holdings.record_sent(holding, sender.fences, -9.0)
+        )
+        target = model.Upstream(
+            'u', model.Address('h', 1), 's', 'a', 4, False, 0.0, 1
+        )
+        holding.moving = True
+        await mover.move(
+            service_holdings, holding, target, lambda changed: None
+        )
+        await sender.grant(service_holdings, holding)
+        self.assertEqual(3, len(tokens))
+        self.assertEqual(sorted(set(tokens)), tokens)
+
+
 class HandOverTest(unittest.IsolatedAsyncioTestCase):
     """A coordinator whose lease ends while it checks an upstream."""
 
