Limit what precedes a body in responses to orders and of the store

A single upstream could keep the coordinator from its work: while it answered a grant with bytes without end that are no body, the coordinator parsed until the deadline of the order, and again with the next one.

The sessions for orders and for the store limited the sizes of bodies; empty lines, interim responses and chunk extensions had no limit but the time.

Change: connections of these sessions count what they receive for a request. More than 64 KB before the head of the response, or more than the largest body and an eighth of it, end the call before they are parsed. Heads are read in parts of 16 KB.

--- a/packages/knapweedhall-ctl/src/knapweedhall_ctl/connection.py
+++ b/packages/knapweedhall-ctl/src/knapweedhall_ctl/connection.py
@@ -7,9 +7,6 @@
 import contextlib
 import typing
 
-import aiohttp
-
-
 from knapweedhall_adapter import errors
 from knapweedhall_adapter import outcomes
 from knapweedhall_adapter import store
@@ -57,8 +54,7 @@
     arguments: argparse.Namespace,
 ) -> typing.AsyncIterator[store.StoreClient]:
     """Return a client of the store that the arguments name."""
-    timeout = aiohttp.ClientTimeout(total=None)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with store.open_session() as session:
         yield store.StoreClient(session, arguments.store)
 
 
--- a/packages/knapweedhall-router/src/knapweedhall_router/application.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/application.py
@@ -113,9 +113,8 @@
         if held_back is not None:
             self._stop_on_signal(held_back)
         startup.unblock_signals()
-        timeout = aiohttp.ClientTimeout(total=None)
         try:
-            async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with store.open_session() as session:
                 await self.serve(session)
         finally:
             # Closing the loop restores the default actions of the signals,
