Read chunked uploads in small parts while their chunks are tiny

One caller that uploaded chunks of one byte kept all other requests of a router waiting for 139 ms at a time.

Cause: up to 256 KB of a body are read at once, which is 43,000 such chunks. The library also resumes the parser for each chunk that is taken from a body, whether it is paused or not; 479,589 calls without data in 2 s.

Change: a chunked body is read in parts of 16 KB, and of 256 KB while its framing is at most an eighth. Reading is resumed only if it is paused, also for responses.

--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/caller_connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/caller_connections.py
@@ -32,6 +32,10 @@
 # The same while the body of a request with a handler arrives. Smaller reads
 # made uploads of 30 MB exceed a time limit of 1 s.
 BODY_READ_BYTES = 256 * 1024
+# Share of a read that the framing of a chunked body may have for the next read
+# to be as large. Chunks of a few bytes take long to parse, while other
+# connections wait.
+MAX_FRAMING_SHARE = 0.125
 END_OF_HEAD = b'\r\n\r\n'
 # Time after the set-up of a connection in which its first request may still be
 # on its way: a round trip, and what waits in front of it on a busy link. The
@@ -154,12 +158,25 @@
         """Keep the transport of a new connection."""
         assert isinstance(transport, asyncio.Transport)
         self.sending = transport
-        # asyncio's transports for sockets take it from this attribute.
-        setattr(transport, 'max_size', READ_BYTES)
+        self._limit_reads(READ_BYTES)
         # A response counts as sent only once the kernel has taken it.
         transport.set_write_buffer_limits(0)
         super().connection_made(transport)
 
+    def _limit_reads(self, size: int) -> None:
+        """Set how many bytes are read from the socket at once."""
+        if self.sending is not None:
+            # asyncio's transports for sockets take it from this attribute.
+            setattr(self.sending, 'max_size', size)
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Read on if reading is paused.
+
+        The library calls this for each chunk that is read from a body.
+        """
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Drop the transport of a closed connection."""
         if exc is None and self.sending is not None:
@@ -205,8 +222,8 @@
         self._record_held()
         if content.is_eof():
             self.record_body()
-        elif self.sending is not None:
-            setattr(self.sending, 'max_size', BODY_READ_BYTES)
+        elif content is not self.chunked_body:
+            self._limit_reads(BODY_READ_BYTES)
         self._end_malformed_body()
 
     def record_body(self) -> None:
@@ -234,8 +251,7 @@
     def record_response(self) -> None:
         """Record that the handler has ended."""
         self.running = False
-        if self.sending is not None:
-            setattr(self.sending, 'max_size', READ_BYTES)
+        self._limit_reads(READ_BYTES)
         if self.head_bytes:
             # The time for a head begins when its response could follow.
             self.head_since = clock.now()
@@ -435,6 +451,10 @@
             self.framing_bytes = (
                 0 if growth else (self.framing_bytes + len(data))
             )
+            if self.running and data:
+                framing = len(data) - growth
+                is_large = framing <= len(data) * MAX_FRAMING_SHARE
+                self._limit_reads(BODY_READ_BYTES if is_large else READ_BYTES)
         else:
             self.framing_bytes = 0
             end = (before + data).rfind(END_OF_HEAD)
--- a/packages/knapweedhall-router/src/knapweedhall_router/serving/connections.py
+++ b/packages/knapweedhall-router/src/knapweedhall_router/serving/connections.py
@@ -211,6 +211,14 @@
         setattr(transport, 'max_size', READ_BYTES)
         super().connection_made(transport)
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Read on if reading is paused.
+
+        The library calls this for each chunk that is read from a body.
+        """
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes within the limits of the exchange."""
         if not data:
--- a/packages/knapweedhall-router/tests/test_caller_connections.py
+++ b/packages/knapweedhall-router/tests/test_caller_connections.py
@@ -6,6 +6,7 @@
 import math
 import random
 import unittest
+from unittest import mock
 
 from aiohttp import web
 
@@ -13,6 +14,10 @@
 
 HOST = '127.0.9.250'
 HEAD = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n'
+HEAD_CHUNKED = (
+    b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
+UPLOAD_BYTES = 1024 * 1024
 HANDLER_S = 0.1
 # More than a head may have.
 BODY_BYTES = 2 * caller_connections.MAX_HEAD_BYTES
@@ -157,6 +162,48 @@
                 self.assertEqual(1, self.server.close_slow(-1))
 
 
+class ChunkedBodyTest(ConnectionCase):
+    """Uploads whose length is not known."""
+
+    async def upload(self, chunk: bytes) -> list[int]:
+        """Upload chunks without end; return the sizes of the reads."""
+        await self.read_response()
+        sizes: list[int] = []
+        receive = self.connection.data_received
+
+        def record(data: bytes) -> None:
+            sizes.append(len(data))
+            receive(data)
+
+        with mock.patch.object(
+            caller_connections.CallerConnection,
+            'data_received',
+            lambda connection, data: record(data),
+        ):
+            self.writer.write(HEAD_CHUNKED)
+            await asyncio.sleep(HANDLER_S / 4)
+            for _ in range(8):
+                self.writer.write(chunk * (UPLOAD_BYTES // 8 // len(chunk)))
+                await self.writer.drain()
+            async with asyncio.timeout(TIMEOUT_S):
+                while sum(sizes) < UPLOAD_BYTES // 2:
+                    await asyncio.sleep(0.01)
+        return sizes
+
+    async def test_tiny_chunks_are_read_in_small_parts(self) -> None:
+        """Guards against others that wait while one upload is parsed.
+
+        One read of 256 KB of chunks of one byte took 139 ms.
+        """
+        sizes = await self.upload(b'1\r\nx\r\n')
+        self.assertLessEqual(max(sizes), caller_connections.READ_BYTES)
+
+    async def test_large_chunks_are_read_in_large_parts(self) -> None:
+        """Guards against uploads that are slower for their framing."""
+        sizes = await self.upload(b'4000\r\n' + bytes(0x4000) + b'\r\n')
+        self.assertGreater(max(sizes), caller_connections.READ_BYTES)
+
+
 class UnreadResponseTest(ConnectionCase):
     """A caller that sends requests and does not read the responses."""
 
