--- a/packages/knapweedhall-model/tests/test_scenarios.py
+++ b/packages/knapweedhall-model/tests/test_scenarios.py
@@ -9,8 +9,8 @@
 from knapweedhall_model import tenure
 
 SMALL = scenarios.Scenario(4, 2, 1, 2)
-# States within the bounds of scenarios.SHORT. The sum over all scenarios is
-# the one that another engine counted (docs/model.md).
+# States within the bounds of scenarios.SHORT. The sum over all scenarios of
+# tenure is the one that another engine counted (docs/model.md).
 SHORT_STATES = 22265
 # Length of a shortest counterexample without each safeguard, in actions.
 COUNTEREXAMPLES = {
--- a/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
+++ b/packages/knapweedhall-routing/src/knapweedhall_routing/holdings.py
@@ -53,8 +53,8 @@
         Highest fencing token of the grants of any of its keys in the current
         term; it never falls. 0 before the first.
     needs_token : bool
-        Whether the next grant needs a higher token, because the last one was
-        not accepted or the range has another holder now.
+        Whether the next grant needs a higher token: the range or its holder
+        changed, the last grant was not accepted, or a release was sent.
     held_until : float
         Latest time at which the holder loses the range unless the grant is
         renewed, seconds.
