--- a/packages/knapweedhall-router/tests/test_parse_work.py
+++ b/packages/knapweedhall-router/tests/test_parse_work.py
@@ -15,9 +15,8 @@
 READ_BYTES = 65536
 # More than any limit lets pass without a body.
 MAX_READS = 100
-# Each call of the parser takes some microseconds, each chunk a tenth of that.
-# Garbled answers are up to 0.4 of those of a service; with 130 requests per
-# second, these bounds leave most of a processor to others.
+# Bounds for one response; counts do not depend on the speed of the machine. A
+# chunk takes the parser a fraction of the time of a call.
 MAX_CALLS = 3000
 MAX_CHUNKS = 12000
 HEAD = (
